Lay out the package, its messages, ports and checks

Cause: nothing stood yet. The messages on links, the ports to the outside and the bundle's shape come first, so that the parts can be built side by side.

--- /dev/null
+++ b/arbutusvale/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Make the decisions: placement, admission, claims, gossip, rollout."""
--- /dev/null
+++ b/arbutusvale/load/__init__.py
@@ -0,0 +1,1 @@
+"""Play chats and bookings against running routers and report."""
--- /dev/null
+++ b/arbutusvale/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Define what is exchanged: messages, codecs, adapters and ports."""
--- /dev/null
+++ b/arbutusvale/protocol/callerapi.py
@@ -0,0 +1,39 @@
+"""Name the headers, paths and error bodies of the callers' HTTP API."""
+
+import dataclasses
+
+CHAT_ID = 'Chat-Id'
+IDEMPOTENCY_KEY = 'Idempotency-Key'
+IDEMPOTENT = 'Idempotent'
+REQUEST_TIMEOUT = 'Request-Timeout'
+REQUEST_ID = 'X-Request-Id'
+OUTCOME = 'Arbutusvale-Outcome'
+SERVED_BY = 'Arbutusvale-Served-By'
+CLAIM_WINDOW = 'Arbutusvale-Claim-Window'
+RETRY_AFTER = 'Retry-After'
+CHAT_PATH = '/v1/chat/completions'
+MODELS_PATH = '/v1/models'
+SERVICES_PREFIX = '/services/'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ErrorAnswer:
+    """Hold an error answer to a caller; ``retry_after`` 0 means none."""
+
+    status: int
+    code: str
+    message: str
+    outcome: str
+    retry_after: float = 0.0
+
+    def body(self, request_id: str) -> dict:
+        """Return the JSON body that every error answer has."""
+        return {
+            'error': {
+                'code': self.code,
+                'message': self.message,
+                'type': 'arbutusvale_error',
+                'request_id': request_id,
+                'outcome': self.outcome,
+            }
+        }
--- /dev/null
+++ b/arbutusvale/settings.py
@@ -0,0 +1,94 @@
+"""Define the settings of each program, read from YAML at its start.
+
+Times are in seconds, sizes in bytes, addresses are ``host:port``.
+"""
+
+import dataclasses
+
+import pydantic
+import pydantic.dataclasses
+
+from arbutusvale import yamlfile
+
+STRICT = pydantic.ConfigDict(extra='forbid')
+MIN_FLEET_KEY_LENGTH = 16
+
+
+@pydantic.dataclasses.dataclass(frozen=True, kw_only=True, config=STRICT)
+class ProcessSettings:
+    """Hold what every process of the fleet has to be told."""
+
+    vm: str = pydantic.Field(min_length=1)
+    data_centre: str = pydantic.Field(min_length=1)
+    listen: str
+    admin: str
+    platform: str
+    fleet_key: str = pydantic.Field(min_length=MIN_FLEET_KEY_LENGTH)
+    operators: dict[str, str] = dataclasses.field(default_factory=dict)
+    grace_s: float = pydantic.Field(default=30.0, gt=0)
+    log_level: str = pydantic.Field(
+        default='info', pattern='^(debug|info|warning|error)$'
+    )
+
+    @pydantic.field_validator('listen', 'admin')
+    @classmethod
+    def check_address(cls, value: str) -> str:
+        """Accept ``host:port`` with a port between 0 and 65535."""
+        split_address(value)
+        return value
+
+
+@pydantic.dataclasses.dataclass(frozen=True, kw_only=True, config=STRICT)
+class RouterSettings(ProcessSettings):
+    """Hold the settings of ``arbutusvale-router``."""
+
+    link_idle_s: float = pydantic.Field(default=60.0, gt=0)
+
+
+@pydantic.dataclasses.dataclass(frozen=True, kw_only=True, config=STRICT)
+class SidecarSettings(ProcessSettings):
+    """Hold the settings of ``arbutusvale-sidecar``."""
+
+    pool: str = pydantic.Field(min_length=1)
+    server: str = pydantic.Field(min_length=1)
+
+
+@pydantic.dataclasses.dataclass(frozen=True, kw_only=True, config=STRICT)
+class OperatorSettings:
+    """Hold the settings of the operator's command line."""
+
+    platform: str
+    operators: dict[str, str] = dataclasses.field(default_factory=dict)
+    name: str = ''
+    key_file: str = ''
+
+
+def read_router(path: str) -> RouterSettings:
+    """Read the router's settings file."""
+    return yamlfile.read(path, RouterSettings)
+
+
+def read_sidecar(path: str) -> SidecarSettings:
+    """Read the sidecar's settings file."""
+    return yamlfile.read(path, SidecarSettings)
+
+
+def read_operator(path: str) -> OperatorSettings:
+    """Read the operator's settings file."""
+    return yamlfile.read(path, OperatorSettings)
+
+
+@dataclasses.dataclass(frozen=True)
+class Address:
+    """Name a TCP end point by host and port."""
+
+    host: str
+    port: int
+
+
+def split_address(text: str) -> Address:
+    """Split ``host:port``; raises ValueError naming the remedy."""
+    host, separator, port = text.rpartition(':')
+    if not (separator and host and port.isdigit() and int(port) < 65536):
+        raise ValueError(f'{text!r} is no address; write it as host:port')
+    return Address(host, int(port))
--- /dev/null
+++ b/arbutusvale/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform and the backend servers in tests."""
--- /dev/null
+++ b/arbutusvale/state/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what a process remembers; no input or output happens here."""
--- /dev/null
+++ b/arbutusvale/state/rendezvous.py
@@ -0,0 +1,27 @@
+"""Rank servers for a key by rendezvous hashing.
+
+A join or leave among n servers moves about 1/n of the keys, and every
+process that holds the same list computes the same ranking.
+"""
+
+from collections.abc import Iterable
+
+import xxhash
+
+
+def rank(key: str, names: Iterable[str]) -> list[str]:
+    """Order server names for ``key``, the first choice first."""
+    return sorted(
+        names,
+        key=lambda name: (xxhash.xxh3_64_intdigest(f'{name}\0{key}'), name),
+        reverse=True,
+    )
+
+
+def first(key: str, names: Iterable[str]) -> str:
+    """Return the first choice for ``key``; empty when there is none."""
+    return max(
+        names,
+        key=lambda name: (xxhash.xxh3_64_intdigest(f'{name}\0{key}'), name),
+        default='',
+    )
--- /dev/null
+++ b/arbutusvale/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Own connections: HTTP servers, HTTP clients and links between VMs."""
--- /dev/null
+++ b/arbutusvale/ui/__init__.py
@@ -0,0 +1,1 @@
+"""Offer the command line programs."""
--- /dev/null
+++ b/arbutusvale/ui/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Hold one module per command."""
--- /dev/null
+++ b/tests/test_yamlfile.py
@@ -0,0 +1,36 @@
+import pytest
+
+from arbutusvale import errors
+from arbutusvale import settings
+from arbutusvale import yamlfile
+
+ROUTER = """\
+vm: entry-1
+data_centre: poa-1
+listen: 127.0.0.1:8080
+admin: 127.0.0.1:8081
+platform: http://127.0.0.1:7000
+fleet_key: 0123456789abcdef
+"""
+
+
+def test_valid_settings_are_read():
+    read = yamlfile.parse(ROUTER, settings.RouterSettings)
+    assert read.vm == 'entry-1'
+    assert read.grace_s == 30.0
+
+
+@pytest.mark.parametrize(
+    ('text', 'place', 'remedy'),
+    [
+        (ROUTER.replace('8080', 'x'), 'f.yaml:3: listen', 'host:port'),
+        (ROUTER + 'colour: red\n', 'f.yaml:7: colour', 'remove this field'),
+        (ROUTER[len('vm: entry-1\n') :], 'f.yaml:1: vm', 'add this field'),
+        (ROUTER + 'a: [\n', 'f.yaml:8', 'write valid YAML'),
+    ],
+)
+def test_fault_names_file_line_field_and_remedy(text, place, remedy):
+    with pytest.raises(errors.DocumentError) as caught:
+        yamlfile.parse(text, settings.RouterSettings, 'f.yaml')
+    assert place in str(caught.value)
+    assert remedy in str(caught.value)
