Carry messages on authenticated websocket links

Routers and sidecars need one connection per pair that carries many requests. A link batches what is queued since the last loop turn into one CBOR frame, counts control bytes apart and returns heartbeats on the listening side, so that silence in either direction shows.

--- /dev/null
+++ b/arbutusvale/transport/linkcounters.py
@@ -0,0 +1,67 @@
+"""Count the bytes and messages of links, control apart from requests."""
+
+import collections
+import dataclasses
+
+from arbutusvale.protocol import codec
+from arbutusvale.protocol import messages
+
+CONTROL = frozenset(
+    {
+        messages.Challenge,
+        messages.Hello,
+        messages.Welcome,
+        messages.Heartbeat,
+        messages.Placed,
+        messages.Locate,
+        messages.Located,
+        messages.PoolUpdate,
+        messages.HandOver,
+        messages.BundleHead,
+        messages.FetchBundle,
+        messages.BundleCopy,
+    }
+)
+_ARRAY_HEADER_BYTES = 1
+
+
+@dataclasses.dataclass(slots=True)
+class Direction:
+    """Hold the counts of one direction.
+
+    ``control_by_kind`` holds bytes, ``by_kind`` counts of messages, both
+    by the name of the message class.
+    """
+
+    request_bytes: int = 0
+    control_bytes: int = 0
+    frames: int = 0
+    control_by_kind: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    by_kind: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+    def add(self, batch: list[messages.Message], frame_bytes: int) -> None:
+        """Count one frame that carries ``batch``."""
+        control = 0
+        for message in batch:
+            kind = type(message)
+            self.by_kind[kind.__name__] += 1
+            if kind in CONTROL:
+                size = len(codec.encode_frame([message]))
+                size -= _ARRAY_HEADER_BYTES
+                self.control_by_kind[kind.__name__] += size
+                control += size
+        self.frames += 1
+        self.control_bytes += control
+        self.request_bytes += frame_bytes - control
+
+
+class LinkCounters:
+    """Hold the counts of every link of a process, in both directions."""
+
+    def __init__(self):
+        self.sent = Direction()
+        self.received = Direction()
--- /dev/null
+++ b/arbutusvale/transport/linkserver.py
@@ -0,0 +1,89 @@
+"""Accept links from other VMs of the fleet."""
+
+import asyncio
+
+from absl import logging
+from websockets.asyncio import server
+
+from arbutusvale import errors
+from arbutusvale import settings
+from arbutusvale.protocol import ports
+from arbutusvale.transport import linkcounters
+from arbutusvale.transport import links
+from arbutusvale.transport import opening
+
+
+class LinkServer:
+    """Listen on one address and run a link per connection.
+
+    A new link from a VM replaces an older one, which its other side has
+    given up.
+    """
+
+    def __init__(
+        self,
+        *,
+        listen: str,
+        vm: str,
+        incarnation: int,
+        role: str,
+        fleet_key: str,
+        handler: ports.LinkHandler,
+        counters: linkcounters.LinkCounters | None = None,
+    ):
+        self.address = settings.split_address(listen)
+        self.identity = opening.Identity(vm, incarnation, role, fleet_key)
+        self.handler = handler
+        self.counters = counters or linkcounters.LinkCounters()
+        self.links: dict[str, links.Link] = {}
+        self.server: server.Server | None = None
+
+    async def start(self) -> None:
+        """Start to listen."""
+        self.server = await server.serve(
+            self._run_link,
+            self.address.host,
+            self.address.port,
+            **links.SOCKET_OPTIONS,
+        )
+
+    @property
+    def port(self) -> int:
+        """Return the port, also when the settings left it to the system."""
+        return self.server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stop to listen, send what is queued and close every link."""
+        if self.server is None:
+            return
+        self.server.close(close_connections=False)
+        open_links = list(self.links.values())
+        await asyncio.gather(*(link.finish() for link in open_links))
+        await self.server.wait_closed()
+
+    async def _run_link(self, socket: server.ServerConnection) -> None:
+        """Authenticate one connection and carry its messages."""
+        try:
+            peer = await opening.accept(socket, self.identity, self.counters)
+        except (errors.LinkClosed, errors.FrameError) as error:
+            logging.warning(
+                'event=link-rejected cause="%s"',
+                error.problem,
+            )
+            return
+        link = links.Link(
+            socket=socket,
+            peer=peer,
+            handler=self.handler,
+            counters=self.counters,
+            answers_heartbeats=True,
+        )
+        older = self.links.get(peer.vm)
+        self.links[peer.vm] = link
+        if older is not None:
+            older.close()
+        try:
+            await link.run()
+        finally:
+            if self.links.get(peer.vm) is link:
+                del self.links[peer.vm]
