Admit within the load bound and gossip loads in a pool

Routers cannot agree on a load bound, as each sees a sliver of the traffic; the sidecar counts its own outstanding requests and decides.

--- /dev/null
+++ b/tests/state/test_directory.py
@@ -0,0 +1,33 @@
+from arbutusvale.protocol import messages
+from arbutusvale.state import directory
+
+
+def test_oldest_entry_is_dropped_beyond_capacity():
+    table = directory.Directory(2)
+    table.record('a', 's1')
+    table.record('b', 's2')
+    assert table.find('a') == 's1'
+    table.record('c', 's3')
+    assert table.find('b') == ''
+    assert [place.chat for place in table.export()] == ['c', 'a']
+
+
+def test_eviction_at_another_place_keeps_the_entry():
+    table = directory.Directory(4)
+    table.record('a', 's2')
+    table.forget('a', 's1')
+    assert table.find('a') == 's2'
+    table.forget('a', 's2')
+    assert table.find('a') == ''
+
+
+def test_handed_over_entries_do_not_replace_known_ones():
+    table = directory.Directory(4)
+    table.record('a', 's1')
+    placements = [
+        messages.Placement('a', 's9'),
+        messages.Placement('b', 's9'),
+    ]
+    assert table.learn(placements) == 1
+    assert table.find('a') == 's1'
+    assert table.forget_vm('s9') == 1
--- /dev/null
+++ b/tests/state/test_pooltable.py
@@ -0,0 +1,81 @@
+import math
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+from arbutusvale.state import pooltable
+from tests import helpers_sidecar as helpers
+
+
+def make_table(clock=None):
+    return pooltable.PoolTable('s1', 1, clock or helpers.Clock())
+
+
+def test_newest_report_wins():
+    table = make_table()
+    assert table.merge([helpers.make_load('s2', 4, version=7)]) == 1
+    assert table.merge([helpers.make_load('s2', 9, version=6)]) == 0
+    assert table.total == 4
+    restarted = helpers.make_load('s2', 1, version=1, incarnation=2)
+    assert table.merge([restarted]) == 1
+    assert table.total == 1
+
+
+def test_own_entry_is_never_overwritten():
+    table = make_table()
+    table.set_own(3)
+    table.merge([helpers.make_load('s1', 99, version=1000)])
+    assert table.total == 3
+
+
+def test_listed_mate_counts_before_it_is_heard():
+    table = make_table()
+    table.set_listed(['s1', 's2', 's3'])
+    table.set_own(3)
+    assert table.count == 3
+    assert table.mean == 1.0
+
+
+def test_silent_leaving_and_unlisted_mates_do_not_count():
+    clock = helpers.Clock()
+    table = make_table(clock)
+    table.set_listed(['s1', 's2', 's3'])
+    table.merge(
+        [
+            helpers.make_load('s2', 2),
+            helpers.make_load('s3', 2, state='leaving'),
+            helpers.make_load('s4', 2),
+        ]
+    )
+    assert table.count == 3
+    table.set_listed(['s1', 's3'])
+    assert [load.vm for load in table.least_loaded(5)] == ['s4']
+    clock.now += pooltable.SILENCE_S + 0.1
+    assert table.count == 1
+
+
+def test_sure_limit_takes_old_reports_as_idle():
+    clock = helpers.Clock()
+    table = make_table(clock)
+    table.merge([helpers.make_load('s2', 10)])
+    clock.now += 1.0
+    assert table.bound_limit(1.25) == 7
+    assert table.sure_limit(1.25, 0.5) == 1
+
+
+@settings(max_examples=200, derandomize=True)
+@given(
+    strategies.lists(strategies.integers(0, 40), min_size=1, max_size=20),
+    strategies.floats(1.01, 3.0),
+)
+def test_some_server_is_always_under_the_bound(loads, bound):
+    table = make_table()
+    table.set_own(loads[0])
+    table.merge(
+        helpers.make_load(f's{index + 2}', load)
+        for index, load in enumerate(loads[1:])
+    )
+    limit = table.bound_limit(bound)
+    assert limit == max(1, math.ceil(bound * (sum(loads) + 1) / len(loads)))
+    assert min(loads) + 1 <= limit
