Add stand-ins and the adapters that reach them

The platform, engines and plain services were only ports, so nothing could run end to end.

Answers are streamed through tornado's HTTP1Connection, not its client: the client tells a failed connect from a broken answer by the error's kind only, and cannot be closed while a server is silent.

--- /dev/null
+++ b/arbutusvale/protocol/plainservice.py
@@ -0,0 +1,94 @@
+"""Reach a plain service beside its sidecar over HTTP."""
+
+from collections.abc import AsyncIterator
+
+from tornado import httpclient
+
+from arbutusvale import errors
+from arbutusvale.protocol import callerapi
+from arbutusvale.protocol import httpanswer
+from arbutusvale.protocol import ports
+
+HEALTH_PATH = '/health'
+HEALTH_TIMEOUT_S = 2.0
+
+
+class HttpService:
+    """Implement :class:`ports.BackendServer` for a plain service."""
+
+    def __init__(self, address: str, client: httpclient.AsyncHTTPClient):
+        self.address = address
+        self.client = client
+
+    async def run(
+        self, request: ports.ServerRequest
+    ) -> AsyncIterator[ports.ServerHead | bytes]:
+        """Run a request: yields one head, then pieces of the body.
+
+        An answer that does not echo the request id is dropped with its
+        connection.  Closing the iterator closes the connection.
+        """
+        own = {name.lower() for name, _ in self.own_headers(request)}
+        headers = [
+            [name, value]
+            for name, value in request.headers
+            if name.lower() not in own
+        ]
+        answer = httpanswer.stream(
+            self.address,
+            request.method,
+            request.path,
+            headers + self.own_headers(request),
+            request.body,
+            request.timeout,
+        )
+        try:
+            async for part in answer:
+                if isinstance(part, ports.ServerHead):
+                    self.check_echo(request, part)
+                yield part
+        finally:
+            await answer.aclose()
+
+    def own_headers(self, request: ports.ServerRequest) -> list:
+        """Return the header pairs that the adapter itself sets."""
+        return [[callerapi.REQUEST_ID, request.request_id]]
+
+    def check_echo(
+        self, request: ports.ServerRequest, head: ports.ServerHead
+    ) -> None:
+        """Raise :class:`errors.ServerBroken` on another request's answer."""
+        for name, value in head.headers:
+            if name.lower() == callerapi.REQUEST_ID.lower():
+                if value == request.request_id:
+                    return
+                raise errors.ServerBroken(
+                    self.address, 'the answer belongs to another request'
+                )
+        raise errors.ServerBroken(
+            self.address, 'the answer carries no request id'
+        )
+
+    async def cancel(self, request_id: str) -> None:
+        """Do nothing: plain services cannot stop a request."""
+
+    async def healthy(self) -> bool:
+        """Tell whether the server answers its health check."""
+        try:
+            answer = await self.call('GET', HEALTH_PATH, HEALTH_TIMEOUT_S)
+        except (httpclient.HTTPError, OSError):
+            return False
+        return answer.code == 200
+
+    async def call(
+        self, method: str, path: str, timeout: float, body: bytes | None = None
+    ) -> httpclient.HTTPResponse:
+        """Call the server; raises HTTPError or OSError without an answer."""
+        return await self.client.fetch(
+            f'http://{self.address}{path}',
+            method=method,
+            body=body,
+            request_timeout=timeout,
+            connect_timeout=min(timeout, httpanswer.CONNECT_TIMEOUT_S),
+            raise_error=False,
+        )
--- /dev/null
+++ b/arbutusvale/standins/faults.py
@@ -0,0 +1,275 @@
+"""Relay TCP connections and inject faults into them."""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import enum
+
+from arbutusvale import settings
+from arbutusvale.standins import webserver
+
+READ_BYTES = 65536
+QUEUED_PIECES = 64
+
+
+class Direction(enum.StrEnum):
+    """Name what flows to the target, to the client, or both."""
+
+    TO_TARGET = 'to_target'
+    TO_CLIENT = 'to_client'
+    BOTH = 'both'
+
+
+@dataclasses.dataclass
+class ProxyFaults:
+    """Hold the proxy's fault settings.
+
+    ``cut`` and ``freeze`` act once, on the connections open then; frozen
+    ones stay silent for good.  ``freeze_new`` also silences later ones.
+    ``delay_s`` is one-way, ``bytes_per_s`` 0 for no limit.
+    """
+
+    cut: bool = False
+    freeze: str = ''
+    freeze_new: str = ''
+    refuse: bool = False
+    delay_s: float = 0.0
+    bytes_per_s: float = 0.0
+    drop_answers: int = 0
+
+
+class FaultProxy:
+    """Relay connections from ``listen`` to ``target``.
+
+    ``control`` is the address of the HTTP control, empty for none.
+    """
+
+    def __init__(self, listen: str, target: str, control: str = ''):
+        self.listen = settings.split_address(listen)
+        self.target = target
+        self.port = self.listen.port
+        self.faults = ProxyFaults()
+        self.control = _Control(control, self) if control else None
+        self.server: asyncio.Server | None = None
+        self.connections: set[_Connection] = set()
+        self.bytes: collections.Counter[str] = collections.Counter()
+        self.accepted = 0
+
+    @property
+    def address(self) -> str:
+        """Return ``host:port`` as bound."""
+        return f'{self.listen.host}:{self.port}'
+
+    async def start(self) -> None:
+        """Bind and relay; a port of 0 binds a free one."""
+        await self.open()
+        if self.control is not None:
+            await self.control.start()
+
+    async def stop(self) -> None:
+        """Stop listening and cut all connections."""
+        if self.server is not None:
+            self.server.close()
+        self.cut()
+        if self.control is not None:
+            await self.control.stop()
+
+    async def open(self) -> None:
+        """Listen for connections."""
+        self.server = await asyncio.start_server(
+            self.relay, self.listen.host, self.port
+        )
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def relay(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Relay one connection until either end closes it."""
+        self.accepted += 1
+        target = settings.split_address(self.target)
+        try:
+            there = await asyncio.open_connection(target.host, target.port)
+        except OSError:
+            writer.close()
+            return
+        connection = _Connection(self, reader, writer, *there)
+        if self.faults.freeze_new:
+            connection.freeze(self.faults.freeze_new)
+        self.connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self.connections.discard(connection)
+
+    def cut(self) -> None:
+        """Close all connections."""
+        for connection in list(self.connections):
+            connection.close()
+
+    def freeze(self, direction: str = Direction.BOTH) -> None:
+        """Silence the open connections for good."""
+        for connection in self.connections:
+            connection.freeze(direction)
+
+    async def refuse(self, wanted: bool = True) -> None:
+        """Refuse new connections, or take them again."""
+        self.faults.refuse = wanted
+        if wanted and self.server is not None:
+            self.server.close()
+            self.server = None
+        elif not wanted and self.server is None:
+            await self.open()
+
+    def drop_one_answer(self) -> None:
+        """Close the next connection that has an answer, unanswered."""
+        self.faults.drop_answers += 1
+
+
+class _Connection:
+    """Relay both directions of one connection."""
+
+    def __init__(self, proxy, reader, writer, far_reader, far_writer):
+        self.writers = (writer, far_writer)
+        self.pipes = {
+            Direction.TO_TARGET: _Pipe(
+                proxy, self, Direction.TO_TARGET, reader, far_writer
+            ),
+            Direction.TO_CLIENT: _Pipe(
+                proxy, self, Direction.TO_CLIENT, far_reader, writer
+            ),
+        }
+        self.task: asyncio.Task | None = None
+
+    async def run(self) -> None:
+        """Relay until closed."""
+        self.task = asyncio.current_task()
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(*(pipe.run() for pipe in self.pipes.values()))
+        for writer in self.writers:
+            writer.close()
+
+    def freeze(self, direction: str) -> None:
+        """Silence one direction or both, for good."""
+        for name, pipe in self.pipes.items():
+            if direction in (name, Direction.BOTH):
+                pipe.frozen = True
+
+    def close(self) -> None:
+        """Close both ends."""
+        for writer in self.writers:
+            writer.close()
+        if self.task is not None:
+            self.task.cancel()
+
+
+class _Pipe:
+    """Relay one direction of a connection."""
+
+    def __init__(self, proxy, connection, direction, reader, writer):
+        self.proxy = proxy
+        self.connection = connection
+        self.direction = direction
+        self.reader = reader
+        self.writer = writer
+        self.frozen = False
+        self.pieces: asyncio.Queue = asyncio.Queue(QUEUED_PIECES)
+
+    async def run(self) -> None:
+        """Read and write side by side, so that delays do not add up."""
+        await asyncio.gather(self.read(), self.write())
+
+    async def read(self) -> None:
+        """Queue what arrives, with the moment at which it is due."""
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                data = await self.reader.read(READ_BYTES)
+            except OSError:
+                data = b''
+            due = loop.time() + self.proxy.faults.delay_s
+            await self.pieces.put((due, data))
+            if not data:
+                return
+
+    async def write(self) -> None:
+        """Pass the pieces on when they are due, unless frozen."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due, data = await self.pieces.get()
+            if due > loop.time():
+                await asyncio.sleep(due - loop.time())
+            if self.frozen:
+                await loop.create_future()
+            if not data:
+                self.finish()
+                return
+            if self.drops_answer():
+                self.connection.close()
+                return
+            await self.pass_on(data)
+
+    def drops_answer(self) -> bool:
+        """Tell whether this answer is to be lost."""
+        if self.direction != Direction.TO_CLIENT:
+            return False
+        if self.proxy.faults.drop_answers <= 0:
+            return False
+        self.proxy.faults.drop_answers -= 1
+        return True
+
+    async def pass_on(self, data: bytes) -> None:
+        """Write a piece, slowly if a rate is set."""
+        self.proxy.bytes[self.direction] += len(data)
+        try:
+            self.writer.write(data)
+            await self.writer.drain()
+        except OSError:
+            self.connection.close()
+        if self.proxy.faults.bytes_per_s:
+            await asyncio.sleep(len(data) / self.proxy.faults.bytes_per_s)
+
+    def finish(self) -> None:
+        """Pass the end of the stream on."""
+        with contextlib.suppress(OSError, RuntimeError):
+            if self.writer.can_write_eof():
+                self.writer.write_eof()
+
+
+class _Control(webserver.Standin):
+    """Steer a proxy over HTTP."""
+
+    def __init__(self, listen: str, proxy: FaultProxy):
+        super().__init__(listen, proxy.faults)
+        self.proxy = proxy
+        self.refusing: asyncio.Task | None = None
+
+    def routes(self) -> list:
+        """Return the application's URL rules."""
+        return [('/stats', StatsHandler, {'standin': self}), *super().routes()]
+
+    def faults_changed(self) -> None:
+        """Apply the faults that act at once."""
+        faults = self.proxy.faults
+        if faults.cut:
+            self.proxy.cut()
+        if faults.freeze:
+            self.proxy.freeze(faults.freeze)
+        faults.cut = False
+        faults.freeze = ''
+        self.refusing = asyncio.create_task(self.proxy.refuse(faults.refuse))
+
+
+class StatsHandler(webserver.StandinHandler):
+    """Show the proxy's counts."""
+
+    def get(self) -> None:
+        """Return connections and bytes."""
+        proxy = self.standin.proxy
+        self.answer(
+            {
+                'accepted': proxy.accepted,
+                'open': len(proxy.connections),
+                'bytes': dict(proxy.bytes),
+            }
+        )
--- /dev/null
+++ b/arbutusvale/standins/platform.py
@@ -0,0 +1,266 @@
+"""Stand in for the platform: log service, VM list and weight store."""
+
+import asyncio
+import base64
+import collections
+import dataclasses
+import json
+import time
+
+from arbutusvale.standins import webserver
+
+PAGE_RECORDS = 1000
+KEPT_VM_LISTS = 1000
+VM_FIELDS = (
+    'name',
+    'role',
+    'address',
+    'admin',
+    'data_centre',
+    'pool',
+    'state',
+)
+
+
+@dataclasses.dataclass
+class PlatformFaults:
+    """Hold what goes wrong at the platform; times in seconds.
+
+    ``drop_append_answers`` counts appends that take effect unanswered.
+    """
+
+    outage: bool = False
+    vm_outage: bool = False
+    freeze: bool = False
+    slow_s: float = 0.0
+    drop_append_answers: int = 0
+    vm_lag_s: float = 0.0
+    retention_s: float = 3600.0
+    appends_per_s: int = 500
+    weights_interval_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Record:
+    """Hold one record; ``time`` is seconds since 1970."""
+
+    offset: int
+    time: float
+    data: bytes
+
+
+class Stream:
+    """Keep one append-only stream of records."""
+
+    def __init__(self):
+        self.records: collections.deque[Record] = collections.deque()
+        self.head = 0
+        self.grown = asyncio.Condition()
+
+    @property
+    def oldest(self) -> int:
+        """Return the lowest retained offset."""
+        return self.records[0].offset if self.records else self.head
+
+    async def append(self, data: bytes) -> int:
+        """Append a record, wake the readers and return its offset."""
+        offset = self.head
+        self.head += 1
+        self.records.append(Record(offset, time.time(), data))
+        async with self.grown:
+            self.grown.notify_all()
+        return offset
+
+    def expire(self, retention_s: float) -> None:
+        """Drop the records that are older than the retention."""
+        limit = time.time() - retention_s
+        while self.records and self.records[0].time < limit:
+            self.records.popleft()
+
+    def page(self, start: int) -> list[Record]:
+        """Return up to one page of records from ``start`` on."""
+        skipped = max(0, start - self.oldest)
+        last = min(len(self.records), skipped + PAGE_RECORDS)
+        return [self.records[index] for index in range(skipped, last)]
+
+    async def wait(self, start: int, seconds: float) -> None:
+        """Wait until there is a record at ``start``, or ``seconds``."""
+        try:
+            async with asyncio.timeout(seconds), self.grown:
+                await self.grown.wait_for(lambda: self.head > start)
+        except TimeoutError:
+            pass
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VmSnapshot:
+    """Hold the VM list as of a moment of the monotonic clock."""
+
+    time: float
+    vms: dict[str, dict]
+
+
+class PlatformStandin(webserver.Standin):
+    """Serve the platform's three services on one address."""
+
+    def __init__(self, listen: str, **faults):
+        super().__init__(listen, PlatformFaults(**faults))
+        self.streams: dict[str, Stream] = collections.defaultdict(Stream)
+        self.append_times: collections.deque[float] = collections.deque()
+        self.vm_lists = collections.deque(
+            [VmSnapshot(float('-inf'), {})], maxlen=KEPT_VM_LISTS
+        )
+        self.next_weights = 0.0
+        self.weights_granted = 0
+
+    def routes(self) -> list:
+        """Return the application's URL rules."""
+        own = {'standin': self}
+        return [
+            (r'/log/([^/]+)', LogHandler, own),
+            (r'/vms', VmListHandler, own),
+            (r'/vms/([^/]+)', VmHandler, own),
+            (r'/weights/([^/]+)/([^/]+)', WeightsHandler, own),
+            *super().routes(),
+        ]
+
+    def may_append(self) -> bool:
+        """Tell whether the limit of appends a second leaves room."""
+        now = time.monotonic()
+        while self.append_times and self.append_times[0] < now - 1.0:
+            self.append_times.popleft()
+        if len(self.append_times) >= self.faults.appends_per_s:
+            return False
+        self.append_times.append(now)
+        return True
+
+    def visible_vms(self) -> dict[str, dict]:
+        """Return the list as it was before the lag."""
+        limit = time.monotonic() - self.faults.vm_lag_s
+        shown = self.vm_lists[0]
+        for snapshot in self.vm_lists:
+            if snapshot.time <= limit:
+                shown = snapshot
+        return shown.vms
+
+    def put_vm(self, vm: dict) -> None:
+        """Add or replace one VM."""
+        self.replace_vms({**self.vm_lists[-1].vms, vm['name']: vm})
+
+    def remove_vm(self, name: str) -> None:
+        """Remove one VM, if it is listed."""
+        vms = dict(self.vm_lists[-1].vms)
+        vms.pop(name, None)
+        self.replace_vms(vms)
+
+    def replace_vms(self, vms: dict[str, dict]) -> None:
+        """Make ``vms`` the newest list."""
+        self.vm_lists.append(VmSnapshot(time.monotonic(), vms))
+
+
+class PlatformHandler(webserver.StandinHandler):
+    """Apply the faults that all services share."""
+
+    async def prepare(self) -> None:
+        """Wait as the faults say."""
+        await self.thawed()
+        if self.standin.faults.slow_s:
+            await asyncio.sleep(self.standin.faults.slow_s)
+
+
+class LogHandler(PlatformHandler):
+    """Append to and read from streams."""
+
+    async def prepare(self) -> None:
+        """Refuse everything during an outage."""
+        await super().prepare()
+        if self.standin.faults.outage:
+            self.answer({'error': 'outage'}, 503)
+
+    async def post(self, name: str) -> None:
+        """Append the body as one record."""
+        if not self.standin.may_append():
+            self.answer({'error': 'too many appends a second'}, 429)
+            return
+        offset = await self.standin.streams[name].append(self.request.body)
+        if self.standin.faults.drop_append_answers > 0:
+            self.standin.faults.drop_append_answers -= 1
+            self.drop()
+            return
+        self.answer({'offset': offset})
+
+    async def get(self, name: str) -> None:
+        """Return a page of records, after a long poll when there is none."""
+        start = int(self.get_query_argument('from'))
+        wait = float(self.get_query_argument('wait', '0'))
+        stream = self.standin.streams[name]
+        await stream.wait(start, wait)
+        if self.standin.faults.outage:
+            self.answer({'error': 'outage'}, 503)
+            return
+        stream.expire(self.standin.faults.retention_s)
+        if start < stream.oldest:
+            self.answer({'oldest': stream.oldest}, 410)
+            return
+        records = [
+            {
+                'offset': record.offset,
+                'time': record.time,
+                'data': base64.b64encode(record.data).decode(),
+            }
+            for record in stream.page(start)
+        ]
+        self.answer(
+            {
+                'head': stream.head,
+                'oldest': stream.oldest,
+                'retention': self.standin.faults.retention_s,
+                'records': records,
+            }
+        )
+
+
+class VmListHandler(PlatformHandler):
+    """Read the VM list."""
+
+    def get(self) -> None:
+        """Return the list, as late as the lag says."""
+        if self.standin.faults.vm_outage:
+            self.answer({'error': 'outage'}, 503)
+            return
+        self.answer({'vms': list(self.standin.visible_vms().values())})
+
+
+class VmHandler(webserver.StandinHandler):
+    """Change the VM list; not subject to faults."""
+
+    def put(self, name: str) -> None:
+        """Add or replace one VM."""
+        fields = json.loads(self.request.body)
+        vm = {field: fields.get(field, '') for field in VM_FIELDS}
+        vm['name'] = name
+        self.standin.put_vm(vm)
+        self.answer(vm)
+
+    def delete(self, name: str) -> None:
+        """Remove one VM."""
+        self.standin.remove_vm(name)
+        self.answer({})
+
+
+class WeightsHandler(PlatformHandler):
+    """Grant weights at a limited rate."""
+
+    def post(self, model: str, version: str) -> None:
+        """Grant the weights or name the seconds to wait."""
+        now = time.monotonic()
+        if now < self.standin.next_weights:
+            wait = self.standin.next_weights - now
+            self.set_header('Retry-After', f'{wait:.3f}')
+            self.answer({'error': 'too many fetches'}, 429)
+            return
+        self.standin.next_weights = (
+            now + self.standin.faults.weights_interval_s
+        )
+        self.standin.weights_granted += 1
+        self.answer({'model': model, 'version': version})
--- /dev/null
+++ b/arbutusvale/standins/webserver.py
@@ -0,0 +1,132 @@
+"""Serve a stand-in's HTTP interface and its fault settings."""
+
+import asyncio
+import dataclasses
+import json
+
+from tornado import httpserver
+from tornado import netutil
+from tornado import web
+
+from arbutusvale import settings
+
+FROZEN_POLL_S = 0.05
+
+
+class _TrackedServer(httpserver.HTTPServer):
+    """Keep the open connections, so that all can be dropped at once."""
+
+    def initialize(self, *args, **kwargs):
+        """Start without connections."""
+        super().initialize(*args, **kwargs)
+        self.channels = set()
+
+    def handle_stream(self, stream, address):
+        """Note a new connection and serve it."""
+        self.channels = {each for each in self.channels if not each.closed()}
+        self.channels.add(stream)
+        super().handle_stream(stream, address)
+
+
+class Standin:
+    """Bind an application to an address and drop it at will.
+
+    ``faults`` is a data class whose fields ``POST /faults`` sets.
+    """
+
+    def __init__(self, listen: str, faults: object):
+        self.listen = settings.split_address(listen)
+        self.faults = faults
+        self.port = self.listen.port
+        self.server: _TrackedServer | None = None
+
+    @property
+    def address(self) -> str:
+        """Return ``host:port`` as bound."""
+        return f'{self.listen.host}:{self.port}'
+
+    def routes(self) -> list:
+        """Return the application's URL rules; subclasses extend it."""
+        return [('/faults', FaultsHandler, {'standin': self})]
+
+    def faults_changed(self) -> None:
+        """React to new fault settings."""
+
+    async def start(self) -> None:
+        """Bind and serve; a port of 0 binds a free one."""
+        sockets = netutil.bind_sockets(self.port, self.listen.host)
+        self.port = sockets[0].getsockname()[1]
+        application = web.Application(self.routes(), log_function=_log_nothing)
+        self.server = _TrackedServer(application)
+        self.server.add_sockets(sockets)
+
+    async def stop(self) -> None:
+        """Stop listening and drop all connections."""
+        if self.server is None:
+            return
+        self.server.stop()
+        for channel in self.server.channels:
+            channel.close()
+        self.server = None
+
+
+def _log_nothing(_handler: web.RequestHandler) -> None:
+    """Keep tornado's access log quiet."""
+
+
+class StandinHandler(web.RequestHandler):
+    """Hold helpers for the stand-ins' request handlers."""
+
+    def initialize(self, standin: Standin) -> None:
+        """Keep the stand-in that is served."""
+        self.standin = standin
+        self.hung_up = False
+
+    def on_connection_close(self) -> None:
+        """Note that the caller is gone."""
+        self.hung_up = True
+
+    @property
+    def gone(self) -> bool:
+        """Tell whether the caller's connection is closed."""
+        return self.hung_up or self.request.connection.stream.closed()
+
+    def answer(self, document: dict, status: int = 200) -> None:
+        """Write a JSON answer."""
+        self.set_status(status)
+        self.set_header('Content-Type', 'application/json')
+        self.finish(json.dumps(document))
+
+    def drop(self) -> None:
+        """Close the connection without an answer."""
+        self.request.connection.stream.close()
+
+    async def thawed(self) -> None:
+        """Wait while the stand-in is frozen."""
+        while not self.gone:
+            if not self.standin.faults.freeze:
+                return
+            await asyncio.sleep(FROZEN_POLL_S)
+
+
+class FaultsHandler(StandinHandler):
+    """Show and set the fault settings."""
+
+    def get(self) -> None:
+        """Return all settings."""
+        self.answer(dataclasses.asdict(self.standin.faults))
+
+    def post(self) -> None:
+        """Set the fields that the JSON body names."""
+        wanted = json.loads(self.request.body)
+        known = {
+            field.name for field in dataclasses.fields(self.standin.faults)
+        }
+        unknown = sorted(set(wanted) - known)
+        if unknown:
+            self.answer({'unknown': unknown, 'known': sorted(known)}, 400)
+            return
+        for name, value in wanted.items():
+            setattr(self.standin.faults, name, value)
+        self.standin.faults_changed()
+        self.answer(dataclasses.asdict(self.standin.faults))
--- /dev/null
+++ b/tests/helpers_standins.py
@@ -0,0 +1,86 @@
+"""Build clients and requests for the stand-ins' tests."""
+
+import asyncio
+import contextlib
+import json
+
+from tornado import simple_httpclient
+
+from arbutusvale.protocol import ports
+
+
+@contextlib.asynccontextmanager
+async def running(*standins):
+    """Start stand-ins, yield a client, and stop all."""
+    client = simple_httpclient.SimpleAsyncHTTPClient(
+        force_instance=True, max_clients=1000
+    )
+    try:
+        for standin in standins:
+            await standin.start()
+        yield client
+    finally:
+        for standin in standins:
+            await standin.stop()
+        client.close()
+
+
+async def set_faults(client, standin, **faults):
+    answer = await client.fetch(
+        f'http://{standin.address}/faults',
+        method='POST',
+        body=json.dumps(faults),
+    )
+    return json.loads(answer.body)
+
+
+async def stats(client, standin):
+    answer = await client.fetch(f'http://{standin.address}/stats')
+    return json.loads(answer.body)
+
+
+async def until(condition, seconds=5.0):
+    """Wait for a condition, failing after a bound."""
+    async with asyncio.timeout(seconds):
+        while True:
+            if condition():
+                return
+            await asyncio.sleep(0.01)
+
+
+def chat_request(text, request_id='r1', chat='c1', **fields):
+    body = {'model': 'm', 'messages': [{'role': 'user', 'content': text}]}
+    return ports.ServerRequest(
+        request_id=request_id,
+        method='POST',
+        path='/v1/chat/completions',
+        headers=[['Content-Type', 'application/json']],
+        body=json.dumps(body | fields).encode(),
+        chat=chat,
+        priority=0,
+        timeout=5.0,
+    )
+
+
+def booking_request(booking, request_id='r1', timeout=5.0):
+    return ports.ServerRequest(
+        request_id=request_id,
+        method='POST',
+        path='/bookings',
+        headers=[['Content-Type', 'application/json']],
+        body=json.dumps({'booking': booking, 'token': 't'}).encode(),
+        chat='',
+        priority=0,
+        timeout=timeout,
+    )
+
+
+async def collect(server, request):
+    """Run a request; returns its head and whole body."""
+    head, pieces = None, []
+    async for part in server.run(request):
+        if isinstance(part, ports.ServerHead):
+            head = part
+        else:
+            pieces.append(part)
+    return head, b''.join(pieces)
--- /dev/null
+++ b/tests/standins/test_faults.py
@@ -0,0 +1,88 @@
+import asyncio
+
+import pytest
+
+from arbutusvale.standins import faults
+from tests import helpers_standins as helpers
+
+LOCAL = '127.0.0.1:0'
+SILENCE_S = 0.2
+
+
+async def echo(reader, writer):
+    while data := await reader.read(1000):
+        writer.write(data)
+    writer.close()
+
+
+class Bench:
+    """Run an echo server behind a fault proxy."""
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(echo, '127.0.0.1', 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.proxy = faults.FaultProxy(LOCAL, f'127.0.0.1:{port}', LOCAL)
+        await self.proxy.start()
+        return self
+
+    async def __aexit__(self, *_):
+        await self.proxy.stop()
+        self.server.close()
+
+    async def connect(self):
+        return await asyncio.open_connection('127.0.0.1', self.proxy.port)
+
+
+async def ask(connection, text=b'hi'):
+    reader, writer = connection
+    writer.write(text)
+    async with asyncio.timeout(SILENCE_S):
+        return await reader.read(100)
+
+
+def test_frozen_connection_stays_silent_while_new_ones_work():
+    async def check():
+        async with Bench() as bench:
+            old = await bench.connect()
+            assert await ask(old) == b'hi'
+            bench.proxy.freeze()
+            with pytest.raises(TimeoutError):
+                await ask(old)
+            assert await ask(await bench.connect()) == b'hi'
+
+    asyncio.run(check())
+
+
+def test_cut_refuse_and_drop():
+    async def check():
+        async with Bench() as bench:
+            old = await bench.connect()
+            assert await ask(old) == b'hi'
+            bench.proxy.drop_one_answer()
+            assert await ask(old) == b''
+            other = await bench.connect()
+            assert await ask(other) == b'hi'
+            bench.proxy.cut()
+            assert await other[0].read() == b''
+            await bench.proxy.refuse()
+            with pytest.raises(ConnectionRefusedError):
+                await bench.connect()
+            await bench.proxy.refuse(False)
+            assert await ask(await bench.connect()) == b'hi'
+
+    asyncio.run(check())
+
+
+def test_delay_is_steered_over_http():
+    async def check():
+        async with Bench() as bench:
+            async with helpers.running() as client:
+                await helpers.set_faults(
+                    client, bench.proxy.control, delay_s=0.05
+                )
+                loop = asyncio.get_running_loop()
+                began = loop.time()
+                assert await ask(await bench.connect()) == b'hi'
+                assert loop.time() - began >= 0.1
+
+    asyncio.run(check())
