--- /dev/null
+++ b/arbutusvale/coordination/crashes.py
@@ -0,0 +1,68 @@
+"""Tell a crash of the backend server from a single broken connection."""
+
+import asyncio
+from collections.abc import Iterable
+
+from arbutusvale.coordination import quarantine
+from arbutusvale.coordination import streams
+from arbutusvale.protocol import ports
+
+GATHER_S = 0.05
+HEALTH_TIMEOUT_S = 1.0
+CRASH_BREAKS = 2
+CRASHED = 'server-crashed'
+BROKEN = 'server-broken'
+
+
+class CrashDetector:
+    """Judge broken answers; one crash is counted once for all of them."""
+
+    def __init__(
+        self,
+        server: ports.BackendServer,
+        quarantined: quarantine.Quarantine,
+    ):
+        self.server = server
+        self.quarantine = quarantined
+        self.broken: set[streams.Run] = set()
+        self.suspects: set[streams.Run] = set()
+        self.judgement: asyncio.Task | None = None
+
+    async def judge(
+        self, run: streams.Run, in_flight: Iterable[streams.Run]
+    ) -> str:
+        """Return why an answer broke off, after a crash was spread.
+
+        ``in_flight`` are the runs at the server at this moment.
+        """
+        if run.crashed:
+            return CRASHED
+        self.broken.add(run)
+        self.suspects.update(r for r in in_flight if r.handed_over)
+        self.suspects.add(run)
+        if self.judgement is None:
+            self.judgement = asyncio.create_task(self._judge())
+        await asyncio.shield(self.judgement)
+        return CRASHED if run.crashed else BROKEN
+
+    async def _judge(self) -> None:
+        """Look at the server and note a crash of it."""
+        healthy = await self._is_healthy()
+        await asyncio.sleep(GATHER_S)
+        crashed = not healthy or len(self.broken) >= CRASH_BREAKS
+        suspects = self.suspects
+        self.broken = set()
+        self.suspects = set()
+        self.judgement = None
+        if crashed:
+            for run in suspects:
+                run.crashed = True
+            await self.quarantine.note_crash(r.fingerprint for r in suspects)
+
+    async def _is_healthy(self) -> bool:
+        """Ask the server's health check."""
+        try:
+            async with asyncio.timeout(HEALTH_TIMEOUT_S):
+                return await self.server.healthy()
+        except TimeoutError:
+            return False
--- /dev/null
+++ b/arbutusvale/coordination/runs.py
@@ -0,0 +1,352 @@
+"""Run requests at the backend server and relay their answers."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import contextlib
+import time
+
+from absl import logging
+
+from arbutusvale import errors
+from arbutusvale.coordination import crashes
+from arbutusvale.coordination import quarantine
+from arbutusvale.coordination import streams
+from arbutusvale.protocol import messages
+from arbutusvale.protocol import ports
+from arbutusvale.state import answers
+from arbutusvale.state import attempts
+
+HEARTBEAT_INTERVAL_S = 1.0
+REATTACH_S = 20.0
+MOST_ENDED_RUNS = 512
+MOST_ENDED_BYTES = 32 * 1024 * 1024
+LEAST_UNREPEATABLE_S = 60.0
+DEFAULT_STORED_S = 3600.0
+
+OnFinished = Callable[[streams.Run], None]
+
+
+class RunTable:
+    """Hold the runs of one backend server and the attempts on them.
+
+    A run is kept for a bounded time after its end, so that a router whose
+    link died can fetch the rest.  ``stored_s`` tells how long the answers
+    of keyed requests that may not repeat are kept.
+    """
+
+    def __init__(
+        self,
+        server: ports.BackendServer,
+        quarantined: quarantine.Quarantine,
+        store: answers.AnswerStore | None = None,
+        stored_s: Callable[[], float] = lambda: DEFAULT_STORED_S,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.server = server
+        self.quarantine = quarantined
+        self.store = store or answers.AnswerStore(clock=clock)
+        self.stored_s = stored_s
+        self.clock = clock
+        self.crashes = crashes.CrashDetector(server, quarantined)
+        self.runs: dict[str, streams.Run] = {}
+        self.in_flight: set[streams.Run] = set()
+        self.keys: dict[bytes, streams.Run] = {}
+        self.ended: collections.deque[streams.Run] = collections.deque()
+        self.ended_bytes = 0
+        self.dead = attempts.AttemptTable(clock)
+        self.over = attempts.AttemptTable(clock)
+        self.dropped_frames = 0
+
+    def knows(self, attempt: str) -> bool:
+        """Tell whether an attempt was taken here, now or earlier."""
+        return attempt in self.runs or attempt in self.over
+
+    def is_dead(self, attempt: str) -> bool:
+        """Tell whether an attempt was refused and may never run."""
+        return attempt in self.dead
+
+    def mark_dead(self, attempt: str) -> None:
+        """Remember that an attempt was refused and may never run."""
+        self.dead.add(attempt)
+
+    def find_key(self, key: bytes) -> streams.Run | answers.Answer | None:
+        """Return the run in flight or the stored answer of a key."""
+        run = self.keys.get(key)
+        if run is not None and run.whole:
+            return run
+        return self.store.find(key)
+
+    def start(
+        self,
+        submit: messages.Submit,
+        link: ports.Link,
+        on_finished: OnFinished,
+        key: bytes = b'',
+    ) -> streams.Run:
+        """Hand a request to the server and relay the answer.
+
+        ``on_finished`` is called once, when the server is done with it.
+        ``key`` is the scoped key under which others may find the run.
+        """
+        run = streams.Run(submit, key, self.clock)
+        if key:
+            self.keys[key] = run
+        self.in_flight.add(run)
+        self._follow(run, submit.attempt, link)
+        run.task = asyncio.create_task(self._run(run, on_finished))
+        return run
+
+    def attach(
+        self,
+        found: streams.Run | answers.Answer,
+        submit: messages.Submit,
+        link: ports.Link,
+    ) -> None:
+        """Let another attempt have the answer of a run or of the store."""
+        match found:
+            case streams.Run():
+                run = found
+            case answers.Answer():
+                run = self._replay(found, submit)
+        self._follow(run, submit.attempt, link)
+
+    def resume(
+        self, link: ports.Link, attempt: str, next_chunk: int = 0
+    ) -> None:
+        """Send an attempt's answer again from ``next_chunk`` on."""
+        run = self.runs.get(attempt)
+        if run is not None and run.attach(attempt, link, next_chunk):
+            return
+        if run is None and attempt not in self.over:
+            self.mark_dead(attempt)
+        self._send_lost(link, attempt, 'answer-not-held')
+
+    def credit(self, message: messages.Credit) -> None:
+        """Free acknowledged chunks and let their run go on."""
+        run = self.runs.get(message.attempt)
+        if run is None:
+            self.dropped_frames += 1
+            return
+        run.acknowledge(message.attempt, message.next_chunk)
+
+    def cancel(self, attempt: str) -> None:
+        """Withdraw an attempt; stops a run that nobody else waits for.
+
+        A request that may not repeat runs to its end all the same.
+        """
+        run = self.runs.pop(attempt, None)
+        if run is None:
+            self.dropped_frames += 1
+            return
+        self.over.add(attempt)
+        run.remove(attempt)
+        self._stop_unwanted(run)
+
+    def link_closed(self, link: ports.Link) -> None:
+        """Keep the attempts of a closed link until they reattach."""
+        for run in set(self.runs.values()):
+            run.detach(link)
+
+    async def run(self) -> None:
+        """Send heartbeats and drop what is past its time."""
+        while True:
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+            self.send_heartbeats()
+            self.expire()
+
+    def send_heartbeats(self) -> None:
+        """Show every link with active streams that it is alive."""
+        active: collections.Counter[ports.Link] = collections.Counter()
+        for attempt, run in self.runs.items():
+            stream = run.streams[attempt]
+            if stream.link is not None and not stream.end_sent:
+                active[stream.link] += 1
+        for link, count in active.items():
+            with contextlib.suppress(errors.LinkClosed):
+                link.send(messages.Heartbeat(count))
+
+    def expire(self) -> None:
+        """Drop lost attempts and ended runs that are past their time."""
+        limit = self.clock() - REATTACH_S
+        for attempt, run in list(self.runs.items()):
+            stream = run.streams[attempt]
+            if stream.link is None and stream.detached_at < limit:
+                logging.info('event=attempt-lost attempt=%s', attempt)
+                self._forget(attempt, run)
+                self._stop_unwanted(run)
+        while self.ended and self._is_past(self.ended[0], limit):
+            self._drop_ended(self.ended.popleft())
+
+    async def drain(self) -> None:
+        """Wait until no run is in flight."""
+        while self.in_flight:
+            tasks = [run.task for run in self.in_flight if run.task]
+            await asyncio.wait(tasks)
+
+    def _follow(
+        self, run: streams.Run, attempt: str, link: ports.Link
+    ) -> None:
+        """Add an attempt to a run."""
+        if not run.attach(attempt, link, 0):
+            self.over.add(attempt)
+            self._send_lost(link, attempt, 'answer-not-held')
+            return
+        self.runs[attempt] = run
+
+    def _replay(
+        self, answer: answers.Answer, submit: messages.Submit
+    ) -> streams.Run:
+        """Make an ended run of a stored answer."""
+        run = streams.Run(submit, b'', self.clock)
+        run.set_head(ports.ServerHead(answer.status, answer.headers))
+        for chunk in answer.chunks:
+            run.buffer.add(chunk)
+        run.finish(streams.Complete())
+        self._keep_ended(run)
+        return run
+
+    async def _run(self, run: streams.Run, on_finished: OnFinished) -> None:
+        """Run a request to its end, whatever that is."""
+        ending: streams.Ending = streams.Lost(
+            messages.Outcome.UNKNOWN, 'cancelled'
+        )
+        try:
+            ending = await self._call_server(run)
+        finally:
+            self.in_flight.discard(run)
+            run.finish(ending)
+            self._settle(run)
+            on_finished(run)
+
+    async def _call_server(self, run: streams.Run) -> streams.Ending:
+        """Relay the server's answer; returns how it ended."""
+        fingerprint = run.fingerprint
+        try:
+            async with asyncio.timeout(self._allow_time(run)):
+                async with self.quarantine.take_turn(fingerprint):
+                    if self.quarantine.holds(fingerprint):
+                        return streams.Lost(
+                            messages.Outcome.QUARANTINED, 'quarantined'
+                        )
+                    await self._relay(run)
+        except errors.ServerUnreachable as error:
+            logging.warning(
+                'event=server-unreachable cause="%s"', error.problem
+            )
+            return streams.Lost(messages.Outcome.NOT_RUN, 'server-unreachable')
+        except errors.ServerBroken as error:
+            logging.warning('event=server-broken cause="%s"', error.problem)
+            reason = await self.crashes.judge(run, self.in_flight)
+            return streams.Lost(messages.Outcome.UNKNOWN, reason)
+        except TimeoutError:
+            return await self._time_out(run)
+        except asyncio.CancelledError:
+            await self.server.cancel(run.submit.request_id)
+            raise
+        self.quarantine.clear(fingerprint)
+        return streams.Complete()
+
+    async def _relay(self, run: streams.Run) -> None:
+        """Hand the request over and pass the answer's pieces on."""
+        submit = run.submit
+        request = ports.ServerRequest(
+            submit.request_id,
+            submit.method,
+            submit.path,
+            submit.headers,
+            submit.body,
+            submit.chat,
+            submit.priority,
+            self._allow_time(run),
+        )
+        run.handed_over = True
+        async with contextlib.aclosing(self.server.run(request)) as pieces:
+            async for piece in pieces:
+                match piece:
+                    case ports.ServerHead():
+                        run.set_head(piece)
+                    case bytes():
+                        await run.add_piece(piece)
+
+    async def _time_out(self, run: streams.Run) -> streams.Ending:
+        """End a run that took too long."""
+        if not run.handed_over:
+            return streams.Lost(messages.Outcome.NOT_RUN, 'expired')
+        await self.server.cancel(run.submit.request_id)
+        return streams.Lost(messages.Outcome.UNKNOWN, 'timeout')
+
+    def _allow_time(self, run: streams.Run) -> float:
+        """Return the seconds that the server may take."""
+        if run.submit.idempotent:
+            return run.submit.time_left
+        return max(run.submit.time_left, LEAST_UNREPEATABLE_S)
+
+    def _settle(self, run: streams.Run) -> None:
+        """Keep an ended run's answer for those who may ask again."""
+        answer = run.make_answer()
+        if answer is not None and run.key and not run.submit.idempotent:
+            self.store.put(run.key, answer, self.stored_s())
+        if answer is None:
+            self._drop_key(run)
+        self._keep_ended(run)
+
+    def _keep_ended(self, run: streams.Run) -> None:
+        """Keep an ended run for reattaching routers, within bounds."""
+        self.ended.append(run)
+        run.kept_bytes = run.buffer.held_bytes
+        self.ended_bytes += run.kept_bytes
+        while self._has_too_many_ended():
+            self._drop_ended(self.ended.popleft())
+
+    def _has_too_many_ended(self) -> bool:
+        """Tell whether the oldest ended run must go."""
+        if len(self.ended) > MOST_ENDED_RUNS:
+            return True
+        return self.ended_bytes > MOST_ENDED_BYTES and len(self.ended) > 1
+
+    @staticmethod
+    def _is_past(run: streams.Run, limit: float) -> bool:
+        """Tell whether an ended run is past its time and nobody reads."""
+        if run.ended_at >= limit:
+            return False
+        return all(
+            stream.end_sent or stream.link is None
+            for stream in run.streams.values()
+        )
+
+    def _drop_ended(self, run: streams.Run) -> None:
+        """Forget an ended run and its attempts."""
+        self.ended_bytes -= run.kept_bytes
+        self._drop_key(run)
+        for attempt in list(run.streams):
+            self._forget(attempt, run)
+
+    def _forget(self, attempt: str, run: streams.Run) -> None:
+        """Forget an attempt, but for its id."""
+        self.runs.pop(attempt, None)
+        self.over.add(attempt)
+        run.remove(attempt)
+
+    def _drop_key(self, run: streams.Run) -> None:
+        """Let a run no longer be found by its key."""
+        if self.keys.get(run.key) is run:
+            del self.keys[run.key]
+
+    def _stop_unwanted(self, run: streams.Run) -> None:
+        """Cancel a run without readers at the server, if it may repeat."""
+        if run.streams or run.ending is not None:
+            return
+        if not run.submit.idempotent:
+            return
+        self._drop_key(run)
+        run.task.cancel()
+
+    def _send_lost(self, link: ports.Link, attempt: str, reason: str) -> None:
+        """Tell a router that an attempt's answer is not held here."""
+        with contextlib.suppress(errors.LinkClosed):
+            link.send(
+                messages.Failed(
+                    attempt, messages.Outcome.UNKNOWN.value, reason, 0.0
+                )
+            )
--- /dev/null
+++ b/arbutusvale/state/answers.py
@@ -0,0 +1,85 @@
+"""Keep the answers of finished requests for callers that ask again."""
+
+import collections
+from collections.abc import Callable
+import dataclasses
+import time
+
+MOST_BYTES = 32 * 1024 * 1024
+ENTRY_BYTES = 512
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """Hold the whole answer to a request.
+
+    ``fingerprint`` is that of the request.
+    """
+
+    fingerprint: bytes
+    status: int
+    headers: list
+    chunks: list[bytes]
+    total_bytes: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Entry:
+    answer: Answer
+    size: int
+    expires_at: float
+
+
+class AnswerStore:
+    """Hold answers by key, oldest dropped first, bounded by bytes and time.
+
+    A key whose answer was dropped reads as absent; its request must not
+    run again for that reason.
+    """
+
+    def __init__(
+        self,
+        most_bytes: int = MOST_BYTES,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.most_bytes = most_bytes
+        self.clock = clock
+        self.size = 0
+        self.entries: collections.OrderedDict[bytes, _Entry] = (
+            collections.OrderedDict()
+        )
+
+    def put(self, key: bytes, answer: Answer, kept_s: float) -> None:
+        """Store an answer for ``kept_s`` seconds, where room allows."""
+        size = answer.total_bytes + ENTRY_BYTES
+        if size > self.most_bytes:
+            return
+        self._drop(key)
+        self._expire()
+        while self.size + size > self.most_bytes:
+            self._drop(next(iter(self.entries)))
+        self.entries[key] = _Entry(answer, size, self.clock() + kept_s)
+        self.size += size
+
+    def find(self, key: bytes) -> Answer | None:
+        """Return the stored answer, if it is still there."""
+        self._expire()
+        entry = self.entries.get(key)
+        if entry is None or entry.expires_at <= self.clock():
+            return None
+        return entry.answer
+
+    def _expire(self) -> None:
+        """Drop answers from the oldest on that are past their time."""
+        now = self.clock()
+        while self.entries:
+            key, entry = next(iter(self.entries.items()))
+            if entry.expires_at > now:
+                return
+            self._drop(key)
+
+    def _drop(self, key: bytes) -> None:
+        """Remove one answer, if it is there."""
+        entry = self.entries.pop(key, None)
+        if entry is not None:
+            self.size -= entry.size
--- /dev/null
+++ b/tests/coordination/test_runs.py
@@ -0,0 +1,201 @@
+import asyncio
+
+import pytest
+
+from arbutusvale import errors
+from arbutusvale.coordination import quarantine
+from arbutusvale.coordination import runs
+from arbutusvale.coordination import streams
+from arbutusvale.protocol import messages
+from arbutusvale.state import claimindex
+from tests import helpers_runs
+
+BROKEN = errors.ServerBroken('fake', 'reset')
+
+
+class Bench:
+    """Hold a run table with a fake server and one link."""
+
+    def __init__(self):
+        self.server = helpers_runs.FakeServer()
+        self.quarantine = quarantine.Quarantine('vm-1', 1)
+        self.table = runs.RunTable(self.server, self.quarantine)
+        self.link = helpers_runs.FakeLink()
+        self.finished = []
+
+    def start(self, key=b'', link=None, **changes):
+        submit = helpers_runs.make_submit(**changes)
+        link = link or self.link
+        return self.table.start(submit, link, self.finished.append, key)
+
+
+def run_case(case):
+    asyncio.run(case(Bench()))
+
+
+def test_answer_is_relayed_whole():
+    async def case(bench):
+        bench.start()
+        bench.server.feed('q1', *helpers_runs.whole(b'ab', b'c'))
+        await helpers_runs.until(lambda: bench.link.find(messages.End))
+        assert bench.link.body == b'abc'
+        assert bench.link.find(messages.End)[0].total_bytes == 3
+        assert len(bench.finished) == 1
+        assert bench.table.knows('r1-1')
+
+    run_case(case)
+
+
+def test_reattach_sends_the_rest_over_a_new_link():
+    async def case(bench):
+        bench.start()
+        bench.server.feed('q1', helpers_runs.HEAD, b'a')
+        await helpers_runs.until(lambda: bench.link.body == b'a')
+        bench.link.close()
+        bench.table.link_closed(bench.link)
+        bench.server.feed('q1', b'b', None)
+        await helpers_runs.until(lambda: bench.finished)
+        other = helpers_runs.FakeLink()
+        bench.table.resume(other, 'r1-1', 1)
+        assert other.body == b'b'
+        assert other.find(messages.End)
+        assert len(bench.server.runs) == 1
+
+    run_case(case)
+
+
+def test_unknown_attempt_is_told_so_and_never_runs():
+    async def case(bench):
+        bench.table.resume(bench.link, 'lost', 0)
+        assert bench.link.sent[0].outcome == 'unknown'
+        assert bench.table.is_dead('lost')
+
+    run_case(case)
+
+
+def test_slow_reader_stops_only_its_own_run():
+    async def case(bench):
+        bench.start()
+        bench.start(attempt='r1-2', request_id='q2')
+        size = streams.WINDOW_BYTES + streams.AHEAD_BYTES
+        piece = b'x' * 65536
+        count = 2 * size // len(piece)
+        bench.server.feed('q1', helpers_runs.HEAD, *[piece] * count, None)
+        bench.server.feed('q2', *helpers_runs.whole(b'quick'))
+        await helpers_runs.until(lambda: bench.link.find(messages.End))
+        assert bench.link.find(messages.End)[0].attempt == 'r1-2'
+        run = bench.table.runs['r1-1']
+        assert run.buffer.held_bytes <= size + len(piece)
+        while run.ending is None or not run.streams['r1-1'].end_sent:
+            number = run.streams['r1-1'].next_chunk
+            bench.table.credit(messages.Credit('r1-1', number))
+            await asyncio.sleep(0)
+        assert run.buffer.total_bytes == count * len(piece)
+
+    run_case(case)
+
+
+def test_second_attempt_with_the_key_shares_run_and_stored_answer():
+    async def case(bench):
+        key = claimindex.scope_key('sul', 'booking', 'k')
+        bench.start(key=key, idempotent=False)
+        found = bench.table.find_key(key)
+        second = helpers_runs.FakeLink()
+        submit = helpers_runs.make_submit(attempt='r2-1')
+        bench.table.attach(found, submit, second)
+        bench.server.feed('q1', *helpers_runs.whole(b'once'))
+        await helpers_runs.until(lambda: second.find(messages.End))
+        bench.table._drop_ended(bench.table.ended.popleft())
+        third = helpers_runs.FakeLink()
+        submit = helpers_runs.make_submit(attempt='r3-1')
+        bench.table.attach(bench.table.find_key(key), submit, third)
+        assert bench.link.body == second.body == third.body == b'once'
+        assert len(bench.server.runs) == 1
+
+    run_case(case)
+
+
+@pytest.mark.parametrize('idempotent', [True, False])
+def test_cancel_stops_only_what_may_repeat(idempotent):
+    async def case(bench):
+        bench.start(idempotent=idempotent)
+        await helpers_runs.until(lambda: bench.server.runs)
+        bench.table.cancel('r1-1')
+        bench.server.feed('q1', *helpers_runs.whole(b'x'))
+        await helpers_runs.until(lambda: bench.finished)
+        assert (bench.server.cancelled == ['q1']) is idempotent
+        assert bench.table.knows('r1-1')
+
+    run_case(case)
+
+
+def test_unreachable_server_means_not_run():
+    async def case(bench):
+        bench.server.up = False
+        bench.start()
+        await helpers_runs.until(lambda: bench.finished)
+        assert bench.link.sent[0].outcome == 'not-run'
+
+    run_case(case)
+
+
+def test_broken_connection_of_a_healthy_server_is_no_crash():
+    async def case(bench):
+        bench.start()
+        bench.server.feed('q1', BROKEN)
+        await helpers_runs.until(lambda: bench.finished)
+        failed = bench.link.sent[0]
+        assert (failed.outcome, failed.reason) == ('unknown', 'server-broken')
+        assert not bench.quarantine.suspects(b'f1')
+
+    run_case(case)
+
+
+def test_crash_makes_all_in_flight_suspects_once():
+    async def case(bench):
+        bench.start()
+        bench.start(attempt='r1-2', request_id='q2', fingerprint=b'f2')
+        await helpers_runs.until(lambda: len(bench.server.runs) == 2)
+        bench.server.up = False
+        bench.server.feed('q1', BROKEN)
+        await helpers_runs.until(lambda: len(bench.finished) == 1)
+        bench.server.feed('q2', BROKEN)
+        await helpers_runs.until(lambda: len(bench.finished) == 2)
+        reasons = [failed.reason for failed in bench.link.sent]
+        assert reasons == ['server-crashed', 'server-crashed']
+        assert bench.quarantine.crashes == 1
+        assert bench.quarantine.suspects(b'f2')
+        assert not bench.quarantine.holds(b'f2')
+
+    run_case(case)
+
+
+def test_second_crash_elsewhere_quarantines_the_one_suspect_that_ran():
+    async def case(bench):
+        entries = [[b'f1', ['vm-2/1/1'], []], [b'f2', ['vm-2/1/1'], []]]
+        bench.quarantine.merge(entries)
+        bench.start()
+        bench.start(attempt='r1-2', request_id='q2', fingerprint=b'f2')
+        await helpers_runs.until(lambda: bench.server.runs)
+        bench.server.up = False
+        bench.server.feed('q1', BROKEN)
+        await helpers_runs.until(lambda: len(bench.finished) == 2)
+        assert len(bench.server.runs) == 1
+        assert bench.quarantine.digests() == [b'f1']
+        outcomes = {f.attempt: f.outcome for f in bench.link.sent}
+        assert outcomes == {'r1-1': 'unknown', 'r1-2': 'not-run'}
+
+    run_case(case)
+
+
+def test_heartbeats_count_active_streams():
+    async def case(bench):
+        bench.start()
+        bench.table.send_heartbeats()
+        assert bench.link.sent == [messages.Heartbeat(1)]
+        bench.server.feed('q1', *helpers_runs.whole(b'x'))
+        await helpers_runs.until(lambda: bench.finished)
+        bench.table.send_heartbeats()
+        assert len(bench.link.find(messages.Heartbeat)) == 1
+
+    run_case(case)
--- /dev/null
+++ b/tests/helpers_runs.py
@@ -0,0 +1,112 @@
+"""Fake a backend server and a link, and make submits."""
+
+import asyncio
+import dataclasses
+
+from arbutusvale import errors
+from arbutusvale.protocol import messages
+from arbutusvale.protocol import ports
+
+POLL_S = 0.002
+SUBMIT = messages.Submit(
+    attempt='r1-1',
+    request_id='q1',
+    organisation='sul',
+    service='booking',
+    method='POST',
+    path='/bookings',
+    headers=[],
+    body=b'{}',
+    chat='',
+    home='',
+    first_turn=False,
+    key='',
+    idempotent=True,
+    fingerprint=b'f1',
+    time_left=5.0,
+    priority=0,
+    bundle_offset=0,
+    hop=0,
+    last_hop=False,
+    redirected=False,
+    loads=[],
+)
+
+
+def make_submit(**changes) -> messages.Submit:
+    return dataclasses.replace(SUBMIT, **changes)
+
+
+class FakeLink:
+    """Collect the messages sent on a link."""
+
+    def __init__(self, vm: str = 'router-1'):
+        self.vm = vm
+        self.incarnation = 1
+        self.role = messages.Role.ROUTER.value
+        self.sent: list = []
+        self.closed = False
+
+    def send(self, message) -> None:
+        if self.closed:
+            raise errors.LinkClosed(self.vm, 'closed')
+        self.sent.append(message)
+
+    def close(self) -> None:
+        self.closed = True
+
+    def find(self, kind: type) -> list:
+        return [message for message in self.sent if type(message) is kind]
+
+    @property
+    def body(self) -> bytes:
+        return b''.join(chunk.data for chunk in self.find(messages.Chunk))
+
+
+class FakeServer:
+    """Answer with pieces that tests put into a queue per request."""
+
+    def __init__(self):
+        self.runs: list[ports.ServerRequest] = []
+        self.queues: dict[str, asyncio.Queue] = {}
+        self.cancelled: list[str] = []
+        self.up = True
+
+    def feed(self, request_id: str, *pieces) -> None:
+        queue = self.queues.setdefault(request_id, asyncio.Queue())
+        for piece in pieces:
+            queue.put_nowait(piece)
+
+    async def run(self, request: ports.ServerRequest):
+        if not self.up:
+            raise errors.ServerUnreachable('fake', 'down')
+        self.runs.append(request)
+        queue = self.queues.setdefault(request.request_id, asyncio.Queue())
+        while (piece := await queue.get()) is not None:
+            if isinstance(piece, Exception):
+                raise piece
+            yield piece
+
+    async def cancel(self, request_id: str) -> None:
+        self.cancelled.append(request_id)
+
+    async def healthy(self) -> bool:
+        return self.up
+
+
+HEAD = ports.ServerHead(200, [['Content-Type', 'text/plain']])
+
+
+def whole(*pieces: bytes) -> list:
+    return [HEAD, *pieces, None]
+
+
+async def until(condition, bound_s: float = 5.0) -> None:
+    """Wait for a condition, at most ``bound_s`` seconds."""
+    loop = asyncio.get_running_loop()
+    limit = loop.time() + bound_s
+    while loop.time() < limit:
+        if condition():
+            return
+        await asyncio.sleep(POLL_S)
+    raise AssertionError(f'not met within {bound_s} s')
