Add the operator's commands and the stand-ins' command lines

Cause: nothing could publish a bundle. Rollout appends with the parent's digest and finds a lost answer by the publication id. A record that the head rules out is not appended at all.

Conclusion: tested with fakes; real processes follow.

--- /dev/null
+++ b/arbutusvale/coordination/configreader.py
@@ -0,0 +1,81 @@
+"""Read the ``config`` stream to its end, as the operator's tools do."""
+
+import asyncio
+import time
+
+from arbutusvale import errors
+from arbutusvale.protocol import ports
+from arbutusvale.protocol import signing
+from arbutusvale.state import bundles
+
+READ_TIMEOUT_S = 5.0
+
+
+class ConfigReader:
+    """Apply the whole retained stream to a chain.
+
+    ``times`` holds when records were appended, by offset, in seconds since
+    1970; ``retention`` is how long the log keeps a record, in seconds.
+    """
+
+    def __init__(self, log: ports.LogService, chain: bundles.BundleChain):
+        self.log = log
+        self.chain = chain
+        self.times: dict[int, float] = {}
+        self.outcomes: list[bundles.Outcome] = []
+        self.retention = 0.0
+
+    async def read_to_end(self) -> None:
+        """Read up to the log's head; raises :class:`LogUnavailable`."""
+        while not await self.read_page(0.0):
+            pass
+        self.chain.settle()
+
+    async def read_page(self, wait: float) -> bool:
+        """Read one page; tell whether it reached the log's head."""
+        try:
+            async with asyncio.timeout(wait + READ_TIMEOUT_S):
+                page = await self.log.read(
+                    signing.STREAM, self.chain.position, wait
+                )
+        except TimeoutError as error:
+            raise errors.LogUnavailable(
+                signing.STREAM, 'the read timed out'
+            ) from error
+        except errors.LogExpired as error:
+            self.chain.lose_place(error.oldest)
+            return False
+        self.retention = page.retention
+        for record in page.records:
+            self.times[record.offset] = record.time
+            self.outcomes.append(self.chain.apply(record.offset, record.data))
+        return self.chain.position >= page.head
+
+    async def find(
+        self, publication: str, bound: float
+    ) -> bundles.Accepted | bundles.Rejected | None:
+        """Find the outcome of a publication within ``bound`` seconds.
+
+        An unreachable log is asked again; None when it was not found.
+        """
+        end = time.monotonic() + bound
+        while True:
+            found = self._find_read(publication)
+            left = end - time.monotonic()
+            if found is not None or left <= 0:
+                return found
+            try:
+                await self.read_page(min(1.0, left))
+            except errors.LogUnavailable:
+                await asyncio.sleep(min(0.2, left))
+
+    def _find_read(
+        self, publication: str
+    ) -> bundles.Accepted | bundles.Rejected | None:
+        """Find the outcome of a publication among the records read."""
+        for outcome in self.outcomes:
+            match outcome:
+                case bundles.Accepted() | bundles.Rejected():
+                    if outcome.publication == publication:
+                        return outcome
+        return None
--- a/arbutusvale/state/bundles.py
+++ b/arbutusvale/state/bundles.py
@@ -15,6 +15,7 @@
 has reached the end of the log and nothing contradicts.
 """
 
+import copy
 import dataclasses
 
 from arbutusvale import errors
@@ -110,6 +111,10 @@
         del self.history[:-MAX_HISTORY]
         return outcome
 
+    def preview(self, data: bytes) -> Outcome:
+        """Judge a record as if it came next, without applying it."""
+        return copy.copy(self)._judge(self.position, data)
+
     def lose_place(self, oldest: int) -> None:
         """Note that records before ``oldest`` expired unread."""
         if oldest > self.position:
--- /dev/null
+++ b/arbutusvale/ui/commands/keygen.py
@@ -0,0 +1,30 @@
+"""Make an operator's key pair."""
+
+import os
+
+from arbutusvale import errors
+from arbutusvale.protocol import signing
+from arbutusvale.ui import exitcodes
+
+OWNER_ONLY = 0o600
+
+
+def run(options: dict) -> int:
+    """Write the private key to a file and print the public one."""
+    keys = signing.generate_keys()
+    write_new(options['--out'], f'{keys.private}\n'.encode(), OWNER_ONLY)
+    print(keys.public)
+    return exitcodes.ExitCode.DONE
+
+
+def write_new(path: str, data: bytes, mode: int = 0o644) -> None:
+    """Write a file that must not exist yet."""
+    try:
+        flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL
+        with os.fdopen(os.open(path, flags, mode), 'wb') as file:
+            file.write(data)
+    except OSError as error:
+        raise errors.UsageError(
+            f'{path} cannot be written: {error}.',
+            'Name a new file in a folder that exists.',
+        ) from error
--- /dev/null
+++ b/arbutusvale/ui/output.py
@@ -0,0 +1,20 @@
+"""Print results as a table or as JSON."""
+
+import json
+
+
+def print_json(document: object) -> None:
+    """Print a document as JSON, its keys in the order given."""
+    print(json.dumps(document, indent=2))
+
+
+def print_table(header: list[str], rows: list[list]) -> None:
+    """Print rows in columns that are as wide as their widest cell."""
+    cells = [header, *[[str(cell) for cell in row] for row in rows]]
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    for line in cells:
+        padded = [
+            cell.ljust(width)
+            for cell, width in zip(line, widths, strict=True)
+        ]
+        print('  '.join(padded).rstrip())
--- a/arbutusvale/ui/usage.py
+++ b/arbutusvale/ui/usage.py
@@ -19,8 +19,8 @@
   arbutusvale bundle diff BUNDLE [OTHER] [--settings=FILE] [--json]
                           [--verbose]
   arbutusvale bundle reference [--verbose]
-  arbutusvale rollout BUNDLE --settings=FILE [--timeout=S] [--json]
-                          [--verbose]
+  arbutusvale rollout BUNDLE --settings=FILE [--parent=DIGEST] [--timeout=S]
+                          [--json] [--verbose]
   arbutusvale status --settings=FILE [--json] [--verbose]
   arbutusvale history --settings=FILE [--json] [--verbose]
   arbutusvale keygen --out=FILE [--verbose]
@@ -77,6 +77,7 @@
 Usage:
   arbutusvale-standin platform --listen=ADDRESS
   arbutusvale-standin engine --listen=ADDRESS --name=NAME [--slots=N]
+                             [--no-fencing]
   arbutusvale-standin service --listen=ADDRESS --name=NAME
   arbutusvale-standin faults --listen=ADDRESS --target=ADDRESS \
 --control=ADDRESS
@@ -90,6 +91,7 @@
   --control=ADDRESS  host:port at which faults are set over HTTP.
   --name=NAME        Name of the backend server.
   --slots=N          Requests that an engine runs at once [default: 8].
+  --no-fencing       The engine ignores fencing numbers of orders.
   --seed=N           Seed of the trial [default: 1].
   --json             Print JSON in place of a table.
   -h --help          Print this text.
