--- a/arbutusvale/ui/commands/standin_platform.py
+++ b/arbutusvale/ui/commands/standin_platform.py
@@ -6,4 +6,6 @@
 
 def run(options: dict) -> int:
     """Serve log service, VM list and weight store until stopped."""
-    return foreground.run(lambda: platform.PlatformStandin(options['--listen']))
+    return foreground.run(
+        lambda: platform.PlatformStandin(options['--listen'])
+    )
--- a/arbutusvale/ui/operatordesk.py
+++ b/arbutusvale/ui/operatordesk.py
@@ -67,5 +67,6 @@
         return pathlib.Path(path).read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as error:
         raise errors.UsageError(
-            f'{path} cannot be read: {error}.', 'Check the path and its rights.'
+            f'{path} cannot be read: {error}.',
+            'Check the path and its rights.',
         ) from error
--- a/arbutusvale/ui/output.py
+++ b/arbutusvale/ui/output.py
@@ -14,7 +14,6 @@
     widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
     for line in cells:
         padded = [
-            cell.ljust(width)
-            for cell, width in zip(line, widths, strict=True)
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
         ]
         print('  '.join(padded).rstrip())
