Append a bundle once when it is rolled out again

Cause: a trial with the real command line appended the head a second time when its signed file was rolled out again. The head is waited for instead. A YAML bundle whose version is in force already is refused.

--- a/arbutusvale/coordination/rollout.py
+++ b/arbutusvale/coordination/rollout.py
@@ -105,8 +105,12 @@
         :class:`errors.LogUnavailable` when nothing was appended.
         """
         judged = self.reader.chain.preview(record)
-        if isinstance(judged, bundles.Rejected):
-            return self._explain(judged)
+        match judged:
+            case bundles.Rejected():
+                return self._explain(judged)
+            case bundles.Refresh(version=version):
+                head = self.reader.chain.head
+                return await self.wait_for_vms(head.offset, version, timeout)
         publication = signing.decode(record).publication
         cause = 'the record was not found in the log'
         try:
--- a/arbutusvale/ui/commands/rollout.py
+++ b/arbutusvale/ui/commands/rollout.py
@@ -48,7 +48,14 @@
     parent = bundle_sign.read_parent(options['--parent'])
     if parent is None:
         parent = head.digest if head else b''
-    return bundle_sign.make_record(desk, path, parent)
+    record = bundle_sign.make_record(desk, path, parent)
+    version = signing.read_bundle(signing.decode(record)).version
+    if head is not None and version == head.version:
+        raise errors.UsageError(
+            f'Version {version} is in force already.',
+            f'Give {path} another version.',
+        )
+    return record
 
 
 def read_signed(path: str) -> bytes | None:
--- a/tests/coordination/test_rollout.py
+++ b/tests/coordination/test_rollout.py
@@ -110,3 +110,14 @@
     log.append = append_and_fail
     outcome = await publisher.publish(FIRST, 1.0)
     assert isinstance(outcome, rollout.OutcomeUnknown)
+
+
+@fakes.asynchronous
+async def test_head_rolled_out_again_is_not_appended():
+    log = fakes.FakeLog()
+    await log.append('config', FIRST)
+    publisher = make_rollout(log, FakeFleet(a=0))
+    await publisher.read_head()
+    outcome = await publisher.publish(FIRST, 1.0)
+    assert isinstance(outcome, rollout.InForceEverywhere)
+    assert len(log.streams['config']) == 1
