--- /dev/null
+++ b/arbutusvale/load/report.py
@@ -0,0 +1,281 @@
+"""Show measurements as a table, as JSON and as one plot."""
+
+import dataclasses
+import json
+import math
+import pathlib
+
+from arbutusvale.load import score
+
+
+@dataclasses.dataclass(frozen=True)
+class ProcessRates:
+    """Hold control bytes per second, sent and received, of one role.
+
+    ``by_kind`` maps a kind of message to its share of ``mean``.
+    """
+
+    processes: int
+    mean: float
+    highest: float
+    by_kind: dict[str, float]
+
+
+@dataclasses.dataclass(frozen=True)
+class PolicyResult:
+    """Hold what one policy's day showed; times in milliseconds."""
+
+    policy: str
+    seconds: float
+    turns: int
+    answered: int
+    returning: int
+    reuse: float
+    best_reuse: float
+    skew_p50: float
+    skew_p99: float
+    skew_max: float
+    first_token_ms: dict[str, float]
+    read_ms: dict[str, float]
+    tokens_per_s: float
+    bookings: int
+    booked: int
+    doubled: int
+    taken: int
+    bound_breaches: int
+    highest_excess: int
+    redirects_per_request: float
+    retries_per_request: float
+    cpu_ms_per_request: float
+    rss_mb: float
+    control: dict[str, ProcessRates]
+    outcomes: dict[str, int]
+    broken: list[str]
+
+
+@dataclasses.dataclass(frozen=True)
+class SlopePoint:
+    """Hold control bytes per second and process in a fleet of one size."""
+
+    sidecars: int
+    seconds: float
+    control: dict[str, ProcessRates]
+
+
+@dataclasses.dataclass(frozen=True)
+class Measurement:
+    """Hold a whole measurement with what is needed to repeat it."""
+
+    command: str
+    seed: int
+    results: list[PolicyResult]
+    slope: list[SlopePoint]
+
+
+def table(headings: list[str], rows: list[list[str]]) -> str:
+    """Align columns; the first to the left, the others to the right."""
+    widths = [
+        max(len(row[column]) for row in [headings, *rows])
+        for column in range(len(headings))
+    ]
+    lines = [_line(headings, widths), '  '.join('-' * w for w in widths)]
+    lines += [_line(row, widths) for row in rows]
+    return '\n'.join(lines)
+
+
+def _line(cells: list[str], widths: list[int]) -> str:
+    """Pad one row's cells."""
+    padded = [cells[0].ljust(widths[0])]
+    padded += [
+        cell.rjust(width)
+        for cell, width in zip(cells[1:], widths[1:], strict=True)
+    ]
+    return '  '.join(padded).rstrip()
+
+
+def policy_table(results: list[PolicyResult]) -> str:
+    """Show one column per policy."""
+    headings = ['measure', *(result.policy for result in results)]
+    rows = [
+        [name, *(show(result) for result in results)]
+        for name, show in _POLICY_ROWS
+    ]
+    return table(headings, rows)
+
+
+def _rate(result: PolicyResult, role: str) -> str:
+    """Show a role's control bytes per second: mean and highest."""
+    rates = result.control.get(role)
+    if rates is None:
+        return '-'
+    return f'{rates.mean:.0f}/{rates.highest:.0f}'
+
+
+def _milliseconds(times: dict[str, float]) -> str:
+    """Show percentiles of a time."""
+    return '/'.join(f'{value:.0f}' for value in times.values())
+
+
+_POLICY_ROWS = [
+    ('turns answered', lambda r: f'{r.answered}/{r.turns}'),
+    ('cache reuse', lambda r: f'{r.reuse:.3f}'),
+    ('best possible reuse', lambda r: f'{r.best_reuse:.3f}'),
+    ('reuse of the possible', lambda r: f'{_of_best(r):.3f}'),
+    (
+        'skew p50/p99/max',
+        lambda r: f'{r.skew_p50:.2f}/{r.skew_p99:.2f}/{r.skew_max:.2f}',
+    ),
+    (
+        'taken above the bound',
+        lambda r: f'{r.bound_breaches}/{r.taken} by <={r.highest_excess}',
+    ),
+    ('first token p50/95/99 ms', lambda r: _milliseconds(r.first_token_ms)),
+    ('status call p50/95/99 ms', lambda r: _milliseconds(r.read_ms)),
+    ('tokens/s', lambda r: f'{r.tokens_per_s:.0f}'),
+    ('booked', lambda r: f'{r.booked}/{r.bookings}'),
+    ('doubled runs', lambda r: str(r.doubled)),
+    ('redirects/request', lambda r: f'{r.redirects_per_request:.3f}'),
+    ('retries/request', lambda r: f'{r.retries_per_request:.3f}'),
+    ('router control B/s mean/max', lambda r: _rate(r, 'router')),
+    ('sidecar control B/s mean/max', lambda r: _rate(r, 'sidecar')),
+    ('processor ms/request, all', lambda r: f'{r.cpu_ms_per_request:.2f}'),
+    ('resident MB, all', lambda r: f'{r.rss_mb:.0f}'),
+]
+
+
+def _of_best(result: PolicyResult) -> float:
+    """Return the reuse as a share of the best possible one."""
+    if not result.best_reuse:
+        return math.nan
+    return result.reuse / result.best_reuse
+
+
+def slope_table(points: list[SlopePoint]) -> str:
+    """Show control bytes per second by size of the fleet."""
+    rows = [
+        [
+            str(point.sidecars),
+            *(
+                f'{rates.mean:.0f}/{rates.highest:.0f}'
+                for rates in point.control.values()
+            ),
+        ]
+        for point in points
+    ]
+    names = [f'{role} B/s mean/max' for role in points[0].control]
+    return table(['sidecars', *names], rows)
+
+
+def kind_table(control: dict[str, ProcessRates]) -> str:
+    """Show control bytes per second by kind of message."""
+    rows = [
+        [role, kind, f'{rate:.1f}']
+        for role, rates in control.items()
+        for kind, rate in sorted(
+            rates.by_kind.items(), key=lambda item: -item[1]
+        )
+    ]
+    return table(['role', 'kind', 'B/s'], rows)
+
+
+def write_json(measurement: Measurement, path: pathlib.Path) -> None:
+    """Write the measurement as JSON."""
+    document = dataclasses.asdict(measurement)
+    path.write_text(json.dumps(document, indent=1, sort_keys=True) + '\n')
+
+
+def write_text(measurement: Measurement, path: pathlib.Path) -> None:
+    """Write the tables as a page."""
+    path.write_text(text(measurement))
+
+
+def text(measurement: Measurement) -> str:
+    """Return the tables with the command and the seed."""
+    parts = [
+        f'command: {measurement.command}',
+        f'seed: {measurement.seed}',
+    ]
+    if measurement.results:
+        parts.append(policy_table(measurement.results))
+        last = measurement.results[-1]
+        parts.append(f'control bytes by kind, {last.policy}, under load')
+        parts.append(kind_table(last.control))
+        for result in measurement.results:
+            for broken in result.broken:
+                parts.append(f'BROKEN with {result.policy}: {broken}')
+    if measurement.slope:
+        parts.append('control bytes by size of the fleet, idle')
+        parts.append(slope_table(measurement.slope))
+    return '\n\n'.join(parts) + '\n'
+
+
+def plot(measurement: Measurement, path: pathlib.Path) -> None:
+    """Draw reuse, skew, first token and control bytes as one PNG."""
+    import matplotlib
+
+    matplotlib.use('Agg')
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(2, 2, figsize=(11, 8))
+    names = [result.policy for result in measurement.results]
+    _draw_bars(
+        axes[0][0],
+        'cache reuse of returning turns',
+        names,
+        {
+            'reused': [r.reuse for r in measurement.results],
+            'best possible': [r.best_reuse for r in measurement.results],
+        },
+    )
+    _draw_bars(
+        axes[0][1],
+        'skew: highest over mean load',
+        names,
+        {
+            'p50': [r.skew_p50 for r in measurement.results],
+            'p99': [r.skew_p99 for r in measurement.results],
+            'max': [r.skew_max for r in measurement.results],
+        },
+    )
+    _draw_bars(
+        axes[1][0],
+        'first token, ms',
+        names,
+        {
+            f'p{p:.0f}': [
+                r.first_token_ms[f'p{p:.0f}'] for r in measurement.results
+            ]
+            for p in score.PERCENTILES
+        },
+    )
+    _draw_slope(axes[1][1], measurement.slope)
+    figure.suptitle(f'seed {measurement.seed}')
+    figure.tight_layout()
+    figure.savefig(path, dpi=90)
+    pyplot.close(figure)
+
+
+def _draw_bars(axes, title: str, names: list[str], series: dict) -> None:
+    """Draw one group of bars per policy."""
+    width = 0.8 / len(series)
+    for index, (label, values) in enumerate(series.items()):
+        places = [place + index * width for place in range(len(names))]
+        axes.bar(places, values, width, label=label)
+    middle = 0.4 - width / 2
+    axes.set_xticks([place + middle for place in range(len(names))], names)
+    axes.set_title(title)
+    axes.legend()
+
+
+def _draw_slope(axes, points: list[SlopePoint]) -> None:
+    """Draw control bytes by size of the fleet."""
+    axes.set_title('control B/s per process, idle')
+    axes.set_xlabel('sidecars')
+    sizes = [point.sidecars for point in points]
+    roles = points[0].control if points else {}
+    for role in roles:
+        rates = [point.control[role].mean for point in points]
+        axes.plot(sizes, rates, marker='o', label=role)
+    axes.set_ylim(bottom=0)
+    if roles:
+        axes.legend()
--- a/arbutusvale/standins/engine.py
+++ b/arbutusvale/standins/engine.py
@@ -104,6 +104,7 @@
             (r'/kv/([^/]+)', CacheHandler, own),
             ('/health', HealthHandler, own),
             ('/stats', StatsHandler, own),
+            ('/history', HistoryHandler, own),
             *super().routes(),
         ]
 
@@ -451,3 +452,11 @@
                 'chats': list(standin.cache.tokens),
             }
         )
+
+
+class HistoryHandler(webserver.StandinHandler):
+    """Show how the load changed, for checks of the load bound."""
+
+    def get(self) -> None:
+        """Return the kept changes, oldest first."""
+        self.answer({'loads': self.standin.loads.history()})
--- a/arbutusvale/standins/enginestate.py
+++ b/arbutusvale/standins/enginestate.py
@@ -10,7 +10,7 @@
 import numpy as np
 
 KEPT_EVENTS = 10000
-KEPT_LOADS = 10000
+KEPT_LOADS = 100000
 STORED = 'stored'
 EVICTED = 'evicted'
 
@@ -133,6 +133,13 @@
         """Note the load of now."""
         self.kept.append((time.monotonic(), running, waiting))
 
+    def history(self) -> list[list[float]]:
+        """Return time of the monotonic clock and load at each change."""
+        return [
+            [moment, running + waiting]
+            for moment, running, waiting in self.kept
+        ]
+
     def late(self, lag_s: float) -> tuple[int, int]:
         """Return running and waiting as of ``lag_s`` ago."""
         limit = time.monotonic() - lag_s
