Guard each server by a gate on its sidecar's links

Routers only guess; the gate decides in one order on every attempt: known attempt, frozen process, quarantine, known key, leaving, bundle, server's health, then load bound, slots and claim. A known key goes before leaving and load: its answer is no new work, and a redirect to a claim's holder would else come back refused.

A refused attempt is dead, so that no late copy runs. An attempt that ended as unknown is kept apart from the dead ones: a reattach answered with a refusal would have let the router say not-run.

Ruled out: a health check by failing requests alone, as a server that fails at once has the lowest load and draws all requests.

21 tests with fakes of server, log and links pass; no run with real processes yet.

--- /dev/null
+++ b/arbutusvale/coordination/drain.py
@@ -0,0 +1,123 @@
+"""Stop taking new work and let what runs come to its end."""
+
+import asyncio
+from collections.abc import Callable
+import time
+
+from absl import logging
+
+from arbutusvale.coordination import gossip
+from arbutusvale.coordination import handover
+from arbutusvale.coordination import runs
+from arbutusvale.coordination import slots
+from arbutusvale.protocol import messages
+from arbutusvale.state import fleet
+
+POLL_S = 0.02
+LEAVE_CACHES_S = 5.0
+GRACE_FOR_CACHES_SHARE = 0.5
+SHUTDOWN = 'shutdown'
+LISTED_LEAVING = 'vm-list'
+
+
+class Drain:
+    """Know whether the server leaves, and empty it.
+
+    Several reasons may hold at once.  That of the VM list may pass again;
+    a shutdown never does.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        known: fleet.Fleet,
+        gossip: gossip.Gossip,
+        places: slots.Slots,
+        run_table: runs.RunTable,
+        hand_over: handover.HandOver,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.vm = vm
+        self.fleet = known
+        self.gossip = gossip
+        self.places = places
+        self.run_table = run_table
+        self.hand_over = hand_over
+        self.clock = clock
+        self.reasons: set[str] = set()
+        self.handing_over: asyncio.Task | None = None
+
+    @property
+    def leaving(self) -> bool:
+        """Tell whether new work is refused."""
+        return bool(self.reasons)
+
+    def follow_fleet(self) -> None:
+        """Leave or stay as the VM list says."""
+        listed = self.fleet.find(self.vm)
+        if listed is None:
+            return
+        if listed.state == messages.VmState.LEAVING:
+            self.leave(LISTED_LEAVING, LEAVE_CACHES_S)
+        else:
+            self.stay(LISTED_LEAVING)
+
+    def leave(self, reason: str, caches_s: float) -> None:
+        """Refuse new work from now on and hand the directory over."""
+        if reason in self.reasons:
+            return
+        first = not self.reasons
+        self.reasons.add(reason)
+        logging.info('event=leaving reason=%s', reason)
+        self.gossip.state_changed(messages.VmState.LEAVING)
+        if first:
+            deadline = self.clock() + caches_s
+            self.handing_over = asyncio.create_task(
+                self.hand_over.run(deadline)
+            )
+
+    def stay(self, reason: str) -> None:
+        """Take new work again when no other reason to leave holds."""
+        if reason not in self.reasons:
+            return
+        self.reasons.discard(reason)
+        logging.info('event=staying reason=%s', reason)
+        if not self.reasons:
+            self.gossip.state_changed(messages.VmState.LIVE)
+
+    async def drain(self, grace_s: float) -> list[str]:
+        """Leave, wait for all work to end; return what was cut.
+
+        The result names the attempts that were not over within
+        ``grace_s``; it is empty after a clean drain.
+        """
+        deadline = self.clock() + grace_s
+        self.leave(SHUTDOWN, grace_s * GRACE_FOR_CACHES_SHARE)
+        await self._wait_until_idle(deadline)
+        cut = self._list_unfinished()
+        if self.handing_over is not None:
+            time_left = max(0.0, deadline - self.clock())
+            await asyncio.wait([self.handing_over], timeout=time_left)
+        logging.info('event=drained cut=%d', len(cut))
+        for attempt in cut:
+            logging.warning('event=attempt-cut attempt=%s', attempt)
+        return cut
+
+    async def _wait_until_idle(self, deadline: float) -> None:
+        """Wait until no work is left, at most until ``deadline``."""
+        while True:
+            if not self._is_busy() or self.clock() >= deadline:
+                return
+            await asyncio.sleep(POLL_S)
+
+    def _is_busy(self) -> bool:
+        """Tell whether work runs, waits or has answers to send."""
+        return self.places.load > 0 or bool(self._list_unfinished())
+
+    def _list_unfinished(self) -> list[str]:
+        """List the attempts whose answer was not sent to its end."""
+        return [
+            attempt
+            for attempt, run in self.run_table.runs.items()
+            if not run.streams[attempt].end_sent
+        ]
--- a/arbutusvale/coordination/gossip.py
+++ b/arbutusvale/coordination/gossip.py
@@ -105,6 +105,11 @@
         if abs(load - self.sent_load) >= step:
             self.moved.set()
 
+    def state_changed(self, state: messages.VmState) -> None:
+        """Note whether the server takes new work and gossip it early."""
+        self.table.set_own(self.table.own.load, state.value)
+        self.moved.set()
+
     async def run(self) -> None:
         """Exchange with one random mate at every interval."""
         while True:
--- /dev/null
+++ b/arbutusvale/coordination/handover.py
@@ -0,0 +1,144 @@
+"""Pass a leaving home's directory and warmest caches to the next homes."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import time
+
+from absl import logging
+
+from arbutusvale import errors
+from arbutusvale.protocol import messages
+from arbutusvale.protocol import ports
+from arbutusvale.state import directory
+from arbutusvale.state import fleet
+from arbutusvale.state import rendezvous
+
+ENTRIES_PER_MESSAGE = 100
+MOST_COPY_BYTES = 512 * 1024
+
+
+class HandOver:
+    """Move what this sidecar knows of chats to those chats' next homes.
+
+    ``engine`` is None beside a plain service, which keeps no caches.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        pool: str,
+        places: directory.Directory,
+        known: fleet.Fleet,
+        links: ports.Links,
+        engine: ports.Engine | None,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.vm = vm
+        self.pool = pool
+        self.directory = places
+        self.fleet = known
+        self.links = links
+        self.engine = engine
+        self.clock = clock
+
+    async def run(self, deadline: float) -> None:
+        """Hand over entries, then caches until the clock's ``deadline``."""
+        await self.send_entries()
+        if self.engine is not None:
+            await self.send_caches(deadline)
+
+    async def send_entries(self) -> int:
+        """Send the entries for other servers; return how many were sent."""
+        by_home: dict[str, list[messages.Placement]] = collections.defaultdict(
+            list
+        )
+        for placement in self.directory.export():
+            home = self._next_home(placement.chat)
+            if home and placement.vm != self.vm:
+                by_home[home].append(placement)
+        sent = 0
+        for home, placements in by_home.items():
+            sent += await self._send_to_home(home, placements)
+        logging.info(
+            'event=directory-handed-over entries=%d homes=%d',
+            sent,
+            len(by_home),
+        )
+        return sent
+
+    async def send_caches(self, deadline: float) -> int:
+        """Send the own engine's caches, those used last first."""
+        sent = 0
+        for placement in self.directory.export():
+            if self.clock() >= deadline:
+                break
+            home = self._next_home(placement.chat)
+            if home and placement.vm == self.vm:
+                sent += await self._send_cache(home, placement.chat)
+        logging.info('event=caches-handed-over chats=%d', sent)
+        return sent
+
+    async def receive_copy(self, copy: messages.CacheCopy) -> None:
+        """Import a cache that a leaving mate sent."""
+        if self.engine is None:
+            return
+        try:
+            imported = await self.engine.import_cache(copy.chat, copy.data)
+        except errors.ArbutusvaleError as error:
+            logging.warning('event=cache-lost cause="%s"', error.problem)
+            return
+        logging.info(
+            'event=cache-imported chat=%s bytes=%d taken=%s',
+            copy.chat[:8],
+            len(copy.data),
+            str(imported).lower(),
+        )
+        if imported:
+            self.directory.record(copy.chat, self.vm)
+
+    async def _send_to_home(
+        self, home: str, placements: list[messages.Placement]
+    ) -> int:
+        """Send entries to one home in messages of bounded size."""
+        sent = 0
+        try:
+            link = await self.links.get(home)
+            for start in range(0, len(placements), ENTRIES_PER_MESSAGE):
+                part = placements[start : start + ENTRIES_PER_MESSAGE]
+                link.send(messages.HandOver(part))
+                sent += len(part)
+                await asyncio.sleep(0)
+        except errors.LinkClosed as error:
+            logging.warning(
+                'event=hand-over-failed home=%s cause="%s"',
+                home,
+                error.problem,
+            )
+        return sent
+
+    async def _send_cache(self, home: str, chat: str) -> bool:
+        """Export one chat's cache to its next home."""
+        try:
+            data = await self.engine.export_cache(chat)
+            if not data or len(data) > MOST_COPY_BYTES:
+                return False
+            link = await self.links.get(home)
+            link.send(messages.CacheCopy(chat, data))
+        except errors.ArbutusvaleError as error:
+            logging.warning(
+                'event=cache-not-sent home=%s cause="%s"', home, error.problem
+            )
+            return False
+        return True
+
+    def _next_home(self, chat: str) -> str:
+        """Return the chat's home once this VM is gone."""
+        return rendezvous.first(
+            chat,
+            (
+                vm.name
+                for vm in self.fleet.list_live(self.pool)
+                if vm.name != self.vm
+            ),
+        )
--- a/arbutusvale/protocol/messages.py
+++ b/arbutusvale/protocol/messages.py
@@ -300,6 +300,14 @@
     record: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheCopy:
+    """Pass a chat's exported KV cache to its next home during a drain."""
+
+    chat: str
+    data: bytes
+
+
 Message = (
     Challenge
     | Hello
@@ -324,4 +332,5 @@
     | BundleHead
     | FetchBundle
     | BundleCopy
+    | CacheCopy
 )
--- a/arbutusvale/state/directory.py
+++ b/arbutusvale/state/directory.py
@@ -29,7 +29,7 @@
 
     def record(self, chat: str, vm: str) -> None:
         """Remember that ``vm`` last ran the chat."""
-        if not chat:
+        if not (chat and vm):
             return
         self.places[chat] = vm
         self.places.move_to_end(chat)
--- /dev/null
+++ b/tests/coordination/test_gate.py
@@ -0,0 +1,428 @@
+import asyncio
+import contextlib
+
+import numpy
+import pytest
+
+from arbutusvale.coordination import admission
+from arbutusvale.coordination import claims
+from arbutusvale.coordination import drain
+from arbutusvale.coordination import freeze
+from arbutusvale.coordination import gate
+from arbutusvale.coordination import gossip
+from arbutusvale.coordination import handover
+from arbutusvale.coordination import health
+from arbutusvale.coordination import keyed
+from arbutusvale.coordination import locate
+from arbutusvale.coordination import pending
+from arbutusvale.coordination import quarantine
+from arbutusvale.coordination import runs
+from arbutusvale.coordination import slots
+from arbutusvale.protocol import bundle
+from arbutusvale.protocol import messages
+from arbutusvale.state import bundles
+from arbutusvale.state import directory
+from arbutusvale.state import fleet
+from arbutusvale.state import pooltable
+from tests import helpers_log
+from tests import helpers_runs
+from tests import helpers_sidecar as helpers
+
+
+class Follower:
+    """Hold a bundle in force; catches up to whatever is asked."""
+
+    def __init__(self, pool, offset=3):
+        held = bundle.Bundle(
+            version='1',
+            organisations={'lumenwall': helpers.make_organisation()},
+            services={},
+            pools={'panel': pool},
+            operators={},
+        )
+        self.head = bundles.InForce(offset, b'', '1', held, b'', '', '')
+        self.reaches = offset
+        self.received = []
+
+    async def catch_up(self, offset, peer_vm):
+        if self.head is None:
+            return False
+        if offset <= self.reaches:
+            self.head = bundles.InForce(
+                offset, b'', '1', self.head.bundle, b'', '', ''
+            )
+        return offset <= self.head.offset
+
+    async def receive(self, link, message):
+        self.received.append(message)
+        return isinstance(message, messages.BundleHead)
+
+
+class Sidecar:
+    """Wire a gate to fakes of server, log and links."""
+
+    def __init__(self, vm='s1', log=None, pool=None):
+        self.server = helpers_runs.FakeServer()
+        self.log = log or helpers_log.FakeLog(helpers_log.FakeClock())
+        self.fleet = fleet.Fleet()
+        self.fleet.replace([helpers.make_vm('s1'), helpers.make_vm('s2')])
+        self.links = helpers.FakeLinks()
+        self.follower = Follower(pool or helpers.make_pool(slots=2, queue=2))
+        self.quarantine = quarantine.Quarantine(vm, 1)
+        self.table = pooltable.PoolTable(vm, 1)
+        self.gossip = gossip.Gossip(
+            'panel',
+            self.table,
+            self.fleet,
+            self.links,
+            self.quarantine,
+            numpy.random.default_rng(1),
+        )
+        self.places = slots.Slots(on_change=self.gossip.own_load_changed)
+        self.directory = directory.Directory(100)
+        self.locator = locate.Locator(
+            vm, 'panel', self.directory, self.fleet, self.links
+        )
+        self.admission = admission.Admission(
+            self.table,
+            self.places,
+            self.gossip.refresh,
+            self.locator.find_holder,
+        )
+        self.run_table = runs.RunTable(self.server, self.quarantine)
+        self.claims = claims.ClaimKeeper(self.log, vm, 1)
+        closer = pending.Closer(self.run_table, self.admission)
+        self.health = health.HealthWatch(self.server)
+        hand_over = handover.HandOver(
+            vm, 'panel', self.directory, self.fleet, self.links, None
+        )
+        self.drain = drain.Drain(
+            vm,
+            self.fleet,
+            self.gossip,
+            self.places,
+            self.run_table,
+            hand_over,
+        )
+        self.looks = 0
+        self.freeze_guard = freeze.FreezeGuard(self.look)
+        self.gate = gate.Gate(
+            pool='panel',
+            follower=self.follower,
+            run_table=self.run_table,
+            quarantine=self.quarantine,
+            admission=self.admission,
+            closer=closer,
+            keyed_requests=keyed.KeyedRequests(
+                self.run_table, self.claims, closer, self.admission.clock
+            ),
+            locator=self.locator,
+            gossip=self.gossip,
+            health=self.health,
+            drain=self.drain,
+            freeze_guard=self.freeze_guard,
+        )
+        self.link = helpers_runs.FakeLink()
+
+    async def look(self):
+        self.looks += 1
+
+    async def submit(self, attempt='a1', link=None, **changes):
+        """Submit without waiting for the end; let the gate decide."""
+        submit = helpers.make_submit(attempt, **changes)
+        await self.gate.receive(link or self.link, submit)
+        await helpers_runs.until(
+            lambda: self.find(attempt, link) or attempt in self.gate.pending
+        )
+
+    def find(self, attempt, link=None):
+        sent = (link or self.link).sent
+        return [message for message in sent if message.attempt == attempt]
+
+    async def answer(self, attempt, kind, link=None):
+        """Wait for a message of a kind and return it."""
+        found = []
+
+        def look():
+            found[:] = [
+                message
+                for message in self.find(attempt, link)
+                if isinstance(message, kind)
+            ]
+            return found
+
+        await helpers_runs.until(look)
+        return found[0]
+
+    async def settle(self, attempt, kind, **changes):
+        await self.submit(attempt, **changes)
+        return await self.answer(attempt, kind)
+
+
+@contextlib.asynccontextmanager
+async def started(**arguments):
+    sidecar = Sidecar(**arguments)
+    await sidecar.health.check()
+    following = asyncio.create_task(sidecar.claims.run())
+    await helpers_runs.until(lambda: sidecar.claims.ready)
+    try:
+        yield sidecar
+    finally:
+        following.cancel()
+        await asyncio.gather(following, return_exceptions=True)
+
+
+def scenario(work, **arguments):
+    async def run():
+        async with started(**arguments) as sidecar:
+            await work(sidecar)
+
+    asyncio.run(run())
+
+
+BOOKING = {'idempotent': False, 'key': 'k1', 'service': 'bookings', 'chat': ''}
+
+
+def test_admitted_attempt_runs_and_frees_its_slot():
+    async def work(sidecar):
+        await sidecar.submit()
+        sidecar.server.feed('request-a1', *helpers_runs.whole(b'hello'))
+        await sidecar.answer('a1', messages.End)
+        assert sidecar.link.body == b'hello'
+        await helpers_runs.until(lambda: sidecar.places.load == 0)
+        assert sidecar.directory.find('c1') == 's1'
+
+    scenario(work)
+
+
+@pytest.mark.parametrize(
+    'change, reason',
+    [
+        ('leaving', messages.Refusal.LEAVING),
+        ('no-bundle', messages.Refusal.NOT_READY),
+        ('behind', messages.Refusal.NOT_READY),
+        ('stale', messages.Refusal.STALE_BUNDLE),
+        ('down', messages.Refusal.SERVER_DOWN),
+        ('late', messages.Refusal.EXPIRED),
+    ],
+)
+def test_refused_attempt_never_runs(change, reason):
+    async def work(sidecar):
+        fields = {}
+        match change:
+            case 'leaving':
+                sidecar.drain.leave('test', 0.0)
+            case 'no-bundle':
+                sidecar.follower.head = None
+            case 'behind':
+                fields['bundle_offset'] = 9
+            case 'stale':
+                fields['bundle_offset'] = 2
+            case 'down':
+                sidecar.health.note_down()
+            case 'late':
+                fields['time_left'] = 0.0
+        refused = await sidecar.settle('a1', messages.Refused, **fields)
+        assert refused.reason == reason
+        sidecar.drain.stay('test')
+        sidecar.link.sent.clear()
+        copy = await sidecar.settle('a1', messages.Refused)
+        assert copy.reason == messages.Refusal.DEAD_ATTEMPT
+        assert sidecar.server.runs == []
+
+    scenario(work)
+
+
+def test_newer_bundle_is_fetched_before_the_attempt_is_weighed():
+    async def work(sidecar):
+        sidecar.follower.reaches = 5
+        await sidecar.settle('a1', messages.Accepted, bundle_offset=5)
+
+    scenario(work)
+
+
+def test_copy_of_a_running_attempt_moves_to_the_new_link():
+    async def work(sidecar):
+        await sidecar.submit()
+        sidecar.server.feed('request-a1', helpers_runs.HEAD, b'one')
+        await sidecar.answer('a1', messages.Chunk)
+        other = helpers_runs.FakeLink()
+        await sidecar.submit(link=other)
+        sidecar.server.feed('request-a1', b'two', None)
+        await sidecar.answer('a1', messages.End, other)
+        assert other.body == b'onetwo'
+        assert len(sidecar.server.runs) == 1
+
+    scenario(work)
+
+
+def test_waiting_attempt_reattaches_and_is_cancelled():
+    async def work(sidecar):
+        for number in range(3):
+            await sidecar.settle(f'a{number}', messages.Accepted)
+        other = helpers_runs.FakeLink()
+        await sidecar.gate.receive(other, messages.Reattach('a2', 0))
+        assert isinstance(sidecar.find('a2', other)[0], messages.Accepted)
+        await sidecar.gate.receive(other, messages.Cancel('a2'))
+        failed = await sidecar.answer('a2', messages.Failed, other)
+        assert failed.outcome == messages.Outcome.NOT_RUN
+        await helpers_runs.until(lambda: sidecar.places.load == 2)
+        assert len(sidecar.server.runs) == 2
+
+    scenario(work)
+
+
+def test_reattach_to_an_unheard_attempt_keeps_a_late_submit_from_running():
+    async def work(sidecar):
+        await sidecar.gate.receive(sidecar.link, messages.Reattach('a1', 0))
+        refused = await sidecar.answer('a1', messages.Refused)
+        assert refused.reason == messages.Refusal.DEAD_ATTEMPT
+        await sidecar.submit('a1')
+        await sidecar.submit('a2')
+        await sidecar.answer('a2', messages.Accepted)
+        assert [run.request_id for run in sidecar.server.runs] == [
+            'request-a2'
+        ]
+
+    scenario(work)
+
+
+def test_quarantined_request_is_answered_at_once():
+    async def work(sidecar):
+        await sidecar.quarantine.note_crash([b'f1'])
+        await sidecar.quarantine.note_crash([b'f1'])
+        failed = await sidecar.settle('a1', messages.Failed)
+        assert failed.outcome == messages.Outcome.QUARANTINED
+
+    scenario(work)
+
+
+def test_resent_booking_gets_the_answer_of_its_one_run():
+    async def work(sidecar):
+        await sidecar.submit('a1', **BOOKING)
+        await helpers_runs.until(lambda: sidecar.server.runs)
+        await sidecar.submit('a2', **BOOKING)
+        sidecar.server.feed('request-a1', *helpers_runs.whole(b'booked'))
+        for attempt in ('a1', 'a2'):
+            await sidecar.answer(attempt, messages.End)
+        sidecar.drain.leave('test', 0.0)
+        await sidecar.settle('a3', messages.End, **BOOKING)
+        assert len(sidecar.server.runs) == 1
+        reused = await sidecar.settle(
+            'a4', messages.Refused, **{**BOOKING, 'fingerprint': b'other'}
+        )
+        assert reused.reason == messages.Refusal.KEY_REUSED
+
+    scenario(work)
+
+
+def test_racing_copies_of_a_booking_run_once():
+    async def work(sidecar):
+        await asyncio.gather(
+            *[sidecar.submit(f'a{n}', **BOOKING) for n in range(4)]
+        )
+        await helpers_runs.until(lambda: sidecar.server.runs)
+        request_id = sidecar.server.runs[0].request_id
+        sidecar.server.feed(request_id, *helpers_runs.whole(b'booked'))
+        for number in range(4):
+            await sidecar.answer(f'a{number}', messages.End)
+        assert len(sidecar.server.runs) == 1
+
+    scenario(work, pool=helpers.make_pool(slots=4, queue=2, bound=50.0))
+
+
+def test_booking_claimed_elsewhere_is_sent_to_its_holder():
+    log = helpers_log.FakeLog(helpers_log.FakeClock())
+
+    async def work(sidecar):
+        async with started(vm='s2', log=log) as holder:
+            await holder.settle('b1', messages.Accepted, **BOOKING)
+            await helpers_runs.until(lambda: holder.server.runs)
+            redirect = await sidecar.settle('a1', messages.Redirect, **BOOKING)
+        assert redirect.vm == 's2'
+        assert sidecar.server.runs == []
+        assert sidecar.places.load == 0
+
+    scenario(work, log=log)
+
+
+def test_booking_is_not_run_while_the_log_is_down():
+    async def work(sidecar):
+        sidecar.log.down = True
+        failed = await sidecar.settle(
+            'a1', messages.Failed, **{**BOOKING, 'time_left': 0.5}
+        )
+        assert failed.outcome == messages.Outcome.NOT_RUN
+        assert failed.reason in ('log-down', 'expired')
+        assert sidecar.server.runs == []
+        assert sidecar.places.load == 0
+
+    scenario(work)
+
+
+def test_unknown_outcome_stays_unknown_for_a_reattach():
+    async def work(sidecar):
+        await sidecar.submit('a1', **BOOKING)
+        await helpers_runs.until(lambda: sidecar.server.runs)
+        sidecar.claims.is_gone = lambda vm, incarnation: True
+        async with started(vm='s2', log=sidecar.log) as other:
+            other.claims.is_gone = lambda vm, incarnation: True
+            failed = await other.settle('b1', messages.Failed, **BOOKING)
+            assert failed.outcome == messages.Outcome.UNKNOWN
+            other.link.sent.clear()
+            await other.gate.receive(other.link, messages.Reattach('b1', 0))
+            failed = await other.answer('b1', messages.Failed)
+            assert failed.outcome == messages.Outcome.UNKNOWN
+
+    scenario(work)
+
+
+def test_unreachable_server_releases_the_key_and_is_avoided():
+    async def work(sidecar):
+        sidecar.server.up = False
+        failed = await sidecar.settle('a1', messages.Failed, **BOOKING)
+        assert failed.outcome == messages.Outcome.NOT_RUN
+        refused = await sidecar.settle('a2', messages.Refused, **BOOKING)
+        assert refused.reason == messages.Refusal.SERVER_DOWN
+        sidecar.server.up = True
+        await sidecar.health.check()
+        await sidecar.submit('a3', **BOOKING)
+        sidecar.server.feed('request-a3', *helpers_runs.whole(b'booked'))
+        await sidecar.answer('a3', messages.End)
+        assert len(sidecar.server.runs) == 1
+
+    scenario(work)
+
+
+def test_frozen_sidecar_looks_for_news_before_new_work():
+    async def work(sidecar):
+        sidecar.freeze_guard.ticked_at -= 10.0
+        await sidecar.settle('a1', messages.Accepted)
+        assert sidecar.looks == 1
+
+    scenario(work)
+
+
+def test_drain_lets_runs_end_and_tells_what_was_cut():
+    async def work(sidecar):
+        for number in range(3):
+            await sidecar.settle(f'a{number}', messages.Accepted)
+        draining = asyncio.create_task(sidecar.drain.drain(5.0))
+        await helpers_runs.until(lambda: sidecar.drain.leaving)
+        for number in range(3):
+            sidecar.server.feed(
+                f'request-a{number}', *helpers_runs.whole(b'x')
+            )
+        assert await draining == []
+        for number in range(3):
+            await sidecar.answer(f'a{number}', messages.End)
+
+    scenario(work)
+
+
+def test_drain_past_its_grace_names_the_cut_attempts():
+    async def work(sidecar):
+        await sidecar.settle('a1', messages.Accepted)
+        assert await sidecar.drain.drain(0.1) == ['a1']
+
+    scenario(work)
