--- a/arbutusvale/coordination/keyed.py
+++ b/arbutusvale/coordination/keyed.py
@@ -55,8 +55,6 @@
         match outcome:
             case None | claims.Won():
                 return False
-            case claims.KeyReused():
-                self.closer.refuse(waiting, messages.Refusal.KEY_REUSED)
             case _:
                 self._end_unclaimed(waiting, outcome)
         return True
@@ -119,7 +117,6 @@
     ) -> None:
         """End an attempt that may not run here, as its claim came out."""
         attempt = waiting.submit.attempt
-        not_run = messages.Outcome.NOT_RUN
         match outcome:
             case claims.HeldBy(vm=vm):
                 self.closer.close(
@@ -132,13 +129,13 @@
             case claims.Used():
                 self._attach_or_fail(waiting)
             case claims.KeyReused():
-                reason = str(messages.Refusal.KEY_REUSED)
-                self.closer.fail(waiting, not_run, reason)
-            case claims.LogDown(retry_after=retry_after):
-                reason = str(messages.Refusal.LOG_DOWN)
-                self.closer.fail(waiting, not_run, reason, retry_after)
+                self.closer.refuse(waiting, messages.Refusal.KEY_REUSED)
+            case claims.LogDown():
+                self.closer.refuse(waiting, messages.Refusal.LOG_DOWN)
             case claims.NotYet(reason=reason, retry_after=retry_after):
-                self.closer.fail(waiting, not_run, reason, retry_after)
+                self.closer.fail(
+                    waiting, messages.Outcome.NOT_RUN, reason, retry_after
+                )
 
     def _attach_or_fail(self, waiting: pending.Pending) -> None:
         """Answer an attempt whose key was run here before."""
--- a/tests/coordination/test_gate.py
+++ b/tests/coordination/test_gate.py
@@ -349,11 +349,9 @@
 def test_booking_is_not_run_while_the_log_is_down():
     async def work(sidecar):
         sidecar.log.down = True
-        failed = await sidecar.settle(
-            'a1', messages.Failed, **{**BOOKING, 'time_left': 0.5}
-        )
-        assert failed.outcome == messages.Outcome.NOT_RUN
-        assert failed.reason in ('log-down', 'expired')
+        refused = await sidecar.settle('a1', messages.Refused, **BOOKING)
+        assert refused.reason == messages.Refusal.LOG_DOWN
+        assert refused.retry_after > 0
         assert sidecar.server.runs == []
         assert sidecar.places.load == 0
 
