--- a/arbutusvale/coordination/configreader.py
+++ b/arbutusvale/coordination/configreader.py
@@ -14,14 +14,14 @@
 class ConfigReader:
     """Apply the whole retained stream to a chain.
 
-    ``times`` holds when records were appended, by offset, in seconds since
-    1970; ``retention`` is how long the log keeps a record, in seconds.
+    ``outcomes`` holds what became of each record, ``records`` the records
+    by offset; ``retention`` is how long the log keeps one, in seconds.
     """
 
     def __init__(self, log: ports.LogService, chain: bundles.BundleChain):
         self.log = log
         self.chain = chain
-        self.times: dict[int, float] = {}
+        self.records: dict[int, ports.LogRecord] = {}
         self.outcomes: list[bundles.Outcome] = []
         self.retention = 0.0
 
@@ -47,7 +47,7 @@
             return False
         self.retention = page.retention
         for record in page.records:
-            self.times[record.offset] = record.time
+            self.records[record.offset] = record
             self.outcomes.append(self.chain.apply(record.offset, record.data))
         return self.chain.position >= page.head
 
--- a/arbutusvale/coordination/rollout.py
+++ b/arbutusvale/coordination/rollout.py
@@ -1,23 +1,18 @@
 """Publish a signed bundle and wait until the whole fleet has it."""
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
 import dataclasses
 import time
 
 from arbutusvale import errors
 from arbutusvale.coordination import configreader
-from arbutusvale.protocol import adminapi
+from arbutusvale.coordination import fleetstatus
 from arbutusvale.protocol import ports
 from arbutusvale.protocol import signing
 from arbutusvale.state import bundles
 
 LOOK_AGAIN_S = 10.0
 POLL_INTERVAL_S = 0.25
-STATUS_READERS = 64
-
-StatusReader = Callable[[str, str], Awaitable[adminapi.VmStatus]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,7 +80,7 @@
         self,
         reader: configreader.ConfigReader,
         vm_list: ports.VmList,
-        read_status: StatusReader,
+        read_status: fleetstatus.StatusReader,
         look_again_s: float = LOOK_AGAIN_S,
     ):
         self.reader = reader
@@ -162,27 +157,11 @@
         """Ask the VMs that are not ``done``; return those still behind."""
         if vms is None:
             return [Laggard('the VM list', 'could not be read')]
-        limit = asyncio.Semaphore(STATUS_READERS)
-
-        async def ask(vm: ports.Vm) -> Laggard | None:
-            async with limit:
-                return await self._ask(vm, offset)
-
         waiting = [vm for vm in vms if vm.name not in done]
-        found = await asyncio.gather(*[ask(vm) for vm in waiting])
-        done.update(
-            vm.name
-            for vm, laggard in zip(waiting, found, strict=True)
-            if laggard is None
-        )
-        return [laggard for laggard in found if laggard is not None]
-
-    async def _ask(self, vm: ports.Vm, offset: int) -> Laggard | None:
-        """Ask one VM; None when it has the bundle."""
-        try:
-            status = await self.read_status(vm.name, vm.admin)
-        except errors.ServerUnreachable:
-            return Laggard(vm.name, 'not reachable')
-        if status.offset >= offset:
-            return None
-        return Laggard(vm.name, f'reports {status.version or "no bundle"}')
+        reports = await fleetstatus.read_all(waiting, self.read_status)
+        done.update(each.vm.name for each in reports if each.has(offset))
+        return [
+            Laggard(each.vm.name, each.describe())
+            for each in reports
+            if not each.has(offset)
+        ]
--- a/arbutusvale/protocol/bundle.py
+++ b/arbutusvale/protocol/bundle.py
@@ -11,11 +11,14 @@
 import pydantic
 import pydantic.dataclasses
 
+from arbutusvale import yamlfile
+
 _STRICT = pydantic.ConfigDict(extra='forbid')
 _checked = pydantic.dataclasses.dataclass(
     frozen=True, kw_only=True, config=_STRICT
 )
 Name = typing.Annotated[str, pydantic.Field(pattern='^[a-z0-9][a-z0-9-]*$')]
+PublicKey = typing.Annotated[str, pydantic.Field(pattern='^[0-9a-f]{64}$')]
 NON_IDEMPOTENT_METHODS = frozenset({'POST', 'PATCH'})
 DEFAULT_BOUND = 1.25
 
@@ -166,27 +169,44 @@
     organisations: dict[Name, Organisation]
     services: dict[Name, Service]
     pools: dict[Name, Pool]
-    operators: dict[Name, str]
+    operators: typing.Annotated[
+        dict[Name, PublicKey], pydantic.Field(min_length=1)
+    ]
     limits: Limits = dataclasses.field(default_factory=Limits)
 
     @pydantic.model_validator(mode='after')
     def check_references(self) -> 'Bundle':
         """Check that every named service and pool exists."""
-        for name, organisation in self.organisations.items():
-            for service in organisation.services:
-                if service not in self.services:
-                    raise ValueError(
-                        f'organisations.{name}.services names the unknown '
-                        f'service {service}; define it under services'
-                    )
-        for name, service in self.services.items():
-            if service.pool not in self.pools:
-                raise ValueError(
-                    f'services.{name}.pool names the unknown pool '
-                    f'{service.pool}; define it under pools'
-                )
+        yamlfile.reject(
+            [*self.find_unknown_services(), *self.find_unknown_pools()]
+        )
         return self
 
+    def find_unknown_services(self) -> list[yamlfile.Fault]:
+        """List organisations' services that are not defined."""
+        return [
+            yamlfile.Fault(
+                ('organisations', name, 'services', str(index)),
+                f'names the unknown service {service}',
+                'define it under services or remove it here',
+            )
+            for name, organisation in self.organisations.items()
+            for index, service in enumerate(organisation.services)
+            if service not in self.services
+        ]
+
+    def find_unknown_pools(self) -> list[yamlfile.Fault]:
+        """List services' pools that are not defined."""
+        return [
+            yamlfile.Fault(
+                ('services', name, 'pool'),
+                f'names the unknown pool {service.pool}',
+                'define it under pools or correct the name',
+            )
+            for name, service in self.services.items()
+            if service.pool not in self.pools
+        ]
+
 
 def is_idempotent(service: Service, method: str, path: str) -> bool:
     """Tell whether the bundle lets a call be repeated."""
--- /dev/null
+++ b/arbutusvale/ui/commands/bundle_diff.py
@@ -0,0 +1,90 @@
+"""Compare two bundles field by field."""
+
+import dataclasses
+
+from arbutusvale import errors
+from arbutusvale import yamlfile
+from arbutusvale.protocol import bundle
+from arbutusvale.protocol import signing
+from arbutusvale.ui import exitcodes
+from arbutusvale.ui import operatordesk
+from arbutusvale.ui import output
+from arbutusvale.ui.commands import rollout
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """Name a field whose value differs; None where it is missing."""
+
+    field: str
+    old: object
+    new: object
+
+
+def run(options: dict) -> int | None:
+    """Compare BUNDLE with OTHER, or with the head of the log service."""
+    new = read_bundle(options['BUNDLE'])
+    if options['OTHER']:
+        old = read_bundle(options['OTHER'])
+        return report(compare(old, new), options['--json'])
+    if not options['--settings']:
+        raise errors.UsageError(
+            'There is nothing to compare with.',
+            'Name a second bundle, or give --settings to use the head.',
+        )
+
+    async def show(desk: operatordesk.OperatorDesk) -> int:
+        head = await desk.make_rollout().read_head()
+        old = head.bundle if head else None
+        return report(compare(old, new), options['--json'])
+
+    return operatordesk.run(options['--settings'], show)
+
+
+def read_bundle(path: str) -> bundle.Bundle:
+    """Read a YAML bundle or a signed one."""
+    signed = rollout.read_signed(path)
+    if signed is not None:
+        return signing.read_bundle(signing.decode(signed))
+    return yamlfile.read(path, bundle.Bundle)
+
+
+def compare(old: bundle.Bundle | None, new: bundle.Bundle) -> list[Change]:
+    """List the fields that differ, by name; all of them without ``old``."""
+    before = flatten(dataclasses.asdict(old)) if old else {}
+    after = flatten(dataclasses.asdict(new))
+    return [
+        Change(field, before.get(field), after.get(field))
+        for field in sorted(before.keys() | after.keys())
+        if before.get(field) != after.get(field)
+    ]
+
+
+def flatten(value: object, field: str = '') -> dict[str, object]:
+    """Map dotted names of fields to their values."""
+    prefix = f'{field}.' if field else ''
+    match value:
+        case dict() if value:
+            parts = value.items()
+        case list() if value:
+            parts = enumerate(value)
+        case _:
+            return {field: value}
+    flat = {}
+    for name, part in parts:
+        flat.update(flatten(part, f'{prefix}{name}'))
+    return flat
+
+
+def report(changes: list[Change], as_json: bool) -> int:
+    """Print the changes."""
+    if as_json:
+        output.print_json([dataclasses.asdict(each) for each in changes])
+    elif not changes:
+        print('no difference')
+    for change in [] if as_json else changes:
+        if change.old is not None:
+            print(f'- {change.field}: {change.old}')
+        if change.new is not None:
+            print(f'+ {change.field}: {change.new}')
+    return exitcodes.ExitCode.DONE
--- a/arbutusvale/yamlfile.py
+++ b/arbutusvale/yamlfile.py
@@ -1,10 +1,12 @@
 """Read YAML documents into validated data classes, naming faulty lines."""
 
+import dataclasses
 import pathlib
 from typing import Any
 from typing import TypeVar
 
 import pydantic
+import pydantic_core
 import yaml
 
 from arbutusvale import errors
@@ -19,6 +21,26 @@
 }
 
 
+FAULT_KIND = 'faults'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """Describe a fault that spans fields; ``location`` is a path of keys."""
+
+    location: tuple[str, ...]
+    problem: str
+    remedy: str
+
+
+def reject(faults: list[Fault]) -> None:
+    """Fail a model's validation with faults, unless there are none."""
+    if faults:
+        raise pydantic_core.PydanticCustomError(
+            FAULT_KIND, 'fields do not agree', {'faults': faults}
+        )
+
+
 def read(path: str, document_type: type[Document]) -> Document:
     """Read the file at ``path`` as a ``document_type``.
 
@@ -40,28 +62,66 @@
     try:
         root = yaml.compose(text, Loader=yaml.SafeLoader)
         data = yaml.safe_load(text)
-    except yaml.YAMLError as error:
+    except (yaml.YAMLError, ValueError) as error:
         mark = getattr(error, 'problem_mark', None)
         line = mark.line + 1 if mark else 1
         problem = getattr(error, 'problem', None) or 'not YAML'
         raise errors.DocumentError(
             path, [f'{path}:{line}: {problem}: write valid YAML']
         ) from error
+    twice = _find_duplicates(root)
+    if twice:
+        raise errors.DocumentError(
+            path, [_render(path, root, fault) for fault in twice]
+        )
     try:
         return pydantic.TypeAdapter(document_type).validate_python(data)
     except pydantic.ValidationError as error:
-        faults = [_describe(path, root, fault) for fault in error.errors()]
+        faults = [
+            _render(path, root, fault)
+            for found in error.errors()
+            for fault in _list_faults(found)
+        ]
         raise errors.DocumentError(path, faults) from error
 
 
-def _describe(path: str, root: yaml.Node | None, fault: Any) -> str:
-    """Render one validation fault as ``file:line: field: remedy``."""
-    location = [str(part) for part in fault['loc']]
-    line = _find_line(root, location)
-    field = '.'.join(location) or 'document'
-    message = fault['msg'].removeprefix('Value error, ')
-    remedy = _REMEDIES.get(fault['type'], 'correct the value')
-    return f'{path}:{line}: {field}: {message}: {remedy}'
+def _list_faults(found: Any) -> list[Fault]:
+    """List the faults that one of pydantic's errors stands for."""
+    location = tuple(str(part) for part in found['loc'])
+    if found['type'] == FAULT_KIND:
+        return [
+            dataclasses.replace(fault, location=location + fault.location)
+            for fault in found['ctx']['faults']
+        ]
+    message = found['msg'].removeprefix('Value error, ')
+    remedy = _REMEDIES.get(found['type'], 'correct the value')
+    return [Fault(location, message, remedy)]
+
+
+def _render(path: str, root: yaml.Node | None, fault: Fault) -> str:
+    """Render a fault as ``file:line: field: problem: remedy``."""
+    line = _find_line(root, list(fault.location))
+    field = '.'.join(fault.location) or 'document'
+    return f'{path}:{line}: {field}: {fault.problem}: {fault.remedy}'
+
+
+def _find_duplicates(
+    node: yaml.Node | None, location: tuple[str, ...] = ()
+) -> list[Fault]:
+    """Find keys that stand twice in one mapping."""
+    found = []
+    if isinstance(node, yaml.MappingNode):
+        seen = set()
+        for key, value in node.value:
+            place = (*location, str(key.value))
+            if place in seen:
+                found.append(Fault(place, 'stands twice', 'remove one'))
+            seen.add(place)
+            found += _find_duplicates(value, place)
+    if isinstance(node, yaml.SequenceNode):
+        for index, value in enumerate(node.value):
+            found += _find_duplicates(value, (*location, str(index)))
+    return found
 
 
 def _find_line(root: yaml.Node | None, location: list[str]) -> int:
@@ -84,7 +144,7 @@
 def _find_child(node: yaml.Node, part: str) -> tuple[yaml.Node, int] | None:
     """Find the value and line of the entry ``part`` below ``node``."""
     if isinstance(node, yaml.MappingNode):
-        for key, value in node.value:
+        for key, value in reversed(node.value):
             if key.value == part:
                 return value, key.start_mark.line + 1
     if isinstance(node, yaml.SequenceNode) and part.isdigit():
--- a/tests/helpers_router.py
+++ b/tests/helpers_router.py
@@ -45,7 +45,7 @@
             'secret': {'kind': 'plain', 'pool': 'engines'},
         },
         pools={'engines': {'policy': policy}},
-        operators={},
+        operators={'ana': '00' * 32},
     )
 
 
--- a/tests/test_yamlfile.py
+++ b/tests/test_yamlfile.py
@@ -3,6 +3,8 @@
 from arbutusvale import errors
 from arbutusvale import settings
 from arbutusvale import yamlfile
+from arbutusvale.protocol import bundle
+from tests import helpers_bundle
 
 ROUTER = """\
 vm: entry-1
@@ -34,3 +36,26 @@
         yamlfile.parse(text, settings.RouterSettings, 'f.yaml')
     assert place in str(caught.value)
     assert remedy in str(caught.value)
+
+
+def test_faults_between_fields_name_the_line_of_each():
+    text = helpers_bundle.make_text('v1')
+    text = text.replace('services: [chat]', 'services:\n    - chat\n    - x')
+    text = text.replace('pool: models', 'pool: other')
+    with pytest.raises(errors.DocumentError) as caught:
+        yamlfile.parse(text, bundle.Bundle, 'b.yaml')
+    first, second = caught.value.faults
+    assert first.startswith('b.yaml:7: organisations.acme.services.1: ')
+    assert 'define it under services' in first
+    assert second.startswith('b.yaml:9: services.chat.pool: ')
+
+
+def test_key_that_stands_twice_is_named():
+    with pytest.raises(errors.DocumentError) as caught:
+        yamlfile.parse(ROUTER + 'vm: x\n', settings.RouterSettings, 'f.yaml')
+    assert caught.value.faults == ['f.yaml:7: vm: stands twice: remove one']
+
+
+def test_impossible_date_is_a_fault():
+    with pytest.raises(errors.DocumentError):
+        yamlfile.parse(ROUTER + 'a: 2026-13-45\n', settings.RouterSettings)
