--- a/tests/coordination/test_gate.py
+++ b/tests/coordination/test_gate.py
@@ -38,7 +38,7 @@
             organisations={'lumenwall': helpers.make_organisation()},
             services={},
             pools={'panel': pool},
-            operators={},
+            operators={'ana': '00' * 32},
         )
         self.head = bundles.InForce(offset, b'', '1', held, b'', '', '')
         self.reaches = offset
