Serve callers, operators and balancers over HTTP

The caller server relays chat completions, also streamed, and calls of plain services; every error has one shape. A body that is not whole ends with an error event or a cut connection. Work ends with its caller only when it is idempotent. The admin server shows health, status and metrics.

Links get Ping and Pong: heartbeats that a sidecar sends on its own cannot show that the other direction is frozen, a pong in order behind the submit does.

--- a/arbutusvale/coordination/attempts.py
+++ b/arbutusvale/coordination/attempts.py
@@ -1,7 +1,7 @@
 """Run attempts over links and survive links that go silent.
 
-One monitor task sends heartbeats on links with attempts in flight.  A link
-that returns none is dropped; its attempts go on over a new link, from the
+One monitor task pings the links that have attempts in flight.  A link that
+returns no pong is closed; its attempts go on over a new link, from the
 first chunk that they lack.
 """
 
@@ -16,10 +16,11 @@
 from arbutusvale.protocol import messages
 from arbutusvale.protocol import ports
 
-HEARTBEAT_S = 0.4
+PING_INTERVAL_S = 0.4
 SILENCE_S = 1.0
 _QUIET_S = 0.4
 _CREDIT_CHUNKS = 8
+_MAX_GAPS = 8
 _REATTACH_DELAYS_S = (0.0, 0.1, 0.3, 0.6)
 
 
@@ -80,6 +81,7 @@
         self.received_bytes = 0
         self.credited = 0
         self.reattached = 0
+        self.gaps = 0
 
     async def next(self, deadline: float) -> Event:
         """Return the next event; ``deadline`` is in the loop's time."""
@@ -146,17 +148,24 @@
     def _take_chunk(self, chunk: messages.Chunk) -> bool:
         """Take a chunk that is next; a gap gets the rest sent again."""
         if chunk.number > self.next_chunk:
-            self._send(messages.Reattach(self.name, self.next_chunk))
+            self._fill_gap()
         if chunk.number != self.next_chunk:
             return False
         self.next_chunk += 1
         self.received_bytes += len(chunk.data)
         return True
 
+    def _fill_gap(self) -> bool:
+        """Ask for the chunks that are lacking; False after many times."""
+        self.gaps += 1
+        if self.gaps > _MAX_GAPS:
+            return False
+        self._send(messages.Reattach(self.name, self.next_chunk))
+        return True
+
     def _check_end(self, end: messages.End) -> messages.End | Corrupt | None:
         """Compare the counts; None when chunks are still to come."""
-        if end.chunks > self.next_chunk:
-            self._send(messages.Reattach(self.name, self.next_chunk))
+        if end.chunks > self.next_chunk and self._fill_gap():
             return None
         self._send_credit()
         if end.chunks != self.next_chunk:
@@ -199,7 +208,7 @@
 
     heard_at: float
     attempts: set[Attempt] = dataclasses.field(default_factory=set)
-    beat_at: float = 0.0
+    pinged_at: float = 0.0
 
 
 class Attempts:
@@ -212,17 +221,18 @@
         incarnation: int,
         links: ports.Links | None = None,
         clock: Callable[[], float] = time.monotonic,
-        heartbeat_s: float = HEARTBEAT_S,
+        ping_interval_s: float = PING_INTERVAL_S,
         silence_s: float = SILENCE_S,
     ):
         self.prefix = f'{vm}.{incarnation:x}'
         self.links = links
         self.clock = clock
-        self.heartbeat_s = heartbeat_s
+        self.ping_interval_s = ping_interval_s
         self.silence_s = silence_s
         self.count = 0
         self.dropped_frames = 0
         self.silent_links = 0
+        self.pings = 0
         self.by_name: dict[str, Attempt] = {}
         self.watched: dict[ports.Link, _Watched] = {}
 
@@ -268,10 +278,13 @@
         watched = self.watched.get(link)
         if watched is not None:
             watched.heard_at = self.clock()
-        if isinstance(message, messages.Heartbeat):
-            if watched is not None:
-                watched.beat_at = 0.0
-            return
+        match message:
+            case messages.Pong():
+                if watched is not None:
+                    watched.pinged_at = 0.0
+                return
+            case messages.Heartbeat():
+                return
         attempt = self.by_name.get(getattr(message, 'attempt', ''))
         if attempt is None or attempt.link is not link:
             self.dropped_frames += 1
@@ -290,7 +303,7 @@
         """Watch the links with attempts in flight, until cancelled."""
         last = self.clock()
         while True:
-            await asyncio.sleep(self.heartbeat_s)
+            await asyncio.sleep(self.ping_interval_s)
             now = self.clock()
             if now - last > self.silence_s:
                 self._excuse_silence(now)
@@ -302,15 +315,15 @@
         """Restart the waits, as this process itself stood still."""
         for watched in self.watched.values():
             watched.heard_at = now
-            watched.beat_at = 0.0
+            watched.pinged_at = 0.0
 
     def _check(self, link: ports.Link, watched: _Watched, now: float) -> None:
-        """Send a heartbeat, or drop a link that did not return the last."""
-        if not watched.beat_at:
-            watched.beat_at = now
-            self._beat(link, len(watched.attempts))
+        """Ping a link, or close one that did not answer the last ping."""
+        if not watched.pinged_at:
+            watched.pinged_at = now
+            self._ping(link)
             return
-        waited = now - watched.beat_at
+        waited = now - watched.pinged_at
         quiet = now - watched.heard_at >= _QUIET_S
         if waited < self.silence_s or not (
             quiet or waited >= 2 * self.silence_s
@@ -325,9 +338,10 @@
         )
         link.close()
 
-    def _beat(self, link: ports.Link, active: int) -> None:
-        """Send a heartbeat; a closed link wakes its attempts anyway."""
+    def _ping(self, link: ports.Link) -> None:
+        """Send a ping; a closed link wakes its attempts anyway."""
+        self.pings += 1
         try:
-            link.send(messages.Heartbeat(active))
+            link.send(messages.Ping(self.pings))
         except errors.LinkClosed as error:
             logging.debug('event=unsent cause="%s"', error.problem)
--- a/arbutusvale/coordination/dispatch.py
+++ b/arbutusvale/coordination/dispatch.py
@@ -23,11 +23,13 @@
 from arbutusvale.protocol import callerapi
 from arbutusvale.protocol import messages
 from arbutusvale.protocol import ports
+from arbutusvale.state import bundles
 from arbutusvale.state import fleet
 from arbutusvale.state import measures
 
 MAX_HOPS = 3
 _MAX_CATCH_UPS = 2
+_MAX_REPEATS = 2
 _BUFFER_BYTES = 256 * 1024
 _RETRY_AFTER_S = 1.0
 _UNKNOWN = messages.Outcome.UNKNOWN.value
@@ -60,6 +62,7 @@
     hops: int = 0
     tries: int = 0
     catch_ups: int = 0
+    repeats: int = 0
 
     def note(self, result: refusals.Failure, step: refusals.Step) -> None:
         """Keep the error that is the answer when no try is left."""
@@ -90,11 +93,12 @@
     async def events(self) -> AsyncIterator[answerevents.Event]:
         """Yield the events of the answer."""
         shared = self.dispatcher
-        await shared.refresh_if_stale()
-        current = shared.get_bundle()
-        if current is None:
-            yield _not_ready()
+        await shared.before_work()
+        head = shared.get_head()
+        if head is None:
+            yield not_ready()
             return
+        current = head.bundle
         work = callerrequest.classify(self.request, current)
         if isinstance(work, callerapi.ErrorAnswer):
             yield work
@@ -221,11 +225,13 @@
                 progress.catch_ups += 1
                 if progress.catch_ups > _MAX_CATCH_UPS:
                     return False
-                await shared.catch_up()
+                await shared.catch_up(shared.get_head().offset + 1, choice.vm)
                 candidates.again(choice)
                 return True
             case refusals.Again():
+                progress.repeats += 1
                 candidates.again(choice)
+                return progress.repeats <= _MAX_REPEATS
             case refusals.Elsewhere():
                 pass
         match result:
@@ -246,7 +252,7 @@
         """Charge a retry to the budget and wait before it."""
         shared = self.dispatcher
         progress.tries += 1
-        most = shared.get_bundle().limits.max_attempts
+        most = shared.get_head().bundle.limits.max_attempts
         if progress.tries >= most or not progress.candidates.choices:
             return False
         if not shared.retry_budget.take():
@@ -405,8 +411,9 @@
 class Dispatcher:
     """Hold what all calls of a router share.
 
-    ``get_bundle`` and ``get_offset`` tell the bundle in force, ``catch_up``
-    reads newer ones from the log or a peer.
+    ``get_head`` tells the bundle in force, ``catch_up`` comes up to an
+    offset that a peer has, ``before_work`` waits while news are looked for
+    after this process stood still.
     """
 
     def __init__(
@@ -416,15 +423,15 @@
         incarnation: int,
         links: ports.Links | None,
         fleet: fleet.Fleet,
-        get_bundle: Callable[[], bundle.Bundle | None],
-        get_offset: Callable[[], int],
-        catch_up: Callable[[], Awaitable[None]],
+        get_head: Callable[[], bundles.InForce | None],
+        catch_up: Callable[[int, str], Awaitable[bool]],
+        before_work: Callable[[], Awaitable[None]],
         generator: numpy.random.Generator,
         clock: Callable[[], float] = time.monotonic,
     ):
-        self.get_bundle = get_bundle
-        self.get_offset = get_offset
+        self.get_head = get_head
         self.catch_up = catch_up
+        self.before_work = before_work
         self.generator = generator
         self.attempts = attempts.Attempts(
             vm=vm, incarnation=incarnation, links=links, clock=clock
@@ -474,9 +481,6 @@
         if not self.active:
             self.idle.set()
 
-    async def refresh_if_stale(self) -> None:
-        """Look for a newer bundle after this process stood still."""
-
     def make_submit(
         self,
         work: callerrequest.Work,
@@ -501,7 +505,7 @@
             fingerprint=work.fingerprint,
             time_left=max(0.0, work.time_left),
             priority=work.grant.priority,
-            bundle_offset=self.get_offset(),
+            bundle_offset=self.get_head().offset,
             hop=progress.hops,
             last_hop=progress.hops + 1 >= MAX_HOPS,
             redirected=choice.redirected,
@@ -536,7 +540,7 @@
         return self.active
 
 
-def _not_ready() -> callerapi.ErrorAnswer:
+def not_ready() -> callerapi.ErrorAnswer:
     """Answer when this router has no bundle or is about to end."""
     return callerapi.ErrorAnswer(
         503,
--- a/arbutusvale/protocol/messages.py
+++ b/arbutusvale/protocol/messages.py
@@ -308,6 +308,20 @@
     data: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ping:
+    """Ask the listening side of a link for a Pong with this number."""
+
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pong:
+    """Answer a Ping, so that the link carries bytes in both directions."""
+
+    number: int
+
+
 Message = (
     Challenge
     | Hello
@@ -333,4 +347,6 @@
     | FetchBundle
     | BundleCopy
     | CacheCopy
+    | Ping
+    | Pong
 )
--- a/arbutusvale/transport/linkcounters.py
+++ b/arbutusvale/transport/linkcounters.py
@@ -12,6 +12,8 @@
         messages.Hello,
         messages.Welcome,
         messages.Heartbeat,
+        messages.Ping,
+        messages.Pong,
         messages.Placed,
         messages.Locate,
         messages.Located,
@@ -20,6 +22,7 @@
         messages.BundleHead,
         messages.FetchBundle,
         messages.BundleCopy,
+        messages.CacheCopy,
     }
 )
 _ARRAY_HEADER_BYTES = 1
--- a/arbutusvale/transport/linkpool.py
+++ b/arbutusvale/transport/linkpool.py
@@ -124,7 +124,6 @@
             peer=peer,
             handler=self.handler,
             counters=self.counters,
-            answers_heartbeats=False,
         )
 
     async def _run(self, link: links.Link) -> None:
--- a/arbutusvale/transport/links.py
+++ b/arbutusvale/transport/links.py
@@ -36,8 +36,7 @@
 class Link:
     """Send and receive messages on one authenticated connection.
 
-    ``answers_heartbeats`` is set on the listening side, which returns
-    each Heartbeat, so that silence in either direction shows.
+    A Ping is answered here, after the messages before it were handled.
     """
 
     def __init__(
@@ -47,7 +46,6 @@
         peer: opening.Peer,
         handler: ports.LinkHandler,
         counters: linkcounters.LinkCounters,
-        answers_heartbeats: bool,
     ):
         self.socket = socket
         self.vm = peer.vm
@@ -55,7 +53,6 @@
         self.role = peer.role
         self.handler = handler
         self.counters = counters
-        self.answers_heartbeats = answers_heartbeats
         self.used_at = time.monotonic()
         self.queue: list[messages.Message] = []
         self.queued_bytes = 0
@@ -135,11 +132,11 @@
 
     async def _take(self, message: messages.Message) -> None:
         """Handle one message; a failing handler must not end the link."""
-        if self.answers_heartbeats and isinstance(message, messages.Heartbeat):
-            self.send(message)
-            return
         try:
-            await self.handler.receive(self, message)
+            if isinstance(message, messages.Ping):
+                self.send(messages.Pong(message.number))
+            else:
+                await self.handler.receive(self, message)
         except errors.LinkClosed as error:
             logging.info(
                 'event=answer-unsent vm=%s cause="%s"', self.vm, error.problem
@@ -192,4 +189,6 @@
             return len(body)
         case messages.BundleCopy(record=record):
             return len(record)
+        case messages.CacheCopy(data=data):
+            return len(data)
     return 0
--- a/arbutusvale/transport/linkserver.py
+++ b/arbutusvale/transport/linkserver.py
@@ -76,7 +76,6 @@
             peer=peer,
             handler=self.handler,
             counters=self.counters,
-            answers_heartbeats=True,
         )
         older = self.links.get(peer.vm)
         self.links[peer.vm] = link
--- /dev/null
+++ b/arbutusvale/transport/metrics.py
@@ -0,0 +1,115 @@
+"""Show counters and histograms as Prometheus metrics."""
+
+from collections.abc import Iterator
+
+from prometheus_client import metrics_core
+from prometheus_client import registry
+
+from arbutusvale.coordination import dispatch
+from arbutusvale.state import measures
+from arbutusvale.transport import linkcounters
+
+_PREFIX = 'arbutusvale'
+
+
+class LinkCollector(registry.Collector):
+    """Collect the bytes and messages of a process's links."""
+
+    def __init__(self, counters: linkcounters.LinkCounters):
+        self.counters = counters
+
+    def collect(self) -> Iterator[metrics_core.Metric]:
+        """Yield bytes by kind and messages by class, per direction."""
+        sizes = metrics_core.CounterMetricFamily(
+            f'{_PREFIX}_link_bytes',
+            'Frame bytes on links, without the headers of the transport.',
+            labels=['direction', 'kind'],
+        )
+        counts = metrics_core.CounterMetricFamily(
+            f'{_PREFIX}_link_messages',
+            'Messages on links.',
+            labels=['direction', 'message'],
+        )
+        control = metrics_core.CounterMetricFamily(
+            f'{_PREFIX}_link_control_bytes',
+            'Control bytes on links by message.',
+            labels=['direction', 'message'],
+        )
+        for name in ('sent', 'received'):
+            direction = getattr(self.counters, name)
+            sizes.add_metric([name, 'control'], direction.control_bytes)
+            sizes.add_metric([name, 'request'], direction.request_bytes)
+            for kind, count in direction.by_kind.items():
+                counts.add_metric([name, kind], count)
+            for kind, size in direction.control_by_kind.items():
+                control.add_metric([name, kind], size)
+        yield from (sizes, counts, control)
+
+
+class RouterCollector(registry.Collector):
+    """Collect what a router's dispatcher counted."""
+
+    def __init__(self, dispatcher: dispatch.Dispatcher):
+        self.dispatcher = dispatcher
+
+    def collect(self) -> Iterator[metrics_core.Metric]:
+        """Yield outcomes, errors, retries and latencies."""
+        held = self.dispatcher.measures
+        yield make_latency(
+            'first_byte_seconds', 'Time to the first byte.', held.first_byte
+        )
+        yield make_latency('total_seconds', 'Time to the end.', held.total)
+        outcomes = metrics_core.CounterMetricFamily(
+            f'{_PREFIX}_requests', 'Answers by outcome.', labels=['outcome']
+        )
+        for outcome, count in held.outcomes.items():
+            outcomes.add_metric([outcome], count)
+        yield outcomes
+        failed = metrics_core.CounterMetricFamily(
+            f'{_PREFIX}_errors', 'Error answers by code.', labels=['code']
+        )
+        for code, count in held.errors.items():
+            failed.add_metric([code], count)
+        yield failed
+        attempts = self.dispatcher.attempts
+        yield from (
+            _count('retries', 'Tries charged to the budget.', held.retries),
+            _count('redirects', 'Redirects followed.', held.redirects),
+            _count('hedges', 'Second tries of slow calls.', held.hedges),
+            _count(
+                'dropped_frames',
+                'Frames of ended or unknown attempts.',
+                attempts.dropped_frames,
+            ),
+            _count(
+                'silent_links',
+                'Links closed as nothing came back.',
+                attempts.silent_links,
+            ),
+            metrics_core.GaugeMetricFamily(
+                f'{_PREFIX}_active_requests',
+                'Requests in flight.',
+                self.dispatcher.active,
+            ),
+        )
+
+
+def make_latency(
+    name: str, text: str, by_service: dict[str, measures.Latency]
+) -> metrics_core.Metric:
+    """Make a summary with the percentiles of hdrhistogram as quantiles."""
+    family = metrics_core.Metric(f'{_PREFIX}_{name}', text, 'summary')
+    for service, latency in by_service.items():
+        for percent in measures.PERCENTILES:
+            labels = {'service': service, 'quantile': str(percent / 100)}
+            value = latency.percentile(percent)
+            family.add_sample(family.name, labels, value)
+        family.add_sample(
+            f'{family.name}_count', {'service': service}, latency.count
+        )
+    return family
+
+
+def _count(name: str, text: str, value: int) -> metrics_core.Metric:
+    """Make a counter without labels."""
+    return metrics_core.CounterMetricFamily(f'{_PREFIX}_{name}', text, value)
--- a/tests/coordination/test_dispatch.py
+++ b/tests/coordination/test_dispatch.py
@@ -7,6 +7,7 @@
 from arbutusvale.coordination import attempts
 from arbutusvale.protocol import callerapi
 from arbutusvale.protocol import messages
+from arbutusvale.state import bundles
 from arbutusvale.state import rendezvous
 from tests import helpers_router
 
@@ -17,7 +18,7 @@
 def run(links, request, **options):
     async def scenario():
         dispatcher = helpers_router.make_dispatcher(links, **options)
-        dispatcher.attempts.heartbeat_s = 0.02
+        dispatcher.attempts.ping_interval_s = 0.02
         dispatcher.attempts.silence_s = 0.05
         monitor = asyncio.create_task(dispatcher.run())
         try:
@@ -294,3 +295,61 @@
     made, none, own = (submit.key for _, submit in links.submits())
     assert made.startswith('router-')
     assert (none, own) == ('', 'mine')
+
+
+def test_a_refused_old_bundle_is_caught_up_with():
+    links = helpers_router.FakeLinks()
+    asked = []
+    current = helpers_router.make_bundle()
+    heads = [
+        bundles.InForce(offset, b'd', 'v', current, b'', 'ana', 'p')
+        for offset in (5, 6)
+    ]
+
+    async def catch_up(offset, vm):
+        asked.append((offset, vm))
+        return True
+
+    def refuse_old(link, submit):
+        if submit.bundle_offset < 6:
+            refuse = helpers_router.refuse(REFUSAL.STALE_BUNDLE)
+            return refuse(link, submit)
+        return helpers_router.answer_with_name(link, submit)
+
+    for vm in NAMES:
+        links.scripts[vm] = refuse_old
+    events = run(
+        links,
+        helpers_router.chat_request(),
+        get_head=lambda: heads[bool(asked)],
+        catch_up=catch_up,
+    )
+    vm = body_of(events).decode()
+    assert asked == [(6, vm)]
+
+
+def test_a_submit_lost_with_its_link_is_sent_again():
+    links = helpers_router.FakeLinks()
+    lost = []
+
+    def lose_first(link, submit):
+        if lost:
+            return helpers_router.answer_with_name(link, submit)
+        lost.append(submit.attempt)
+        return [helpers_router.FREEZE]
+
+    for vm in NAMES:
+        links.scripts[vm] = lose_first
+    original = links.react
+
+    def react(link, message):
+        if isinstance(message, messages.Reattach):
+            refuse = helpers_router.refuse(REFUSAL.DEAD_ATTEMPT)
+            links.answers[message.attempt] = refuse(link, message)
+        original(link, message)
+
+    links.react = react
+    assert body_of(run(links, helpers_router.plain_request()))
+    first, second = (submit for _, submit in links.submits())
+    assert first.attempt != second.attempt
+    assert first.key == second.key
--- a/tests/helpers_router.py
+++ b/tests/helpers_router.py
@@ -11,6 +11,7 @@
 from arbutusvale.protocol import bundle
 from arbutusvale.protocol import messages
 from arbutusvale.protocol import ports
+from arbutusvale.state import bundles
 from arbutusvale.state import fleet
 
 API_KEY = 'key-of-acme'
@@ -126,8 +127,8 @@
             case messages.Reattach():
                 replies = self.answers.get(message.attempt, [])
                 self.deliver(link, replies)
-            case messages.Heartbeat():
-                self.deliver(link, [message])
+            case messages.Ping(number=number):
+                self.deliver(link, [messages.Pong(number)])
 
     def deliver(self, link, replies):
         async def send():
@@ -182,18 +183,22 @@
 
 def make_dispatcher(links, current=None, known=None, **options):
     current = current or make_bundle()
-    options.setdefault('get_offset', lambda: 5)
+    head = bundles.InForce(5, b'd', 'v1', current, b'', 'ana', 'p')
 
-    async def catch_up():
+    async def catch_up(_offset, _vm):
+        return True
+
+    async def before_work():
         return None
 
+    options.setdefault('get_head', lambda: head)
     options.setdefault('catch_up', catch_up)
+    options.setdefault('before_work', before_work)
     made = dispatch.Dispatcher(
         vm='r-1',
         incarnation=9,
         links=links,
         fleet=known or make_fleet(),
-        get_bundle=lambda: current,
         generator=numpy.random.default_rng(SEED),
         **options,
     )
--- /dev/null
+++ b/tests/transport/test_callerserver.py
@@ -0,0 +1,291 @@
+import asyncio
+import contextlib
+import json
+
+import openai
+import pytest
+
+from arbutusvale.protocol import callerapi
+from arbutusvale.protocol import messages
+from arbutusvale.transport import adminserver
+from arbutusvale.transport import callerserver
+from arbutusvale.transport import httpclient as clients
+from arbutusvale.transport import metrics
+from tests import helpers_router
+
+AUTH = {'Authorization': f'Bearer {helpers_router.API_KEY}'}
+VMS = ('s-1', 's-2', 's-3')
+CHAT = {'model': 'm-1', 'messages': [{'role': 'user', 'content': 'hi'}]}
+
+
+@contextlib.asynccontextmanager
+async def serve(links, **organisation):
+    dispatcher = helpers_router.make_dispatcher(
+        links, helpers_router.make_bundle(**organisation)
+    )
+    server = callerserver.CallerServer(
+        listen='127.0.0.1:0', dispatcher=dispatcher
+    )
+    server.start()
+    async with asyncio.timeout(30):
+        yield server
+        await server.drain(5)
+
+
+async def fetch(server, path, **options):
+    options.setdefault('headers', AUTH)
+    return await clients.make_client().fetch(
+        f'http://127.0.0.1:{server.port}{path}', raise_error=False, **options
+    )
+
+
+def script_all(links, script):
+    for vm in VMS:
+        links.scripts[vm] = script
+
+
+def completion(link, submit):
+    body = {
+        'id': 'x',
+        'object': 'chat.completion',
+        'created': 0,
+        'model': 'm-1',
+        'choices': [
+            {
+                'index': 0,
+                'finish_reason': 'stop',
+                'message': {'role': 'assistant', 'content': 'hello'},
+            }
+        ],
+    }
+    whole = helpers_router.answer(submit.attempt, json.dumps(body).encode())
+    whole[1] = messages.Head(
+        submit.attempt, 200, [['Content-Type', 'application/json']]
+    )
+    return whole
+
+
+def token_event(text):
+    event = {
+        'id': 'x',
+        'object': 'chat.completion.chunk',
+        'created': 0,
+        'model': 'm-1',
+        'choices': [{'index': 0, 'delta': {'content': text}}],
+    }
+    return f'data: {json.dumps(event)}\n\n'.encode()
+
+
+def stream(link, submit):
+    whole = helpers_router.answer(
+        submit.attempt,
+        token_event('hel'),
+        token_event('lo'),
+        b'data: [DONE]\n\n',
+    )
+    whole[1] = messages.Head(
+        submit.attempt, 200, [['Content-Type', 'text/event-stream']]
+    )
+    return whole
+
+
+def test_the_openai_client_gets_whole_and_streamed_answers():
+    async def scenario():
+        links = helpers_router.FakeLinks()
+        async with serve(links) as server:
+            client = openai.AsyncOpenAI(
+                api_key=helpers_router.API_KEY,
+                base_url=f'http://127.0.0.1:{server.port}/v1',
+                max_retries=0,
+            )
+            script_all(links, completion)
+            whole = await client.chat.completions.create(**CHAT)
+            assert whole.choices[0].message.content == 'hello'
+            script_all(links, stream)
+            chunks = await client.chat.completions.create(**CHAT, stream=True)
+            parts = [c.choices[0].delta.content async for c in chunks]
+            assert parts == ['hel', 'lo']
+            models = await client.models.list()
+            assert [model.id for model in models.data] == ['m-1']
+            with pytest.raises(openai.NotFoundError) as caught:
+                await client.chat.completions.create(
+                    model='none', messages=CHAT['messages']
+                )
+            assert caught.value.body['code'] == 'unknown_service'
+            await client.close()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ('path', 'options', 'status'),
+    [
+        ('/v1/models', {'headers': {}}, 401),
+        ('/none', {}, 404),
+        ('/services/none/x', {}, 404),
+        ('/services/secret/x', {}, 403),
+        ('/v1/chat/completions', {'method': 'POST', 'body': '{'}, 400),
+        (
+            '/services/booking/x',
+            {'method': 'POST', 'body': bytes(5 * 1024 * 1024)},
+            413,
+        ),
+        ('/v1/models', {'method': 'DELETE'}, 405),
+    ],
+)
+def test_errors_have_one_shape(path, options, status):
+    async def scenario():
+        async with serve(helpers_router.FakeLinks()) as server:
+            answer = await fetch(server, path, **options)
+            error = json.loads(answer.body)['error']
+            assert answer.code == status
+            assert answer.headers[callerapi.OUTCOME] == 'not-run'
+            assert error['request_id'] == answer.headers[callerapi.REQUEST_ID]
+            assert set(error) == {
+                'code',
+                'message',
+                'type',
+                'request_id',
+                'outcome',
+            }
+
+    asyncio.run(scenario())
+
+
+def test_a_limit_names_whole_seconds_to_wait():
+    async def scenario():
+        links = helpers_router.FakeLinks()
+        async with serve(links, rate=0.5, burst=1) as server:
+            await fetch(server, '/services/booking/x')
+            answer = await fetch(server, '/services/booking/x')
+            assert answer.code == 429
+            assert answer.headers[callerapi.RETRY_AFTER] == '2'
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('kind', ['text/event-stream', 'text/plain'])
+def test_a_broken_answer_never_ends_cleanly(kind):
+    def break_off(link, submit):
+        size = 512 * 1024
+        whole = helpers_router.answer(submit.attempt, bytes(size), b'rest')
+        whole[1] = messages.Head(submit.attempt, 200, [['Content-Type', kind]])
+        whole[-1] = messages.Failed(submit.attempt, 'unknown', 'crash', 0.0)
+        return whole
+
+    async def scenario():
+        links = helpers_router.FakeLinks()
+        script_all(links, break_off)
+        async with serve(links) as server:
+            body = json.dumps({**CHAT, 'stream': True})
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', server.port
+            )
+            writer.write(
+                f'POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n'
+                f'Authorization: {AUTH["Authorization"]}\r\n'
+                f'Content-Length: {len(body)}\r\n\r\n{body}'.encode()
+            )
+            seen = await reader.read(-1)
+            writer.close()
+            assert seen.startswith(b'HTTP/1.1 200 ')
+            assert b'Transfer-Encoding: chunked' in seen
+            assert b'\r\n0\r\n\r\n' not in seen
+            assert (b'event: error' in seen) == (kind != 'text/plain')
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ('method', 'cancels'), [('GET', True), ('POST', False)]
+)
+def test_only_idempotent_work_ends_with_its_caller(method, cancels):
+    async def scenario():
+        links = helpers_router.FakeLinks()
+        taken = asyncio.Event()
+        held = []
+
+        def hold(link, submit):
+            held.append((link, submit))
+            taken.set()
+            return [messages.Accepted(submit.attempt, 1, 1.0)]
+
+        script_all(links, hold)
+        async with serve(links) as server:
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', server.port
+            )
+            writer.write(
+                f'{method} /services/booking/x HTTP/1.1\r\nHost: x\r\n'
+                f'Content-Length: 0\r\n'
+                f'Authorization: {AUTH["Authorization"]}\r\n\r\n'.encode()
+            )
+            await taken.wait()
+            writer.close()
+            if not cancels:
+                link, submit = held[0]
+                whole = helpers_router.answer(submit.attempt, b'x')
+                links.deliver(link, whole)
+            await server.dispatcher.idle.wait()
+            cancelled = [
+                m for _, m in links.sent if isinstance(m, messages.Cancel)
+            ]
+            assert bool(cancelled) == cancels
+
+    asyncio.run(scenario())
+
+
+def test_a_drain_lets_the_request_in_flight_end():
+    async def scenario():
+        links = helpers_router.FakeLinks()
+        held = asyncio.Queue()
+
+        def hold(link, submit):
+            held.put_nowait((link, submit))
+            return [messages.Accepted(submit.attempt, 1, 1.0)]
+
+        script_all(links, hold)
+        async with serve(links) as server:
+            asking = asyncio.create_task(fetch(server, '/services/booking/x'))
+            link, submit = await held.get()
+            draining = asyncio.create_task(server.drain(10))
+            await asyncio.sleep(0)
+            assert server.dispatcher.draining
+            links.deliver(link, helpers_router.answer(submit.attempt, b'x'))
+            answer = await asking
+            assert (answer.code, answer.body) == (200, b'x')
+            assert answer.headers['Connection'] == 'close'
+            assert await draining == 0
+            with pytest.raises(ConnectionRefusedError):
+                await fetch(server, '/services/booking/x')
+
+    asyncio.run(scenario())
+
+
+def test_the_admin_server_shows_health_status_and_metrics():
+    async def scenario():
+        links = helpers_router.FakeLinks()
+        async with serve(links) as server:
+            await fetch(server, '/services/booking/x')
+            readiness = adminserver.Readiness(False, 'no bundle')
+            admin = adminserver.AdminServer(
+                listen='127.0.0.1:0',
+                get_readiness=lambda: readiness,
+                get_status=lambda: readiness,
+                collectors=[metrics.RouterCollector(server.dispatcher)],
+            )
+            admin.start()
+            assert (await fetch(admin, '/health/live')).code == 200
+            ready = await fetch(admin, '/health/ready')
+            assert (ready.code, json.loads(ready.body)['reason']) == (
+                503,
+                'no bundle',
+            )
+            page = (await fetch(admin, '/metrics')).body.decode()
+            assert 'arbutusvale_requests_total{outcome="answered"} 1.0' in page
+            assert 'quantile="0.95",service="booking"' in page
+            status = json.loads((await fetch(admin, '/status')).body)
+            assert status['ready'] is False
+            await admin.stop()
+
+    asyncio.run(scenario())
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -83,15 +83,15 @@
     asyncio.run(scenario())
 
 
-def test_a_heartbeat_is_returned():
+def test_a_ping_is_answered():
     async def scenario():
         here = Recorder()
         server = await start(Recorder())
         pool = make_pool(here, server.port)
         link = await pool.get('s-1')
-        link.send(messages.Heartbeat(1))
-        beat = await asyncio.wait_for(here.messages.get(), 5)
-        assert beat == messages.Heartbeat(1)
+        link.send(messages.Ping(4))
+        pong = await asyncio.wait_for(here.messages.get(), 5)
+        assert pong == messages.Pong(4)
         await pool.stop()
         await server.stop()
 
