Test the claim keeper under random schedules of faults

The keeper had no tests. A follower that had read nothing long-polled its empty stream first and so was not ready for 10 s; it now reads without waiting until it has caught up. A re-sent claim was failed by the end of its predecessor's batch; a batch now fails only those who wait for nothing else.

--- a/arbutusvale/coordination/claimstream.py
+++ b/arbutusvale/coordination/claimstream.py
@@ -1,6 +1,7 @@
 """Append claims to one stream of the log and follow it."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 import dataclasses
 
@@ -60,6 +61,7 @@
         self.appended = 0
         self.pending: dict[bytes, claimrecord.KeyClaim] = {}
         self.appending: set[bytes] = set()
+        self.unsettled: collections.Counter[bytes] = collections.Counter()
         self.asked_at: dict[int, float] = {}
         self.waiters: dict[bytes, asyncio.Future] = {}
         self.wanted = asyncio.Event()
@@ -98,6 +100,7 @@
             for claim in batch:
                 del self.pending[claim.key]
                 self.appending.add(claim.key)
+                self.unsettled[claim.key] += 1
             if not self.pending:
                 self.wanted.clear()
             task = asyncio.create_task(self._append(batch))
@@ -108,7 +111,7 @@
         """Read claims from the log as they come, until cancelled."""
         while True:
             try:
-                await self.read(POLL_WAIT_S)
+                await self.read(POLL_WAIT_S if self.caught_up else 0)
             except (errors.LogUnavailable, TimeoutError) as error:
                 logging.warning(
                     'event=claims-unread stream=%s cause="%s"',
@@ -198,8 +201,12 @@
     def _fail(
         self, batch: list[claimrecord.KeyClaim], error: errors.LogUnavailable
     ) -> None:
-        """Tell those who still wait that a batch was not read."""
+        """Tell those who wait for nothing else that a batch failed."""
         for claim in batch:
+            self.unsettled[claim.key] -= 1
+            if self.unsettled[claim.key] or claim.key in self.pending:
+                continue
+            del self.unsettled[claim.key]
             waiter = self.waiters.pop(claim.key, None)
             if waiter is not None and not waiter.done():
                 waiter.set_exception(error)
--- a/tests/helpers_log.py
+++ b/tests/helpers_log.py
@@ -1,21 +1,47 @@
 """Fake the platform's log service, with its faults."""
 
 import asyncio
+import selectors
 
 from arbutusvale import errors
 from arbutusvale.protocol import ports
 
 RETENTION_S = 1000.0
+START_S = 1000.0
 
 
-class FakeClock:
-    """Count seconds that a test lets pass."""
+class _SkippingSelector(selectors.DefaultSelector):
+    """Count the seconds that its user would wait instead of waiting."""
 
     def __init__(self):
-        self.now = 1000.0
+        super().__init__()
+        self.skipped_s = 0.0
 
-    def __call__(self) -> float:
-        return self.now
+    def select(self, timeout=None):
+        self.skipped_s += timeout or 0.0
+        return super().select(0)
+
+
+class SkippingLoop(asyncio.SelectorEventLoop):
+    """Run without input or output, in time that passes at once."""
+
+    def __init__(self):
+        self.selector = _SkippingSelector()
+        super().__init__(self.selector)
+
+    def time(self) -> float:
+        return START_S + self.selector.skipped_s
+
+
+def run_skipping(coroutine):
+    """Run a coroutine to its end on a loop that skips waits."""
+    with asyncio.Runner(loop_factory=SkippingLoop) as runner:
+        return runner.run(coroutine)
+
+
+def read_loop_time() -> float:
+    """Return the time of the running loop."""
+    return asyncio.get_running_loop().time()
 
 
 class FakeLog:
@@ -26,7 +52,7 @@
     that are lost before it; ``delay_s`` slows every call.
     """
 
-    def __init__(self, clock, retention_s: float = RETENTION_S):
+    def __init__(self, clock=read_loop_time, retention_s: float = RETENTION_S):
         self.clock = clock
         self.retention_s = retention_s
         self.records: list[ports.LogRecord] = []
@@ -56,6 +82,11 @@
             raise errors.LogAnswerLost(stream, 'lost after')
         return offset
 
+    def put(self, data: bytes) -> None:
+        """Append a record as another process would."""
+        self.records.append(ports.LogRecord(self.head, self.clock(), data))
+        self.head += 1
+
     async def read(self, stream: str, start: int, wait: float):
         await asyncio.sleep(self.delay_s)
         if self.down:
@@ -64,7 +95,7 @@
         if start >= self.head and wait:
             changed = self.changed
             try:
-                async with asyncio.timeout(min(wait, 0.05)):
+                async with asyncio.timeout(wait):
                     await changed.wait()
             except TimeoutError:
                 pass
@@ -80,3 +111,29 @@
     def _expire(self) -> None:
         limit = self.clock() - self.retention_s
         self.records = [r for r in self.records if r.time > limit]
+
+
+class PausableView:
+    """Reach a fake log from one process, which may be paused.
+
+    Calls of a paused process take effect; it goes on when resumed.
+    """
+
+    def __init__(self, log: FakeLog):
+        self.log = log
+        self.running = asyncio.Event()
+        self.running.set()
+
+    async def append(self, stream: str, data: bytes) -> int:
+        await self.running.wait()
+        try:
+            return await self.log.append(stream, data)
+        finally:
+            await self.running.wait()
+
+    async def read(self, stream: str, start: int, wait: float):
+        await self.running.wait()
+        try:
+            return await self.log.read(stream, start, wait)
+        finally:
+            await self.running.wait()
