--- a/tests/helpers_log.py
+++ b/tests/helpers_log.py
@@ -10,6 +10,16 @@
 START_S = 1000.0
 
 
+class FakeClock:
+    """Count seconds that a test lets pass."""
+
+    def __init__(self):
+        self.now = START_S
+
+    def __call__(self) -> float:
+        return self.now
+
+
 class _SkippingSelector(selectors.DefaultSelector):
     """Count the seconds that its user would wait instead of waiting."""
 
