Hedge slow idempotent calls and split the dispatcher

A plain idempotent call that is slower than the p95 of recent ones goes to a second server, inside the retry budget; the first whole answer wins and the other try is cancelled. The search for a server, the relay of one answer and the parts that all calls share are modules of their own. A server far slower than its pool mates is avoided for a while.

--- a/arbutusvale/coordination/attempts.py
+++ b/arbutusvale/coordination/attempts.py
@@ -21,7 +21,8 @@
 _QUIET_S = 0.4
 _CREDIT_CHUNKS = 8
 _MAX_GAPS = 8
-_REATTACH_DELAYS_S = (0.0, 0.1, 0.3, 0.6)
+_HASTY_DELAYS_S = (0.0, 0.1)
+_PATIENT_DELAYS_S = (0.0, 0.1, 0.3, 0.6, 1.0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,7 +66,12 @@
 
 
 class Attempt:
-    """Follow one attempt at one sidecar, over as many links as it takes."""
+    """Follow one attempt at one sidecar, over as many links as it takes.
+
+    A ``patient`` attempt waits longer for its sidecar to be heard again,
+    as it cannot be tried elsewhere; ``over`` says that the sidecar has
+    closed it.
+    """
 
     def __init__(
         self, table: 'Attempts', vm: str, link: ports.Link, name: str
@@ -82,6 +88,8 @@
         self.credited = 0
         self.reattached = 0
         self.gaps = 0
+        self.patient = True
+        self.over = False
 
     async def next(self, deadline: float) -> Event:
         """Return the next event; ``deadline`` is in the loop's time."""
@@ -106,8 +114,10 @@
                 case messages.End():
                     event = self._check_end(message)
                     if event is not None:
+                        self.over = True
                         return event
                 case _:
+                    self.over = not isinstance(message, messages.Accepted)
                     return message
 
     def acknowledge(self) -> None:
@@ -115,12 +125,13 @@
         if self.next_chunk - self.credited >= _CREDIT_CHUNKS:
             self._send_credit()
 
-    def cancel(self) -> None:
-        """Withdraw the attempt at the sidecar."""
-        self._send(messages.Cancel(self.name))
+    def end(self, stop: bool) -> None:
+        """Forget the attempt; later frames for it are dropped.
 
-    def close(self) -> None:
-        """Forget the attempt; later frames for it are dropped."""
+        ``stop`` withdraws it at the sidecar, if that still works on it.
+        """
+        if stop and not self.over:
+            self._send(messages.Cancel(self.name))
         self.table.forget(self)
 
     def _send_credit(self) -> None:
@@ -174,10 +185,14 @@
             return Corrupt(f'{self.received_bytes} of {end.total_bytes} bytes')
         return end
 
+    def _reattach_delays(self) -> tuple[float, ...]:
+        """List the waits before each try to reattach, in seconds."""
+        return _PATIENT_DELAYS_S if self.patient else _HASTY_DELAYS_S
+
     async def _reattach(self, deadline: float) -> Lost | None:
         """Go on over a new link; Lost when the sidecar is not heard."""
         cause = 'timeout'
-        for delay in _REATTACH_DELAYS_S:
+        for delay in self._reattach_delays():
             await asyncio.sleep(delay)
             if asyncio.get_running_loop().time() >= deadline:
                 break
@@ -233,6 +248,7 @@
         self.dropped_frames = 0
         self.silent_links = 0
         self.pings = 0
+        self.tasks: set[asyncio.Task] = set()
         self.by_name: dict[str, Attempt] = {}
         self.watched: dict[ports.Link, _Watched] = {}
 
@@ -254,6 +270,24 @@
             raise
         return attempt
 
+    def send_aside(self, vm: str, message: messages.Message) -> None:
+        """Send a message that may get lost, without waiting for a link."""
+        task = asyncio.create_task(self._send_aside(vm, message))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _send_aside(self, vm: str, message: messages.Message) -> None:
+        """Open a link at need and send; failures are only logged."""
+        try:
+            link = await self.links.get(vm)
+            link.send(message)
+        except errors.LinkClosed as error:
+            logging.info(
+                'event=unsent kind=%s cause="%s"',
+                type(message).__name__,
+                error.problem,
+            )
+
     def watch(self, attempt: Attempt) -> None:
         """Expect signs of life on the attempt's present link."""
         watched = self.watched.get(attempt.link)
--- /dev/null
+++ b/arbutusvale/coordination/search.py
@@ -0,0 +1,285 @@
+"""Search a server that answers a request."""
+
+import asyncio
+import dataclasses
+import time
+
+from absl import logging
+
+from arbutusvale import errors
+from arbutusvale.coordination import attempts
+from arbutusvale.coordination import callerrequest
+from arbutusvale.coordination import placement
+from arbutusvale.coordination import refusals
+from arbutusvale.coordination import retries
+from arbutusvale.coordination import routerparts
+from arbutusvale.protocol import callerapi
+from arbutusvale.protocol import messages
+
+MAX_HOPS = 3
+_MAX_CATCH_UPS = 2
+_MAX_REPEATS = 2
+_BUFFER_BYTES = 256 * 1024
+_UNKNOWN = messages.Outcome.UNKNOWN.value
+_QUARANTINED = messages.Outcome.QUARANTINED.value
+_UNUSABLE = frozenset(
+    {
+        messages.Refusal.LEAVING.value,
+        messages.Refusal.SERVER_DOWN.value,
+        messages.Refusal.NOT_READY.value,
+    }
+)
+_UNHOPPED = frozenset(
+    {
+        messages.Refusal.STALE_BUNDLE.value,
+        messages.Refusal.DEAD_ATTEMPT.value,
+    }
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Opened:
+    """Hold an answer that has begun.
+
+    ``data`` is what arrived so far; ``ended`` says that this is all.
+    """
+
+    attempt: attempts.Attempt
+    head: messages.Head
+    data: list[bytes]
+    ended: bool
+
+
+class Search:
+    """Try servers in turn for one request.
+
+    ``candidates`` may be shared with another search for the same request.
+    Once the request ``may_have_run``, no later "not run" is believed.
+    """
+
+    def __init__(
+        self,
+        parts: routerparts.RouterParts,
+        work: callerrequest.Work,
+        candidates: placement.Candidates,
+    ):
+        self.parts = parts
+        self.work = work
+        self.candidates = candidates
+        self.error = refusals.no_server(work)
+        self.may_have_run = False
+        self.hops = 0
+        self.tries = 0
+        self.catch_ups = 0
+        self.repeats = 0
+
+    async def run(self) -> Opened | callerapi.ErrorAnswer:
+        """Try servers until one answers or none may be tried."""
+        while self.hops < MAX_HOPS:
+            choice = self.candidates.take()
+            if choice is None:
+                break
+            self._log_choice(choice)
+            result = await self._try(choice)
+            if isinstance(result, Opened):
+                self._note_answer(result)
+                return result
+            step = refusals.judge(result, self.work)
+            self._note_failure(choice, result)
+            self._note_error(result, step)
+            if not await self._go_on(choice, result, step):
+                break
+        return self.error
+
+    def _note_error(
+        self, result: refusals.Failure, step: refusals.Step
+    ) -> None:
+        """Keep the error that is the answer when no try is left."""
+        outcome = step.error.outcome
+        if not self.may_have_run or outcome == _QUARANTINED:
+            self.error = step.error
+        if outcome == _UNKNOWN and not isinstance(result, refusals.Unsent):
+            self.may_have_run = True
+
+    async def _go_on(
+        self,
+        choice: placement.Choice,
+        result: refusals.Failure,
+        step: refusals.Step,
+    ) -> bool:
+        """Prepare the next try; False when there is none."""
+        match result:
+            case messages.Redirect(vm=vm):
+                self.candidates.redirect(vm)
+                self.hops += 1
+            case messages.Refused(alternatives=alternatives, reason=reason):
+                self.candidates.prefer(alternatives)
+                self.hops += reason not in _UNHOPPED
+        match step:
+            case refusals.CatchUp():
+                return await self._catch_up(choice)
+            case refusals.Again():
+                self.repeats += 1
+                self.candidates.again(choice)
+                return self.repeats <= _MAX_REPEATS
+            case refusals.Elsewhere(free=free):
+                return free or await self._take_retry()
+        return False
+
+    async def _catch_up(self, choice: placement.Choice) -> bool:
+        """Come up to the newer bundle of a sidecar and try it again."""
+        self.catch_ups += 1
+        if self.catch_ups > _MAX_CATCH_UPS:
+            return False
+        offset = self.parts.get_head().offset
+        await self.parts.catch_up(offset + 1, choice.vm)
+        self.candidates.again(choice)
+        return True
+
+    async def _take_retry(self) -> bool:
+        """Charge a retry to the budget and wait before it."""
+        parts = self.parts
+        self.tries += 1
+        most = parts.get_head().bundle.limits.max_attempts
+        if self.tries >= most or not self.candidates.choices:
+            return False
+        if not parts.retry_budget.take():
+            return False
+        parts.measures.retries += 1
+        delay = retries.backoff_s(self.tries - 1, parts.generator)
+        await asyncio.sleep(min(delay, max(0.0, self.work.time_left)))
+        return True
+
+    async def _try(
+        self, choice: placement.Choice
+    ) -> Opened | refusals.Failure:
+        """Send one attempt and wait until its answer has begun."""
+        submit = self._make_submit(choice)
+        started = time.monotonic()
+        try:
+            attempt = await self.parts.attempts.submit(choice.vm, submit)
+        except errors.LinkClosed as error:
+            return refusals.Unsent(error.problem)
+        attempt.patient = not self.work.idempotent
+        result = None
+        try:
+            result = await self._collect(attempt)
+            return result
+        finally:
+            if result is None or isinstance(result, Opened):
+                self._note_latency(choice.vm, time.monotonic() - started)
+            if not isinstance(result, Opened):
+                attempt.end(stop=self.work.idempotent)
+
+    async def _collect(
+        self, attempt: attempts.Attempt
+    ) -> Opened | refusals.Failure:
+        """Collect the head and, unless it streams, a short body.
+
+        Until the caller has seen a byte an idempotent request may be
+        tried elsewhere.
+        """
+        head: messages.Head | None = None
+        data: list[bytes] = []
+        while True:
+            event = await attempt.next(self.work.deadline)
+            match event:
+                case messages.Accepted(load=load):
+                    self.parts.placement.note_count(attempt.vm, load)
+                case messages.Head():
+                    head = event
+                case messages.Chunk():
+                    data.append(event.data)
+                    attempt.acknowledge()
+                    if head is not None and self._is_enough(attempt):
+                        return Opened(attempt, head, data, ended=False)
+                case messages.End() if head is not None:
+                    return Opened(attempt, head, data, ended=True)
+                case messages.End():
+                    return attempts.Corrupt('an end without a head')
+                case _:
+                    return event
+
+    def _is_enough(self, attempt: attempts.Attempt) -> bool:
+        """Tell whether to begin the caller's answer."""
+        return self.work.streams or attempt.received_bytes >= _BUFFER_BYTES
+
+    def _note_answer(self, opened: Opened) -> None:
+        """Remember where the request ran and how the server did."""
+        parts = self.parts
+        vm = opened.attempt.vm
+        home = self.candidates.home
+        if opened.head.status >= 500:
+            parts.avoidance.note_failure(vm)
+        else:
+            parts.avoidance.note_success(vm)
+        if parts.placement.note_ran(self.work, home, vm):
+            placed = messages.Placed(self.work.chat, vm)
+            parts.attempts.send_aside(home, placed)
+
+    def _note_latency(self, vm: str, seconds: float) -> None:
+        """Compare a server's speed with that of its pool mates."""
+        pool = self.parts.list_pool(self.work.pool)
+        self.parts.avoidance.note_latency(vm, seconds, pool)
+
+    def _note_failure(
+        self, choice: placement.Choice, result: refusals.Failure
+    ) -> None:
+        """Remember what a failure tells of its VM."""
+        parts = self.parts
+        match result:
+            case refusals.Unsent() | attempts.Lost():
+                parts.avoidance.note_unreachable(choice.vm)
+            case messages.Refused(reason=reason):
+                parts.placement.note_loads(result.alternatives)
+                parts.placement.note_count(choice.vm, result.load)
+                if reason in _UNUSABLE:
+                    parts.avoidance.note_unreachable(choice.vm)
+            case messages.Failed() | attempts.Corrupt():
+                parts.avoidance.note_failure(choice.vm)
+            case messages.Redirect():
+                parts.measures.redirects += 1
+
+    def _make_submit(self, choice: placement.Choice) -> messages.Submit:
+        """Build the Submit of one attempt."""
+        work = self.work
+        return messages.Submit(
+            attempt=self.parts.attempts.next_name(),
+            request_id=work.request.request_id,
+            organisation=work.organisation,
+            service=work.service,
+            method=work.request.method,
+            path=work.path,
+            headers=callerrequest.passed_headers(work.request),
+            body=work.request.body,
+            chat=work.chat,
+            home=self.candidates.home,
+            first_turn=work.first_turn,
+            key=work.key,
+            idempotent=work.idempotent,
+            fingerprint=work.fingerprint,
+            time_left=max(0.0, work.time_left),
+            priority=work.grant.priority,
+            bundle_offset=self.parts.get_head().offset,
+            hop=self.hops,
+            last_hop=self.hops + 1 >= MAX_HOPS,
+            redirected=choice.redirected,
+            loads=self.parts.placement.recent_loads(work.pool),
+        )
+
+    def _log_choice(self, choice: placement.Choice) -> None:
+        """Write the one log line of a routing decision."""
+        work = self.work
+        logging.info(
+            'event=placement request=%s organisation=%s service=%s chat=%s '
+            'policy=%s candidates=%d choice=%s reason=%s hop=%d',
+            work.request.request_id,
+            work.organisation,
+            work.service,
+            work.chat[:8] or '-',
+            self.candidates.policy,
+            self.candidates.weighed,
+            choice.vm,
+            choice.reason,
+            self.hops,
+        )
--- a/arbutusvale/state/measures.py
+++ b/arbutusvale/state/measures.py
@@ -11,6 +11,7 @@
 _LOWEST_US = 1
 _HIGHEST_US = 600 * 1_000_000
 _DIGITS = 2
+_RECENT_VALUES = 256
 _US_PER_S = 1_000_000
 
 
@@ -37,12 +38,41 @@
         return self.histogram.get_value_at_percentile(percent) / _US_PER_S
 
 
+class RecentLatency:
+    """Hold the latencies of the last calls, a bounded number of them."""
+
+    def __init__(self):
+        self.current = Latency()
+        self.previous: Latency | None = None
+
+    def add(self, seconds: float) -> None:
+        """Record one value; a full histogram makes room for the next."""
+        self.current.add(seconds)
+        if self.current.count >= _RECENT_VALUES:
+            self.previous = self.current
+            self.current = Latency()
+
+    @property
+    def count(self) -> int:
+        """Return how many values a percentile rests on."""
+        return self._shown().count
+
+    def percentile(self, percent: float) -> float:
+        """Return a percentile in seconds."""
+        return self._shown().percentile(percent)
+
+    def _shown(self) -> Latency:
+        """Return the last full histogram, or the first one."""
+        return self.previous or self.current
+
+
 @dataclasses.dataclass(slots=True)
 class RouterMeasures:
     """Hold the counts and latencies of one router, by service."""
 
     first_byte: dict[str, Latency] = dataclasses.field(default_factory=dict)
     total: dict[str, Latency] = dataclasses.field(default_factory=dict)
+    recent: dict[str, RecentLatency] = dataclasses.field(default_factory=dict)
     errors: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -61,6 +91,10 @@
         self.first_byte.setdefault(service, Latency()).add(first_byte_s)
         self.total.setdefault(service, Latency()).add(total_s)
 
+    def add_recent(self, service: str, total_s: float) -> None:
+        """Record a call that might have been sent to a second server."""
+        self.recent.setdefault(service, RecentLatency()).add(total_s)
+
     def add_error(self, error: callerapi.ErrorAnswer) -> None:
         """Record an error answer by its code and outcome."""
         self.errors[error.code] += 1
--- a/arbutusvale/transport/callerserver.py
+++ b/arbutusvale/transport/callerserver.py
@@ -1,6 +1,7 @@
 """Serve the callers' HTTP API."""
 
 import asyncio
+import contextlib
 import http
 import json
 import math
@@ -15,6 +16,7 @@
 from arbutusvale import settings
 from arbutusvale.coordination import answerevents
 from arbutusvale.coordination import callerrequest
+from arbutusvale.coordination import calls
 from arbutusvale.coordination import dispatch
 from arbutusvale.protocol import callerapi
 from arbutusvale.protocol import messages
@@ -117,7 +119,7 @@
         """Answer ``GET /v1/models``."""
         head = self.dispatcher.get_head()
         if head is None:
-            self.write_error_answer(dispatch.not_ready())
+            self.write_error_answer(calls.not_ready())
             return
         found = callerrequest.find_organisation(self.api_key(), head.bundle)
         if isinstance(found, callerapi.ErrorAnswer):
@@ -148,7 +150,7 @@
         if head is not None:
             self.limit = head.bundle.limits.max_body_bytes
         self.body = bytearray()
-        self.call: dispatch.Call | None = None
+        self.call: calls.Call | None = None
         self.task: asyncio.Task | None = None
         self.caller_left = False
         self.held_bytes = 0
@@ -170,9 +172,11 @@
         """Answer the request, whatever its method."""
         self.call = self.dispatcher.call(self._make_request())
         self.task = asyncio.current_task()
+        events = self.dispatcher.events(self.call)
         try:
-            async for event in self.call.events():
-                await self._pass_on(event)
+            async with contextlib.aclosing(events):
+                async for event in events:
+                    await self._pass_on(event)
         except asyncio.CancelledError:
             logging.info('event=caller-left request=%s', self.request_id)
 
--- a/tests/coordination/test_dispatch.py
+++ b/tests/coordination/test_dispatch.py
@@ -353,3 +353,46 @@
     first, second = (submit for _, submit in links.submits())
     assert first.attempt != second.attempt
     assert first.key == second.key
+
+
+def test_a_slow_status_check_is_sent_to_a_second_server():
+    async def scenario():
+        links = helpers_router.FakeLinks()
+        dispatcher = helpers_router.make_dispatcher(links)
+        request = helpers_router.plain_request('GET')
+        for _ in range(25):
+            await helpers_router.collect(dispatcher, request)
+        (slow, _) = links.submits()[0]
+        links.scripts[slow] = lambda link, submit: [
+            messages.Accepted(submit.attempt, 1, 1.0)
+        ]
+        async with asyncio.timeout(5):
+            events = await helpers_router.collect(dispatcher, request)
+        assert body_of(events) != slow.encode()
+        assert dispatcher.measures.hedges == 1
+        await asyncio.sleep(0)
+        first, second = links.submits()[-2:]
+        assert (first[0], second[0]) == (slow, body_of(events).decode())
+        assert (slow, messages.Cancel(first[1].attempt)) in links.sent
+
+    asyncio.run(scenario())
+
+
+def test_a_slow_booking_is_never_sent_twice():
+    async def scenario():
+        links = helpers_router.FakeLinks()
+        dispatcher = helpers_router.make_dispatcher(links)
+        for _ in range(25):
+            request = helpers_router.plain_request('GET')
+            await helpers_router.collect(dispatcher, request)
+        for vm in NAMES:
+            links.scripts[vm] = lambda link, submit: [
+                messages.Accepted(submit.attempt, 1, 1.0)
+            ]
+        links.sent.clear()
+        request = helpers_router.plain_request(timeout='0.3')
+        (error,) = await helpers_router.collect(dispatcher, request)
+        assert (error.status, error.outcome) == (504, 'unknown')
+        assert len(links.submits()) == 1
+
+    asyncio.run(scenario())
--- a/tests/helpers_router.py
+++ b/tests/helpers_router.py
@@ -235,4 +235,5 @@
 
 async def collect(dispatcher, request):
     """Return all events of a call."""
-    return [event async for event in dispatcher.call(request).events()]
+    call = dispatcher.call(request)
+    return [event async for event in dispatcher.events(call)]
