Wire routers and sidecars and serve the whole thin path

Before: no request could be sent. Ruled out: making unread claims fail readiness, as reads and chats need no claims and must go on while the log is down.

--- /dev/null
+++ b/arbutusvale/compose.py
@@ -0,0 +1,478 @@
+"""Wire the parts of the two programs: the one composition root."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import signal
+import time
+
+from absl import logging
+import numpy
+
+from arbutusvale import settings
+from arbutusvale.coordination import admission
+from arbutusvale.coordination import bundlefollower
+from arbutusvale.coordination import cachewatch
+from arbutusvale.coordination import claims
+from arbutusvale.coordination import dispatch
+from arbutusvale.coordination import drain
+from arbutusvale.coordination import freeze
+from arbutusvale.coordination import gate
+from arbutusvale.coordination import gossip
+from arbutusvale.coordination import handover
+from arbutusvale.coordination import health
+from arbutusvale.coordination import keyed
+from arbutusvale.coordination import locate
+from arbutusvale.coordination import membership
+from arbutusvale.coordination import pending
+from arbutusvale.coordination import quarantine
+from arbutusvale.coordination import runs
+from arbutusvale.coordination import slots
+from arbutusvale.protocol import bundle
+from arbutusvale.protocol import engine
+from arbutusvale.protocol import messages
+from arbutusvale.protocol import plainservice
+from arbutusvale.protocol import platform
+from arbutusvale.state import bundles
+from arbutusvale.state import directory
+from arbutusvale.state import fleet
+from arbutusvale.state import pooltable
+from arbutusvale.state import status
+from arbutusvale.transport import adminserver
+from arbutusvale.transport import callerserver
+from arbutusvale.transport import httpclient
+from arbutusvale.transport import linkcounters
+from arbutusvale.transport import linkpool
+from arbutusvale.transport import linkserver
+from arbutusvale.transport import metrics
+
+TASK_RESTART_S = 1.0
+FIRST_DIRECTORY_ENTRIES = 4096
+
+
+class Process:
+    """Hold what routers and sidecars have in common.
+
+    A background task that fails is logged and started again, so that one
+    faulty loop does not stop the rest.
+    """
+
+    def __init__(self, held: settings.ProcessSettings, role: messages.Role):
+        self.settings = held
+        self.role = role
+        self.incarnation = time.time_ns() // 1_000_000
+        self.generator = numpy.random.default_rng()
+        self.client = httpclient.make_client()
+        self.counters = linkcounters.LinkCounters()
+        self.fleet = fleet.Fleet()
+        self.membership = membership.Membership(
+            platform.HttpVmList(held.platform, self.client), self.fleet
+        )
+        self.log = platform.HttpLogService(held.platform, self.client)
+        self.chain = bundles.BundleChain(held.operators)
+        self.follower = bundlefollower.BundleFollower(
+            self.log,
+            self.chain,
+            peers=self._list_peers,
+            generator=self.generator,
+        )
+        self.tasks: list[asyncio.Task] = []
+
+    def make_links(self, handler, idle_s: float) -> linkpool.LinkPool:
+        """Make the pool of links to sidecars."""
+        made = linkpool.LinkPool(
+            fleet=self.fleet,
+            vm=self.settings.vm,
+            incarnation=self.incarnation,
+            role=self.role,
+            fleet_key=self.settings.fleet_key,
+            handler=handler,
+            counters=self.counters,
+            idle_s=idle_s,
+        )
+        self.follower.links = made
+        return made
+
+    def make_admin(
+        self, get_readiness, get_status, collectors
+    ) -> adminserver.AdminServer:
+        """Make the server for operators, balancers and collectors."""
+        return adminserver.AdminServer(
+            listen=self.settings.admin,
+            get_readiness=get_readiness,
+            get_status=get_status,
+            collectors=[metrics.LinkCollector(self.counters), *collectors],
+        )
+
+    def spawn(self, loop: Callable[[], Awaitable[None]]) -> None:
+        """Run a background loop until the process stops."""
+        self.tasks.append(asyncio.create_task(self._keep_running(loop)))
+
+    async def cancel_tasks(self) -> None:
+        """End the background loops."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.tasks.clear()
+
+    async def refresh_views(self) -> None:
+        """Look at the VM list and at the log after this process stood."""
+        await self.membership.refresh()
+        await self.follower.look()
+
+    def describe_bundle(self) -> status.BundleStatus | None:
+        """Describe the bundle in force for the status page."""
+        head = self.follower.head
+        if head is None:
+            return None
+        return status.BundleStatus(
+            head.offset, head.version, head.digest.hex()
+        )
+
+    def describe_links(self) -> status.LinkStatus:
+        """Describe the bytes on links for the status page."""
+        return status.LinkStatus(
+            control_bytes_sent=self.counters.sent.control_bytes,
+            control_bytes_received=self.counters.received.control_bytes,
+            control_by_kind=dict(self.counters.sent.control_by_kind),
+            request_bytes_sent=self.counters.sent.request_bytes,
+            request_bytes_received=self.counters.received.request_bytes,
+        )
+
+    def _list_peers(self) -> list[str]:
+        """List the VMs that accept links: all sidecars but this one."""
+        return [
+            vm.name
+            for vm in self.fleet.vms.values()
+            if vm.role == messages.Role.SIDECAR and vm.name != self.settings.vm
+        ]
+
+    async def _keep_running(self, loop: Callable[[], Awaitable[None]]) -> None:
+        """Run a loop again after it failed."""
+        while True:
+            try:
+                await loop()
+                return
+            except Exception:
+                logging.exception('event=task-failed task=%s', loop)
+            await asyncio.sleep(TASK_RESTART_S)
+
+
+class Router(Process):
+    """Hold the parts of one router."""
+
+    def __init__(self, held: settings.RouterSettings):
+        super().__init__(held, messages.Role.ROUTER)
+        self.freeze_guard = freeze.FreezeGuard(self.refresh_views)
+        self.dispatcher = dispatch.Dispatcher(
+            vm=held.vm,
+            incarnation=self.incarnation,
+            links=None,
+            fleet=self.fleet,
+            get_head=lambda: self.follower.head,
+            catch_up=self.follower.catch_up,
+            before_work=self.freeze_guard.check,
+            generator=self.generator,
+        )
+        self.links = self.make_links(self, held.link_idle_s)
+        self.dispatcher.attempts.links = self.links
+        self.caller_server = callerserver.CallerServer(
+            listen=held.listen, dispatcher=self.dispatcher
+        )
+        self.admin = self.make_admin(
+            self.get_readiness,
+            self.get_status,
+            [metrics.RouterCollector(self.dispatcher)],
+        )
+
+    async def receive(self, link, message: messages.Message) -> None:
+        """Hand a message to the follower or to the dispatcher."""
+        if not await self.follower.receive(link, message):
+            await self.dispatcher.receive(link, message)
+
+    async def link_closed(self, link) -> None:
+        """Tell the dispatcher of the end of a link."""
+        await self.dispatcher.link_closed(link)
+
+    def get_readiness(self) -> adminserver.Readiness:
+        """Tell whether this router takes callers' requests."""
+        if self.dispatcher.draining:
+            return adminserver.Readiness(False, 'draining')
+        if self.follower.head is None:
+            return adminserver.Readiness(False, 'no bundle')
+        if not self.membership.first_read.is_set():
+            return adminserver.Readiness(False, 'no VM list')
+        return adminserver.Readiness(True)
+
+    def get_status(self) -> status.RouterStatus:
+        """Describe this router."""
+        return status.RouterStatus(
+            vm=self.settings.vm,
+            role=self.role,
+            data_centre=self.settings.data_centre,
+            incarnation=self.incarnation,
+            ready=self.get_readiness().ready,
+            bundle=self.describe_bundle(),
+            links=self.describe_links(),
+            active=self.dispatcher.active,
+            outcomes=dict(self.dispatcher.measures.outcomes),
+            retries=self.dispatcher.measures.retries,
+            redirects=self.dispatcher.measures.redirects,
+            hedges=self.dispatcher.measures.hedges,
+        )
+
+    async def start(self) -> None:
+        """Start every part; readiness follows when a bundle is known."""
+        self.admin.start()
+        self.spawn(self.membership.run)
+        self.spawn(self.follower.run)
+        self.spawn(self.freeze_guard.run)
+        self.spawn(self.links.run)
+        self.spawn(self.dispatcher.run)
+        self.caller_server.start()
+        logging.info(
+            'event=started vm=%s incarnation=%d',
+            self.settings.vm,
+            self.incarnation,
+        )
+
+    async def stop(self, grace_s: float) -> int:
+        """Drain and stop; returns how many requests were cut."""
+        cut = await self.caller_server.drain(grace_s)
+        await self.links.stop()
+        await self.cancel_tasks()
+        await self.admin.stop()
+        self.client.close()
+        return cut
+
+
+class Sidecar(Process):
+    """Hold the parts of one sidecar."""
+
+    def __init__(self, held: settings.SidecarSettings):
+        super().__init__(held, messages.Role.SIDECAR)
+        self.links = self.make_links(self, linkpool.IDLE_S)
+        self.server = self._make_server(held)
+        self.quarantine = quarantine.Quarantine(held.vm, self.incarnation)
+        self.table = pooltable.PoolTable(held.vm, self.incarnation)
+        self.gossip = gossip.Gossip(
+            held.pool,
+            self.table,
+            self.fleet,
+            self.links,
+            self.quarantine,
+            self.generator,
+        )
+        self.quarantine.spread = self.gossip.spread
+        self.directory = directory.Directory(FIRST_DIRECTORY_ENTRIES)
+        self.locator = locate.Locator(
+            held.vm, held.pool, self.directory, self.fleet, self.links
+        )
+        self.places = slots.Slots(on_change=self.gossip.own_load_changed)
+        self.admission = admission.Admission(
+            self.table,
+            self.places,
+            self.gossip.refresh,
+            self.locator.find_holder,
+        )
+        self.claims = claims.ClaimKeeper(
+            self.log, held.vm, self.incarnation, self._is_gone
+        )
+        self.run_table = runs.RunTable(
+            self.server,
+            self.quarantine,
+            stored_s=lambda: self.claims.window_s,
+        )
+        self.health = health.HealthWatch(self.server)
+        self.drain = self._make_drain()
+        self.freeze_guard = freeze.FreezeGuard(self._look_around)
+        self.gate = self._make_gate()
+        self.link_server = linkserver.LinkServer(
+            listen=held.listen,
+            vm=held.vm,
+            incarnation=self.incarnation,
+            role=self.role,
+            fleet_key=held.fleet_key,
+            handler=self,
+            counters=self.counters,
+        )
+        self.admin = self.make_admin(self.get_readiness, self.get_status, [])
+        self.follower.listeners.append(self._apply_bundle)
+        self.membership.listeners.append(self.gossip.follow_fleet)
+        self.membership.listeners.append(self.drain.follow_fleet)
+
+    def _make_server(
+        self, held: settings.SidecarSettings
+    ) -> plainservice.HttpService:
+        """Make the adapter for the kind of server beside this process."""
+        match held.kind:
+            case settings.ServerKind.ENGINE:
+                return engine.HttpEngine(held.server, self.client)
+            case settings.ServerKind.SERVICE:
+                return plainservice.HttpService(held.server, self.client)
+
+    def _make_drain(self) -> drain.Drain:
+        """Make what ends this sidecar's work."""
+        own_engine = None
+        if self.settings.kind == settings.ServerKind.ENGINE:
+            own_engine = self.server
+        hand_over = handover.HandOver(
+            self.settings.vm,
+            self.settings.pool,
+            self.directory,
+            self.fleet,
+            self.links,
+            own_engine,
+        )
+        return drain.Drain(
+            self.settings.vm,
+            self.fleet,
+            self.gossip,
+            self.places,
+            self.run_table,
+            hand_over,
+        )
+
+    def _make_gate(self) -> gate.Gate:
+        """Make the gate through which all attempts pass."""
+        closer = pending.Closer(self.run_table, self.admission)
+        keyed_requests = keyed.KeyedRequests(
+            self.run_table, self.claims, closer, self.admission.clock
+        )
+        return gate.Gate(
+            pool=self.settings.pool,
+            follower=self.follower,
+            run_table=self.run_table,
+            quarantine=self.quarantine,
+            admission=self.admission,
+            closer=closer,
+            keyed_requests=keyed_requests,
+            locator=self.locator,
+            gossip=self.gossip,
+            health=self.health,
+            drain=self.drain,
+            freeze_guard=self.freeze_guard,
+        )
+
+    async def receive(self, link, message: messages.Message) -> None:
+        """Hand a message to the gate."""
+        await self.gate.receive(link, message)
+
+    async def link_closed(self, link) -> None:
+        """Tell the gate of the end of a link."""
+        await self.gate.link_closed(link)
+
+    def _is_gone(self, vm: str, incarnation: int) -> bool:
+        """Tell whether an incarnation of a pool mate is known to be over."""
+        if self.fleet.find(vm) is None:
+            return True
+        entry = self.table.entries.get(vm)
+        return entry is not None and entry.load.incarnation > incarnation
+
+    def _apply_bundle(self, head: bundles.InForce) -> None:
+        """Take what the bundle says of this sidecar's pool."""
+        pool = head.bundle.pools.get(self.settings.pool)
+        if pool is not None and isinstance(
+            pool.policy, bundle.DirectoryPolicy
+        ):
+            self.directory.resize(pool.policy.entries)
+
+    async def _look_around(self) -> None:
+        """Renew every view of the fleet after this process stood still."""
+        await asyncio.gather(self.refresh_views(), self.gossip.refresh())
+
+    def get_readiness(self) -> adminserver.Readiness:
+        """Tell whether this sidecar takes new work."""
+        if self.drain.leaving:
+            return adminserver.Readiness(False, 'leaving')
+        if self.follower.head is None:
+            return adminserver.Readiness(False, 'no bundle')
+        if not self.membership.first_read.is_set():
+            return adminserver.Readiness(False, 'no VM list')
+        if not self.health.up:
+            return adminserver.Readiness(False, 'server is down')
+        return adminserver.Readiness(True)
+
+    def get_status(self) -> status.SidecarStatus:
+        """Describe this sidecar."""
+        return status.SidecarStatus(
+            vm=self.settings.vm,
+            role=self.role,
+            data_centre=self.settings.data_centre,
+            pool=self.settings.pool,
+            incarnation=self.incarnation,
+            ready=self.get_readiness().ready,
+            bundle=self.describe_bundle(),
+            links=self.describe_links(),
+            load=self.places.load,
+            mean_load=self.table.mean,
+            directory_entries=len(self.directory.places),
+            claims_ready=self.claims.ready,
+            claim_window_s=self.claims.window_s,
+            quarantined=len(self.quarantine.digests()),
+        )
+
+    async def start(self) -> None:
+        """Start every part; readiness follows when all is known."""
+        self.admin.start()
+        self.spawn(self.membership.run)
+        self.spawn(self.follower.run)
+        self.spawn(self.freeze_guard.run)
+        self.spawn(self.links.run)
+        self.spawn(self.health.run)
+        self.spawn(self.gossip.run)
+        self.spawn(self.claims.run)
+        self.spawn(self.run_table.run)
+        if self.settings.kind == settings.ServerKind.ENGINE:
+            watch = cachewatch.CacheWatch(
+                self.settings.vm, self.server, self.directory
+            )
+            self.spawn(watch.run)
+        await self.link_server.start()
+        logging.info(
+            'event=started vm=%s incarnation=%d',
+            self.settings.vm,
+            self.incarnation,
+        )
+
+    async def stop(self, grace_s: float) -> int:
+        """Drain and stop; returns how many attempts were cut."""
+        cut = await self.drain.drain(grace_s)
+        await self.link_server.stop()
+        await self.links.stop()
+        await self.cancel_tasks()
+        await self.admin.stop()
+        self.client.close()
+        return len(cut)
+
+
+async def run_router(held: settings.RouterSettings) -> int:
+    """Run a router until a signal; returns its exit code."""
+    return await _run_until_signal(Router(held), held.grace_s)
+
+
+async def run_sidecar(held: settings.SidecarSettings) -> int:
+    """Run a sidecar until a signal; returns its exit code."""
+    return await _run_until_signal(Sidecar(held), held.grace_s)
+
+
+async def _run_until_signal(process: Router | Sidecar, grace_s: float) -> int:
+    """Start, wait for a signal, drain; a second signal cuts the drain.
+
+    Returns 0 after a clean drain and 1 when requests were cut.
+    """
+    signals: asyncio.Queue[int] = asyncio.Queue()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, signals.put_nowait, number)
+    await process.start()
+    await signals.get()
+    logging.info('event=draining vm=%s', process.settings.vm)
+    stopping = asyncio.create_task(process.stop(grace_s))
+    second = asyncio.create_task(signals.get())
+    await asyncio.wait([stopping, second], return_when=asyncio.FIRST_COMPLETED)
+    if not stopping.done():
+        logging.warning('event=drain-cut-short vm=%s', process.settings.vm)
+        return 1
+    second.cancel()
+    return 1 if stopping.result() else 0
--- a/arbutusvale/coordination/bundlefollower.py
+++ b/arbutusvale/coordination/bundlefollower.py
@@ -110,6 +110,15 @@
                     await self.changed.wait()
         return self._has(offset)
 
+    async def look(self) -> None:
+        """Look once for a newer bundle, in the log or else at a peer."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CATCH_UP_S):
+                try:
+                    await self._read(0.0)
+                except errors.LogUnavailable:
+                    await self._fetch_from_any()
+
     async def receive(
         self, link: ports.Link, message: messages.Message
     ) -> bool:
--- a/arbutusvale/settings.py
+++ b/arbutusvale/settings.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import enum
 
 import pydantic
 import pydantic.dataclasses
@@ -14,6 +15,13 @@
 MIN_FLEET_KEY_LENGTH = 16
 
 
+class ServerKind(enum.StrEnum):
+    """Tell what a sidecar's backend server speaks."""
+
+    ENGINE = 'engine'
+    SERVICE = 'service'
+
+
 @pydantic.dataclasses.dataclass(frozen=True, kw_only=True, config=STRICT)
 class ProcessSettings:
     """Hold what every process of the fleet has to be told."""
@@ -47,8 +55,12 @@
 
 @pydantic.dataclasses.dataclass(frozen=True, kw_only=True, config=STRICT)
 class SidecarSettings(ProcessSettings):
-    """Hold the settings of ``arbutusvale-sidecar``."""
+    """Hold the settings of ``arbutusvale-sidecar``.
+
+    ``server`` is the address of the backend server beside it.
+    """
 
+    kind: ServerKind
     pool: str = pydantic.Field(min_length=1)
     server: str = pydantic.Field(min_length=1)
 
