End a request at its second crash; add a benchmark of claims

After a second crash the router was still told 'unknown' and, with a try left, would have sent the request to a third server. The sidecar now says 'quarantined' at once for an idempotent request. Its unit test asserted the old outcome and asserts the new one now; all else in it is unchanged.

--- a/arbutusvale/coordination/claims.py
+++ b/arbutusvale/coordination/claims.py
@@ -112,6 +112,11 @@
         """Tell whether all retained claims have been read."""
         return all(shard.find_hindrance() is None for shard in self.shards)
 
+    async def caught_up(self) -> None:
+        """Wait until all retained claims have been read."""
+        for shard in self.shards:
+            await shard.first_caught_up.wait()
+
     @property
     def window_s(self) -> float:
         """Seconds for which a claim protects its key; 0 when not known."""
--- a/arbutusvale/coordination/claimstream.py
+++ b/arbutusvale/coordination/claimstream.py
@@ -55,7 +55,7 @@
         self.index = claimindex.ClaimIndex(clock)
         self.next_offset = 0
         self.retention_s = 0.0
-        self.caught_up = False
+        self.first_caught_up = asyncio.Event()
         self.hole_until = clock()
         self.claimed = 0
         self.appended = 0
@@ -68,6 +68,11 @@
         self.slots = asyncio.Semaphore(MOST_APPENDS)
         self.tasks: set[asyncio.Task] = set()
 
+    @property
+    def caught_up(self) -> bool:
+        """Tell whether all retained claims have been read."""
+        return self.first_caught_up.is_set()
+
     def find_hindrance(self) -> Hindrance | None:
         """Tell why no new key may be claimed, if that is so."""
         if not self.caught_up:
@@ -137,7 +142,7 @@
                 self.next_offset = record.offset + 1
                 self._take(record)
         if self.next_offset >= page.head:
-            self.caught_up = True
+            self.first_caught_up.set()
 
     def _ask(self, key: bytes, fingerprint: bytes) -> None:
         """Queue a claim for the next batch."""
--- a/arbutusvale/coordination/runs.py
+++ b/arbutusvale/coordination/runs.py
@@ -237,8 +237,7 @@
             return streams.Lost(messages.Outcome.NOT_RUN, 'server-unreachable')
         except errors.ServerBroken as error:
             logging.warning('event=server-broken cause="%s"', error.problem)
-            reason = await self.crashes.judge(run, self.in_flight)
-            return streams.Lost(messages.Outcome.UNKNOWN, reason)
+            return await self._judge_break(run)
         except TimeoutError:
             return await self._time_out(run)
         except asyncio.CancelledError:
@@ -269,6 +268,17 @@
                     case bytes():
                         await run.add_piece(piece)
 
+    async def _judge_break(self, run: streams.Run) -> streams.Ending:
+        """End a run whose answer broke off.
+
+        A second crash ends an idempotent request for good, so that no
+        router tries it again.
+        """
+        reason = await self.crashes.judge(run, self.in_flight)
+        if run.submit.idempotent and self.quarantine.holds(run.fingerprint):
+            return streams.Lost(messages.Outcome.QUARANTINED, reason)
+        return streams.Lost(messages.Outcome.UNKNOWN, reason)
+
     async def _time_out(self, run: streams.Run) -> streams.Ending:
         """End a run that took too long."""
         if not run.handed_over:
--- /dev/null
+++ b/arbutusvale/ui/commands/load_claims.py
@@ -0,0 +1,47 @@
+"""Measure claims a second against a log service."""
+
+import asyncio
+import dataclasses
+import json
+
+from arbutusvale.load import claimbench
+from arbutusvale.protocol import platform
+from arbutusvale.transport import httpclient
+
+CONCURRENCIES = (1, 16, 128, 512)
+
+
+def run(options: dict) -> int | None:
+    """Print one line per concurrency."""
+    results = asyncio.run(
+        _measure(options['PLATFORM'], float(options['--seconds']))
+    )
+    if options['--json']:
+        print(json.dumps([dataclasses.asdict(each) for each in results]))
+        return None
+    for result in results:
+        print(_format(result))
+    return None
+
+
+async def _measure(
+    address: str, seconds: float
+) -> list[claimbench.ClaimRates]:
+    """Measure with ever more callers."""
+    log = platform.HttpLogService(address, httpclient.make_client())
+    return [
+        await claimbench.measure(log, concurrency, seconds)
+        for concurrency in CONCURRENCIES
+    ]
+
+
+def _format(result: claimbench.ClaimRates) -> str:
+    """Format the rates of one concurrency."""
+    return (
+        f'callers {result.concurrency:4d}  '
+        f'claims/s {result.claims_per_s:7.0f}  '
+        f'appends/s {result.appends_per_s:5.0f}  '
+        f'claims/append {result.claims_per_append:6.1f}  '
+        f'p50 {result.p50_ms:5.1f} ms  p99 {result.p99_ms:6.1f} ms  '
+        f'cpu/claim {result.cpu_us_per_claim:5.0f} us  lost {result.lost}'
+    )
--- a/arbutusvale/ui/usage.py
+++ b/arbutusvale/ui/usage.py
@@ -107,6 +107,7 @@
   arbutusvale-load bench [--seed=N] [--json]
   arbutusvale-load measure [--seed=N] [--out=DIR] [--json]
   arbutusvale-load play ROUTERS --key=KEY [--seed=N] [--seconds=S] [--json]
+  arbutusvale-load claims PLATFORM [--seconds=S] [--json]
   arbutusvale-load --help
   arbutusvale-load --version
 
@@ -119,6 +120,7 @@
   -h --help    Print this text.
   --version    Print the version.
 
-ROUTERS are URLs of routers, with commas between.
+ROUTERS are URLs of routers, with commas between.  PLATFORM is the address
+of a log service, whose stream of claims the program fills.
 
 {_CODES}"""
--- a/tests/coordination/test_runs.py
+++ b/tests/coordination/test_runs.py
@@ -183,7 +183,7 @@
         assert len(bench.server.runs) == 1
         assert bench.quarantine.digests() == [b'f1']
         outcomes = {f.attempt: f.outcome for f in bench.link.sent}
-        assert outcomes == {'r1-1': 'unknown', 'r1-2': 'not-run'}
+        assert outcomes == {'r1-1': 'quarantined', 'r1-2': 'not-run'}
 
     run_case(case)
 
