Spend less processor time per message on links

Profile of one sender and one receiver in one process: most time went into checking fields one by one and into counting each message. Messages without nested lists are now checked by one comparison of their types, and a frame's messages are counted by class at once.

--- a/arbutusvale/protocol/codec.py
+++ b/arbutusvale/protocol/codec.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import operator
 import typing
 
 import cbor2
@@ -33,7 +34,10 @@
     names = [field.name for field in fields]
     nested = {field.name for field in fields if field.type in _NESTED}
     if not nested:
-        return lambda message: [tag, *[getattr(message, n) for n in names]]
+        read = operator.attrgetter(*names)
+        if len(names) == 1:
+            return lambda message: (tag, read(message))
+        return lambda message: (tag, *read(message))
 
     def pack(message) -> list:
         packed: list = [tag]
@@ -49,16 +53,23 @@
 
 def _make_unpacker(kind: type) -> Callable[[list], typing.Any]:
     """Build the function that checks an array and makes the message."""
-    fields = dataclasses.fields(kind)
-    wanted = [typing.get_origin(field.type) or field.type for field in fields]
-    nested = [_NESTED.get(field.type) for field in fields]
+    declared = dataclasses.fields(kind)
+    wanted = [
+        typing.get_origin(field.type) or field.type for field in declared
+    ]
+    nested = [_NESTED.get(field.type) for field in declared]
+    exact = tuple(wanted)
+    flat = not any(nested)
 
     def unpack(values: list):
-        if len(values) != len(wanted) + 1:
+        fields = values[1:]
+        if flat and tuple(map(type, fields)) == exact:
+            return kind(*fields)
+        if len(fields) != len(wanted):
             raise errors.FrameError(f'{kind.__name__} has a wrong length.')
         arguments = []
         for value, type_, item_type in zip(
-            values[1:], wanted, nested, strict=True
+            fields, wanted, nested, strict=True
         ):
             if type_ is float and type(value) is int:
                 value = float(value)
--- a/arbutusvale/transport/linkcounters.py
+++ b/arbutusvale/transport/linkcounters.py
@@ -48,18 +48,27 @@
 
     def add(self, batch: list[messages.Message], frame_bytes: int) -> None:
         """Count one frame that carries ``batch``."""
+        kinds = collections.Counter(map(type, batch))
+        for kind, count in kinds.items():
+            self.by_kind[kind.__name__] += count
         control = 0
+        if not CONTROL.isdisjoint(kinds):
+            control = self._add_control(batch)
+        self.frames += 1
+        self.control_bytes += control
+        self.request_bytes += frame_bytes - control
+
+    def _add_control(self, batch: list[messages.Message]) -> int:
+        """Count the control messages of a batch; returns their bytes."""
+        total = 0
         for message in batch:
             kind = type(message)
-            self.by_kind[kind.__name__] += 1
             if kind in CONTROL:
                 size = len(codec.encode_frame([message]))
                 size -= _ARRAY_HEADER_BYTES
                 self.control_by_kind[kind.__name__] += size
-                control += size
-        self.frames += 1
-        self.control_bytes += control
-        self.request_bytes += frame_bytes - control
+                total += size
+        return total
 
 
 class LinkCounters:
--- a/arbutusvale/transport/links.py
+++ b/arbutusvale/transport/links.py
@@ -70,11 +70,12 @@
         """Queue a message; raises :class:`errors.LinkClosed`."""
         if self.ended:
             raise errors.LinkClosed(self.vm, 'it ended before')
+        if not self.queue:
+            self.used_at = time.monotonic()
+            self.flushed.clear()
+            self.wanted.set()
         self.queue.append(message)
         self.queued_bytes += _payload_bytes(message)
-        self.used_at = time.monotonic()
-        self.flushed.clear()
-        self.wanted.set()
         if (
             len(self.queue) > _QUEUE_MESSAGES
             or self.queued_bytes > _QUEUE_BYTES
