Prove three scenarios with two faults at once

Cause: each fault had a mechanism, but nothing showed two together: the log down while an engine is lost; a router killed while its links are frozen; a race of operators while a data centre is cut from the platform. Conclusion: the promises hold under these pairs of faults.

--- /dev/null
+++ b/tests/features/test_double_faults.py
@@ -0,0 +1,247 @@
+"""Prove the promises under two faults at once, with real processes."""
+
+import concurrent.futures
+import json
+
+import pytest
+import pytest_bdd
+
+from tests import processes
+
+pytestmark = pytest.mark.process
+pytest_bdd.scenarios('double_faults.feature')
+BUNDLE_BOUND_S = 4.0
+LINK_RECOVERY_BOUND_S = 10.0
+
+
+@pytest.fixture
+def state():
+    """Hold what the steps of one scenario pass on."""
+    return {}
+
+
+@pytest.fixture
+def threads():
+    with concurrent.futures.ThreadPoolExecutor(4) as pool:
+        yield pool
+
+
+@pytest_bdd.given(
+    pytest_bdd.parsers.parse(
+        'a deployment with {engines:d} engines and {services:d} services'
+    ),
+    target_fixture='fleet',
+)
+def plain_deployment(build, engines, services):
+    return build(engines=engines, services=services)
+
+
+@pytest_bdd.given(
+    pytest_bdd.parsers.parse(
+        'a deployment with {engines:d} engines and {services:d} services '
+        'behind link proxies'
+    ),
+    target_fixture='fleet',
+)
+def proxied_deployment(build, engines, services):
+    return build(engines=engines, services=services, link_proxies=True)
+
+
+@pytest_bdd.given(
+    'a deployment whose entry-2 and engine-2 reach the platform through '
+    'proxies',
+    target_fixture='fleet',
+)
+def split_deployment(build):
+    return build(engines=2, log_proxies=('entry-2', 'engine-2'))
+
+
+@pytest_bdd.given(
+    pytest_bdd.parsers.parse('the services take {seconds:d} s for a booking')
+)
+def slow_services(fleet, seconds):
+    for guarded in list_services(fleet):
+        fleet.set_faults(guarded.server_address, answer_delay_s=seconds)
+
+
+def list_services(fleet):
+    return [
+        guarded
+        for name, guarded in fleet.guarded.items()
+        if name.startswith('service')
+    ]
+
+
+@pytest_bdd.when('the log service goes down')
+def log_down(fleet):
+    fleet.platform_faults(outage=True)
+
+
+@pytest_bdd.when('the log service is back')
+def log_back(fleet):
+    fleet.platform_faults(outage=False)
+
+
+@pytest_bdd.when('engine-1 is killed')
+def kill_engine(fleet):
+    fleet.guarded['engine-1'].sidecar.kill()
+    fleet.guarded['engine-1'].server.kill()
+
+
+@pytest_bdd.when('engine-4 joins')
+def join_engine(fleet):
+    fleet.start_guarded(fleet.add_engine('engine-4'), wait=False)
+
+
+@pytest_bdd.then('20 chats are answered')
+def chats_answered(fleet):
+    for number in range(20):
+        router = f'entry-{number % 2 + 1}'
+        text = f'question {number}'
+        answer = fleet.chat([text], router)
+        assert answer.status == 200, answer
+        content = answer.json()['choices'][0]['message']['content']
+        assert text in content
+
+
+@pytest_bdd.then('a booking is told not-run and when to come back')
+def booking_not_run(fleet):
+    answer = fleet.book('bay-1', idempotency_key='k1')
+    assert answer.status == 503
+    assert answer.header('Arbutusvale-Outcome') == 'not-run'
+    assert int(answer.header('Retry-After')) > 0
+    assert fleet.count_bookings() == {}
+
+
+@pytest_bdd.then('the same booking is answered when it is sent again')
+def booking_answered(fleet):
+    def answered():
+        answer = fleet.book('bay-1', 'entry-2', idempotency_key='k1')
+        return answer.status == 201
+
+    processes.wait_until(answered)
+
+
+@pytest_bdd.then('every booking ran at most once')
+def ran_once(fleet):
+    counts = fleet.count_bookings()
+    assert counts == {'bay-1': 1}
+
+
+@pytest_bdd.when('a booking is sent through entry-1')
+def send_booking(fleet, threads, state):
+    state['first'] = threads.submit(send_and_ignore, fleet)
+    processes.wait_until(fleet.count_bookings)
+
+
+def send_and_ignore(fleet):
+    """Send a booking whose connection may break."""
+    try:
+        return fleet.book('bay-1', 'entry-1', idempotency_key='k1')
+    except OSError:
+        return None
+
+
+@pytest_bdd.when('every link freezes')
+def freeze_links(fleet):
+    for guarded in fleet.guarded.values():
+        fleet.set_faults(guarded.link_control, freeze='both')
+
+
+@pytest_bdd.when('entry-1 is killed')
+def kill_router(fleet, state):
+    fleet.routers['entry-1'].program.kill()
+    assert state['first'].result() is None
+
+
+@pytest_bdd.then('the same booking sent through entry-2 is answered')
+def answered_elsewhere(fleet):
+    answer = fleet.book('bay-1', 'entry-2', idempotency_key='k1', timeout_s=30)
+    assert answer.status == 201, answer
+    assert answer.json()['token'] == 'bay-1'
+
+
+@pytest_bdd.when('their data centre is cut from the platform')
+def cut_data_centre(fleet):
+    for control in fleet.log_controls.values():
+        fleet.set_faults(control, refuse=True, cut=True)
+
+
+@pytest_bdd.when('two operators roll out conflicting bundles')
+def race(fleet, threads, state):
+    settings = fleet.operator_settings()
+    paths = []
+    for number in (1, 2):
+        document = fleet.make_bundle(version=f'race-{number}')
+        paths.append(fleet.write_bundle(document, f'race-{number}'))
+    signed = [sign(fleet, path, settings) for path in paths]
+    runs = [
+        threads.submit(
+            processes.run_operator,
+            ['rollout', path, f'--settings={settings}', '--timeout=10'],
+        )
+        for path in signed
+    ]
+    state['runs'] = [run.result() for run in runs]
+
+
+def sign(fleet, path, settings):
+    """Sign against the present head, so that both name one parent."""
+    out = f'{path}.signed'
+    done = processes.run_operator(
+        ['bundle', 'sign', path, f'--settings={settings}', f'--out={out}']
+    )
+    assert done.returncode == 0, done.stderr
+    return out
+
+
+@pytest_bdd.then('one operator won and the other is told so')
+def one_winner(fleet, state):
+    codes = sorted(run.returncode for run in state['runs'])
+    everywhere, lost_race = 0, 3
+    assert codes == [everywhere, lost_race], state['runs']
+    state['winner'] = next(
+        f'race-{number}'
+        for number, run in enumerate(state['runs'], 1)
+        if run.returncode == everywhere
+    )
+    told = next(run for run in state['runs'] if run.returncode == lost_race)
+    assert state['winner'] in told.stdout + told.stderr
+
+
+@pytest_bdd.when('the cut is healed')
+def heal(fleet):
+    for control in fleet.log_controls.values():
+        fleet.set_faults(control, refuse=False)
+
+
+@pytest_bdd.then(
+    "every process has the winner's version, from its peers at need"
+)
+@pytest_bdd.then("every process still has the winner's version")
+def same_version(fleet, state):
+    admins = [
+        each.admin
+        for each in [*fleet.guarded.values(), *fleet.routers.values()]
+    ]
+
+    def all_have_it():
+        return {read_version(admin) for admin in admins} == {state['winner']}
+
+    processes.wait_until(all_have_it, BUNDLE_BOUND_S)
+
+
+def read_version(admin):
+    status = processes.call('GET', f'http://{admin}/status').json()
+    return status['bundle']['version']
+
+
+@pytest_bdd.then("no process ever had the loser's version")
+def loser_never_in_force(fleet, state):
+    loser = {'race-1', 'race-2'} - {state['winner']}
+    for program in fleet.programs:
+        for line in program.output().splitlines():
+            if 'event=bundle-in-force' in line:
+                assert not any(name in line for name in loser), json.dumps(
+                    [program.name, line]
+                )
