--- a/arbutusvale/coordination/drain.py
+++ b/arbutusvale/coordination/drain.py
@@ -93,7 +93,7 @@
         """
         deadline = self.clock() + grace_s
         self.leave(SHUTDOWN, grace_s * GRACE_FOR_CACHES_SHARE)
-        await self._wait_until_idle(deadline)
+        await self.wait_until_idle(deadline)
         cut = self._list_unfinished()
         if self.handing_over is not None:
             time_left = max(0.0, deadline - self.clock())
@@ -103,7 +103,7 @@
             logging.warning('event=attempt-cut attempt=%s', attempt)
         return cut
 
-    async def _wait_until_idle(self, deadline: float) -> None:
+    async def wait_until_idle(self, deadline: float) -> None:
         """Wait until no work is left, at most until ``deadline``."""
         while True:
             if not self._is_busy() or self.clock() >= deadline:
--- a/arbutusvale/protocol/bundle.py
+++ b/arbutusvale/protocol/bundle.py
@@ -140,7 +140,8 @@
 
     ``slots`` is what one server runs at once, ``queue`` what its sidecar
     lets wait; ``checks_fencing`` says that its engines refuse orders with
-    an old fencing number.
+    an old fencing number.  ``role`` is ordered from the pool's engines;
+    when empty they keep theirs.
     """
 
     policy: Policy
@@ -149,6 +150,7 @@
     models: list[Model] = dataclasses.field(default_factory=list)
     checks_fencing: bool = False
     max_unavailable: int = pydantic.Field(default=1, gt=0)
+    role: str = ''
 
 
 @_checked
--- a/tests/helpers_fakes.py
+++ b/tests/helpers_fakes.py
@@ -1,6 +1,7 @@
 """Fake the log service and links in memory for unit tests."""
 
 import asyncio
+import contextlib
 import functools
 import time
 
@@ -52,10 +53,9 @@
         if start < oldest:
             raise errors.LogExpired(stream, start, oldest)
         if wait and start >= len(self.streams.get(stream, [])):
-            try:
-                await asyncio.wait_for(self.appended.wait(), wait)
-            except TimeoutError:
-                pass
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait):
+                    await self.appended.wait()
         records = self.streams.get(stream, [])
         return ports.LogPage(
             records[start:], len(records), oldest, self.retention
