Run the order keeper in sidecars of engines

The follower's own watch of the clock goes: the freeze guard, which came with the gate, looks at the log after a gap, and a poll that hung through the freeze times out at once.

--- a/arbutusvale/compose.py
+++ b/arbutusvale/compose.py
@@ -24,6 +24,8 @@
 from arbutusvale.coordination import keyed
 from arbutusvale.coordination import locate
 from arbutusvale.coordination import membership
+from arbutusvale.coordination import orderpause
+from arbutusvale.coordination import orders
 from arbutusvale.coordination import pending
 from arbutusvale.coordination import quarantine
 from arbutusvale.coordination import runs
@@ -333,6 +335,22 @@
             hand_over,
         )
 
+    def _make_order_keeper(self) -> orders.OrderKeeper:
+        """Make what gives the engine its orders."""
+        return orders.OrderKeeper(
+            vm=self.settings.vm,
+            pool=self.settings.pool,
+            log=self.log,
+            weights=platform.HttpWeightStore(
+                self.settings.platform, self.client
+            ),
+            engine=self.server,
+            read_head=lambda: self.follower.head,
+            list_vms=lambda: set(self.fleet.vms),
+            pause=orderpause.DrainPause(self.drain),
+            generator=self.generator,
+        )
+
     def _make_gate(self) -> gate.Gate:
         """Make the gate through which all attempts pass."""
         closer = pending.Closer(self.run_table, self.admission)
@@ -428,6 +446,7 @@
                 self.settings.vm, self.server, self.directory
             )
             self.spawn(watch.run)
+            self.spawn(self._make_order_keeper().run)
         await self.link_server.start()
         logging.info(
             'event=started vm=%s incarnation=%d',
--- a/arbutusvale/coordination/bundlefollower.py
+++ b/arbutusvale/coordination/bundlefollower.py
@@ -31,8 +31,6 @@
 RETRY_MAX_S = 2.0
 ANNOUNCE_INTERVAL_S = 10.0
 CATCH_UP_S = 2.0
-CLOCK_TICK_S = 0.5
-CLOCK_GAP_S = 1.5
 RESTATE_WAIT_S = 2.0
 SETTLE_S = 3 * RESTATE_WAIT_S
 REFRESH_SHARE = 0.6
@@ -71,7 +69,6 @@
         self.last_change = clock()
         self.retention = 0.0
         self.queries = 0
-        self.poll: asyncio.Task | None = None
         self.restating: asyncio.Task | None = None
 
     @property
@@ -81,17 +78,13 @@
 
     async def run(self) -> None:
         """Follow the log until cancelled."""
-        helpers = [
-            asyncio.create_task(self._announce()),
-            asyncio.create_task(self._watch_clock()),
-        ]
+        announcing = asyncio.create_task(self._announce())
         try:
             await self._follow()
         finally:
+            announcing.cancel()
             if self.restating is not None:
-                helpers.append(self.restating)
-            for helper in helpers:
-                helper.cancel()
+                self.restating.cancel()
 
     async def catch_up(self, offset: int, peer_vm: str) -> bool:
         """Come up to ``offset``, that of the head of ``peer_vm``.
@@ -144,7 +137,7 @@
         delay = RETRY_MIN_S
         while True:
             try:
-                await self._poll()
+                await self._read(POLL_WAIT_S)
                 delay = RETRY_MIN_S
                 continue
             except errors.LogUnavailable as error:
@@ -153,18 +146,6 @@
             await asyncio.sleep(delay * self.generator.uniform(0.5, 1.0))
             delay = min(2 * delay, RETRY_MAX_S)
 
-    async def _poll(self) -> None:
-        """Run one read that :meth:`_watch_clock` may cut short."""
-        wait = POLL_WAIT_S if self.first_loaded.is_set() else 0.5
-        self.poll = asyncio.create_task(self._read(wait))
-        try:
-            await asyncio.wait([self.poll])
-        except asyncio.CancelledError:
-            self.poll.cancel()
-            raise
-        if not self.poll.cancelled():
-            self.poll.result()
-
     async def _read(self, wait: float) -> None:
         """Read one page and apply it; raises :class:`LogUnavailable`."""
         try:
@@ -312,19 +293,6 @@
             if vm is not None and self.head is not None:
                 await self._send(vm, messages.BundleHead(self.head.offset))
 
-    async def _watch_clock(self) -> None:
-        """Cut the poll short after the process was stopped for a while."""
-        last = self.clock()
-        while True:
-            await asyncio.sleep(CLOCK_TICK_S)
-            now = self.clock()
-            if now - last > CLOCK_TICK_S + CLOCK_GAP_S:
-                logging.warning('event=clock-gap seconds=%.1f', now - last)
-                if self.poll is not None:
-                    self.poll.cancel()
-                await self._fetch_from_any()
-            last = now
-
     def _hear_head(self, link: ports.Link, offset: int) -> None:
         """Fetch a higher head from its sender, or tell it of a higher one."""
         if self.head is None or offset > self.head.offset:
