Keep the load bound in a burst, with no request refused by it

Causes and changes:

- Reports count as if nothing had ended since they were made.
They now fade with the mean time that a request holds its slot, from the earliest time at which they can have been counted.
- A burst is taken in steps, as each accept raises the mean.
A last hop now waits up to 1 s and refreshes meanwhile.
- All refusals of a moment named the same mate.
A mate named a moment ago now counts as busier.

Ruled out: refreshing before every accept, which the byte budget cannot bear.

The composition root also tells the locator of list changes.

--- a/arbutusvale/compose.py
+++ b/arbutusvale/compose.py
@@ -301,6 +301,7 @@
         self.admin = self.make_admin(self.get_readiness, self.get_status, [])
         self.follower.listeners.append(self._apply_bundle)
         self.membership.listeners.append(self.gossip.follow_fleet)
+        self.membership.listeners.append(self.locator.follow_fleet)
         self.membership.listeners.append(self.drain.follow_fleet)
 
     def _make_server(
--- a/arbutusvale/coordination/admission.py
+++ b/arbutusvale/coordination/admission.py
@@ -1,5 +1,6 @@
 """Decide whether a server takes one more request within its load bound."""
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
@@ -14,7 +15,9 @@
 from arbutusvale.state import pooltable
 
 ALTERNATIVES = 2
-FRESH_S = 0.4
+FIRST_PAUSE_S = 0.005
+MOST_PAUSE_S = 0.1
+MOST_WAIT_S = 1.0
 BUSY_RETRY_S = 1.0
 
 
@@ -65,8 +68,7 @@
         if redirect is not None:
             return redirect
         bound = pool.policy.bound
-        if self.places.has_room() and not self._surely_within(bound):
-            await self.refresh()
+        await self._wait_for_room(submit, bound)
         # No await from here on: the count must not change before enter().
         ticket = slots.Ticket(
             submit.organisation,
@@ -103,16 +105,31 @@
             retry_after,
             self.places.load,
             float(self.table.mean),
-            [self.table.own, *self.table.least_loaded(ALTERNATIVES)][1:],
+            self.table.name_alternatives(ALTERNATIVES),
         )
 
-    def _within(self, bound: float) -> bool:
-        """Tell whether one more request keeps the bound by the table."""
-        return self.places.load + 1 <= self.table.bound_limit(bound)
+    async def _wait_for_room(
+        self, submit: messages.Submit, bound: float
+    ) -> None:
+        """Refresh the table until the bound lets one more request in.
+
+        A last hop waits a bounded time, as others in the same burst raise
+        the mean step by step; other hops do not wait.
+        """
+        deadline = self.clock() + min(MOST_WAIT_S, submit.time_left / 2)
+        pause_s = FIRST_PAUSE_S
+        while self.places.has_room() and not self._within(bound):
+            await self.refresh()
+            if self._within(bound) or not submit.last_hop:
+                return
+            if self.clock() >= deadline:
+                return
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, MOST_PAUSE_S)
 
-    def _surely_within(self, bound: float) -> bool:
-        """Tell whether the bound is kept whatever old reports hide."""
-        limit = self.table.sure_limit(bound, FRESH_S)
+    def _within(self, bound: float) -> bool:
+        """Tell whether one more request surely keeps the bound."""
+        limit = self.table.safe_limit(bound, self.places.mean_hold_s)
         return self.places.load + 1 <= limit
 
     async def _redirect(
--- a/arbutusvale/coordination/gossip.py
+++ b/arbutusvale/coordination/gossip.py
@@ -24,7 +24,7 @@
 MOST_LOADS = 32
 REFRESH_MATES = 8
 REFRESH_TIMEOUT_S = 0.1
-REFRESH_AGE_S = 0.05
+REFRESH_AGE_S = 0.004
 BUDGET_BYTES_PER_S = 3000.0
 BUDGET_BURST_BYTES = 9000.0
 
@@ -39,6 +39,14 @@
         """Take over entries of a mate."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Question:
+    """Hold an update that waits for its reply."""
+
+    asked_at: float
+    answered: asyncio.Future
+
+
 class Budget:
     """Limit control bytes by a token bucket."""
 
@@ -86,7 +94,7 @@
         self.clock = clock
         self.budget = Budget(clock)
         self.queries = itertools.count(1)
-        self.answers: dict[int, asyncio.Future] = {}
+        self.questions: dict[int, _Question] = {}
         self.moved = asyncio.Event()
         self.sent_load = 0
         self.refreshed_at = -REFRESH_AGE_S
@@ -183,14 +191,19 @@
     def receive(self, link: ports.Link, update: messages.PoolUpdate) -> None:
         """Merge a mate's update and answer it when asked to."""
         self.budget.spend(len(codec.encode_frame([update])))
-        self.table.merge(update.loads)
         self.quarantine.merge(update.quarantined)
         if update.reply_wanted:
+            self.table.merge(update.loads, link.vm)
             self._reply(link, update)
             return
-        answer = self.answers.get(update.query)
-        if answer is not None and not answer.done():
-            answer.set_result(None)
+        question = self.questions.get(update.query)
+        if question is None:
+            self.table.merge(update.loads, link.vm)
+            return
+        age_s = self.clock() - question.asked_at
+        self.table.merge(update.loads, link.vm, age_s)
+        if not question.answered.done():
+            question.answered.set_result(None)
 
     def _reply(self, link: ports.Link, update: messages.PoolUpdate) -> None:
         """Send back the own load and what the mate does not know."""
@@ -215,19 +228,19 @@
     ) -> None:
         """Send one update and wait for its answer, within a bound."""
         self.budget.spend(len(codec.encode_frame([message])))
-        answer = asyncio.get_running_loop().create_future()
-        self.answers[message.query] = answer
+        answered = asyncio.get_running_loop().create_future()
+        self.questions[message.query] = _Question(self.clock(), answered)
         try:
             async with asyncio.timeout(timeout_s):
                 link = await self.links.get(mate)
                 link.send(message)
-                await answer
+                await answered
         except (errors.LinkClosed, TimeoutError) as error:
             logging.info(
                 'event=gossip-unanswered mate=%s cause="%s"', mate, error
             )
         finally:
-            del self.answers[message.query]
+            del self.questions[message.query]
 
     def _make_update(self) -> messages.PoolUpdate:
         """Make an update with all that a mate may not know."""
--- a/arbutusvale/coordination/slots.py
+++ b/arbutusvale/coordination/slots.py
@@ -6,6 +6,7 @@
 import time
 
 FIRST_HOLD_S = 1.0
+LEAST_HOLD_S = 0.001
 HOLD_SMOOTHING = 0.1
 LEAST_RETRY_S = 0.5
 MOST_RETRY_S = 30.0
@@ -78,7 +79,7 @@
         self.queue = 0
         self.running: list[Ticket] = []
         self.waiting: list[Ticket] = []
-        self.hold_s = FIRST_HOLD_S
+        self.hold_s = 0.0
         self.virtual_time = 0.0
         self.finish_tags: dict[str, float] = {}
 
@@ -97,7 +98,12 @@
     def retry_after(self) -> float:
         """Seconds after which a place in the queue should be free."""
         turns = (len(self.waiting) + 1) / max(1, self.slots)
-        return min(MOST_RETRY_S, max(LEAST_RETRY_S, turns * self.hold_s))
+        return min(MOST_RETRY_S, max(LEAST_RETRY_S, turns * self.mean_hold_s))
+
+    @property
+    def mean_hold_s(self) -> float:
+        """Seconds for which a request holds its slot, on average."""
+        return self.hold_s or FIRST_HOLD_S
 
     def has_room(self) -> bool:
         """Tell whether one more request finds a slot or queue place."""
@@ -120,8 +126,7 @@
         """Release a ticket, whether it ran or only waited."""
         if ticket in self.running:
             self.running.remove(ticket)
-            held_s = self.clock() - ticket.granted_at
-            self.hold_s += HOLD_SMOOTHING * (held_s - self.hold_s)
+            self._note_hold(self.clock() - ticket.granted_at)
         elif ticket in self.waiting:
             self.waiting.remove(ticket)
             ticket.settle(Withdrawn())
@@ -139,6 +144,12 @@
             self.leave(ticket)
         return ticket.outcome.result()
 
+    def _note_hold(self, held_s: float) -> None:
+        """Take one request's time into the moving average."""
+        if self.hold_s:
+            held_s = self.hold_s + HOLD_SMOOTHING * (held_s - self.hold_s)
+        self.hold_s = max(LEAST_HOLD_S, held_s)
+
     def _grant(self) -> None:
         """Let waiting tickets run while slots are free."""
         while self.waiting and len(self.running) < self.slots:
--- a/arbutusvale/state/pooltable.py
+++ b/arbutusvale/state/pooltable.py
@@ -9,20 +9,29 @@
 from arbutusvale.protocol import messages
 
 SILENCE_S = 5.0
+SAFE_DEVIATIONS = 2.0
+NAMED_S = 0.03
+TRANSIT_S = 0.005
+RELAY_AGE_S = 0.5
 
 
 @dataclasses.dataclass(slots=True)
 class Entry:
     """Hold the newest load of a mate and when it was heard.
 
-    ``listed`` says that the VM list named the mate once; ``counted`` turns
-    false when the list drops it.
+    ``stated_at`` is the earliest time at which the load may have been
+    counted, as the report was under way or passed on.  ``listed`` says
+    that the VM list named the mate once; ``counted`` turns false when the
+    list drops it.  ``named`` holds the times at which requests were sent
+    there that a report may not show yet.
     """
 
     load: messages.Load
     heard_at: float
+    stated_at: float
     listed: bool = False
     counted: bool = True
+    named: list[float] = dataclasses.field(default_factory=list)
 
 
 class PoolTable:
@@ -57,25 +66,37 @@
         """Raise the own version, so that mates hear a sign of life."""
         self.set_own(self.own.load)
 
-    def merge(self, loads: Iterable[messages.Load]) -> int:
-        """Take over loads that are newer; return how many were."""
+    def merge(
+        self,
+        loads: Iterable[messages.Load],
+        sender: str = '',
+        age_s: float = TRANSIT_S,
+    ) -> int:
+        """Take over loads that are newer; return how many were.
+
+        ``age_s`` is the age of the sender's own load; those that it passes
+        on are ``RELAY_AGE_S`` old.
+        """
         newer = 0
         for load in loads:
-            newer += self._merge_one(load)
+            direct = load.vm == sender
+            newer += self._merge_one(load, age_s if direct else RELAY_AGE_S)
         return newer
 
-    def _merge_one(self, load: messages.Load) -> bool:
+    def _merge_one(self, load: messages.Load, age_s: float) -> bool:
         """Take over one load if it is newer than the known one."""
         if load.vm == self.own.vm:
             return False
+        now = self.clock()
         entry = self.entries.get(load.vm)
         if entry is None:
-            self.entries[load.vm] = Entry(load, self.clock())
+            self.entries[load.vm] = Entry(load, now, now - age_s)
             return True
         if _age_key(load) <= _age_key(entry.load):
             return False
         entry.load = load
-        entry.heard_at = self.clock()
+        entry.heard_at = now
+        entry.stated_at = now - age_s
         return True
 
     def set_listed(self, names: Iterable[str]) -> None:
@@ -87,7 +108,8 @@
                 unheard = messages.Load(
                     name, 0, 0, 0, messages.VmState.LIVE.value
                 )
-                entry = Entry(unheard, self.clock())
+                now = self.clock()
+                entry = Entry(unheard, now, now)
                 self.entries[name] = entry
             entry.listed = True
             entry.counted = True
@@ -135,22 +157,46 @@
         """Return the highest load that a server may reach by an accept."""
         return _limit(bound, self.total, self.count)
 
-    def sure_limit(self, bound: float, fresh_s: float) -> int:
-        """Return the limit that holds even if old reports dropped to 0."""
+    def safe_limit(self, bound: float, hold_s: float) -> int:
+        """Return a limit that holds though requests ended since a report.
+
+        Takes requests to last ``hold_s`` on average, independently of each
+        other, and stays ``SAFE_DEVIATIONS`` below the expected total.
+        """
         now = self.clock()
         counted = self.list_counted()
-        total = self.own.load + sum(
-            entry.load.load
-            for entry in counted
-            if now - entry.heard_at <= fresh_s
-        )
-        return _limit(bound, total, 1 + len(counted))
+        expected = variance = 0.0
+        for entry in counted:
+            lasting = math.exp((entry.stated_at - now) / hold_s)
+            expected += entry.load.load * lasting
+            variance += entry.load.load * lasting * (1.0 - lasting)
+        low = max(0.0, expected - SAFE_DEVIATIONS * math.sqrt(variance))
+        return _limit(bound, self.own.load + low, 1 + len(counted))
 
     def least_loaded(self, k: int) -> list[messages.Load]:
         """List the ``k`` mates with the lowest loads."""
-        loads = [entry.load for entry in self.list_counted()]
-        loads.sort(key=lambda load: (load.load, load.vm))
-        return loads[:k]
+        return [entry.load for entry in self._rank_by_load()[:k]]
+
+    def name_alternatives(self, k: int) -> list[messages.Load]:
+        """List the ``k`` best mates for a refused request.
+
+        The first is expected to get it, so that a burst of refusals is
+        spread and does not all go to one server.
+        """
+        chosen = self._rank_by_load()[:k]
+        if chosen:
+            chosen[0].named.append(self.clock())
+        return [entry.load for entry in chosen]
+
+    def _rank_by_load(self) -> list[Entry]:
+        """List the counted mates, least loaded first."""
+        oldest = self.clock() - NAMED_S
+        counted = self.list_counted()
+        for entry in counted:
+            entry.named = [at for at in entry.named if at > oldest]
+        return sorted(
+            counted, key=lambda e: (e.load.load + len(e.named), e.load.vm)
+        )
 
     def find(self, vm: str) -> messages.Load | None:
         """Return the load of a counted server."""
@@ -175,6 +221,6 @@
     return load.incarnation, load.version
 
 
-def _limit(bound: float, total: int, count: int) -> int:
+def _limit(bound: float, total: float, count: int) -> int:
     """Return the load that a pool's bound lets one server reach."""
     return max(1, math.ceil(bound * (total + 1) / count))
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -10,11 +10,15 @@
 class Bench:
     """One sidecar's admission beside mates with set loads."""
 
-    def __init__(self, own=0, mates=(), fresh=(), holder=''):
+    def __init__(
+        self, own=0, mates=(), fresh=(), holder='', hold_s=0.0, grows=False
+    ):
         self.clock = helpers.Clock()
         self.table = pooltable.PoolTable('s1', 1, self.clock)
         self.places = slots.Slots(self.clock, self.table.set_own)
+        self.places.hold_s = hold_s
         self.fresh = fresh
+        self.grows = grows
         self.holder = holder
         self.refreshes = 0
         self.admission = admission.Admission(
@@ -24,13 +28,15 @@
         self.merge(mates, 1)
 
     def merge(self, loads, version):
-        self.table.merge(
-            helpers.make_load(f's{index + 2}', load, version=version)
-            for index, load in enumerate(loads)
-        )
+        for index, load in enumerate(loads):
+            report = helpers.make_load(f's{index + 2}', load, version=version)
+            self.table.merge([report], report.vm, 0.0)
 
     async def refresh(self):
         self.refreshes += 1
+        self.clock.now += 0.1
+        if self.grows:
+            self.fresh = [self.refreshes] * 2
         self.merge(self.fresh, 1 + self.refreshes)
 
     async def find(self, submit, pool):
@@ -69,6 +75,14 @@
     assert isinstance(decision, admission.Admitted)
 
 
+def test_last_hop_waits_until_the_bound_allows_it():
+    bench, decision = decide(
+        own=3, mates=[0, 0], grows=True, submit={'last_hop': True}
+    )
+    assert isinstance(decision, admission.Admitted)
+    assert bench.refreshes == 2
+
+
 def test_above_the_bound_is_refused_with_the_least_loaded():
     bench, decision = decide(
         own=3, mates=[1, 0, 2], fresh=[1, 0, 2], submit={'last_hop': True}
@@ -80,7 +94,9 @@
 
 def test_loads_on_the_submit_are_used():
     loads = [helpers.make_load('s2', 3, 9), helpers.make_load('s3', 3, 9)]
-    bench, decision = decide(own=3, mates=[0, 0], submit={'loads': loads})
+    bench, decision = decide(
+        own=3, mates=[0, 0], hold_s=60.0, submit={'loads': loads}
+    )
     assert isinstance(decision, admission.Admitted)
     assert bench.refreshes == 0
 
--- /dev/null
+++ b/tests/helpers_gate.py
@@ -0,0 +1,191 @@
+"""Wire a whole sidecar gate to fakes of server, log and links."""
+
+import hashlib
+import time
+
+import numpy
+
+from arbutusvale.coordination import admission
+from arbutusvale.coordination import claims
+from arbutusvale.coordination import drain
+from arbutusvale.coordination import freeze
+from arbutusvale.coordination import gate
+from arbutusvale.coordination import gossip
+from arbutusvale.coordination import handover
+from arbutusvale.coordination import health
+from arbutusvale.coordination import keyed
+from arbutusvale.coordination import locate
+from arbutusvale.coordination import pending
+from arbutusvale.coordination import quarantine
+from arbutusvale.coordination import runs
+from arbutusvale.coordination import slots
+from arbutusvale.protocol import bundle
+from arbutusvale.protocol import messages
+from arbutusvale.state import bundles
+from arbutusvale.state import directory
+from arbutusvale.state import fleet
+from arbutusvale.state import pooltable
+from tests import helpers_log
+from tests import helpers_runs
+from tests import helpers_sidecar as helpers
+
+
+def make_bundle(pool, keys=()):
+    """Make a bundle with one organisation, one model and one pool."""
+    digests = [hashlib.sha256(key.encode()).hexdigest() for key in keys]
+    organisation = bundle.Organisation(
+        keys=[f'sha256:{digest}' for digest in digests],
+        services=['summaries'],
+        rate=1e6,
+        burst=10**6,
+        concurrency=10**6,
+    )
+    service = bundle.ModelService(kind='model', pool='panel', model='m')
+    return bundle.Bundle(
+        version='1',
+        organisations={'lumenwall': organisation},
+        services={'summaries': service},
+        pools={'panel': pool},
+        operators={'ana': '00' * 32},
+    )
+
+
+class Follower:
+    """Hold a bundle in force; catches up to whatever is asked."""
+
+    def __init__(self, held, offset=3):
+        self.head = bundles.InForce(offset, b'', '1', held, b'', '', '')
+        self.reaches = offset
+        self.received = []
+
+    async def catch_up(self, offset, peer_vm):
+        if self.head is None:
+            return False
+        if offset <= self.reaches:
+            self.head = bundles.InForce(
+                offset, b'', '1', self.head.bundle, b'', '', ''
+            )
+        return offset <= self.head.offset
+
+    async def receive(self, link, message):
+        self.received.append(message)
+        return isinstance(message, messages.BundleHead)
+
+
+class Sidecar:
+    """Wire a gate to fakes of server, log and links."""
+
+    def __init__(
+        self,
+        vm='s1',
+        log=None,
+        pool=None,
+        known=None,
+        server=None,
+        held=None,
+        clock=time.monotonic,
+    ):
+        self.server = server or helpers_runs.FakeServer()
+        self.log = log or helpers_log.FakeLog(helpers_log.FakeClock())
+        self.fleet = known or fleet.Fleet()
+        if known is None:
+            names = ('s1', 's2')
+            self.fleet.replace([helpers.make_vm(name) for name in names])
+        self.links = helpers.FakeLinks()
+        self.follower = Follower(
+            held or make_bundle(pool or helpers.make_pool(slots=2, queue=2))
+        )
+        self.quarantine = quarantine.Quarantine(vm, 1)
+        self.table = pooltable.PoolTable(vm, 1, clock)
+        self.gossip = gossip.Gossip(
+            'panel',
+            self.table,
+            self.fleet,
+            self.links,
+            self.quarantine,
+            numpy.random.default_rng(1),
+            clock,
+        )
+        self.places = slots.Slots(clock, self.gossip.own_load_changed)
+        self.directory = directory.Directory(100)
+        self.locator = locate.Locator(
+            vm, 'panel', self.directory, self.fleet, self.links, clock
+        )
+        self.admission = admission.Admission(
+            self.table,
+            self.places,
+            self.gossip.refresh,
+            self.locator.find_holder,
+            clock,
+        )
+        self.run_table = runs.RunTable(
+            self.server, self.quarantine, clock=clock
+        )
+        self.claims = claims.ClaimKeeper(self.log, vm, 1, clock=clock)
+        closer = pending.Closer(self.run_table, self.admission)
+        self.health = health.HealthWatch(self.server)
+        hand_over = handover.HandOver(
+            vm, 'panel', self.directory, self.fleet, self.links, None
+        )
+        self.drain = drain.Drain(
+            vm,
+            self.fleet,
+            self.gossip,
+            self.places,
+            self.run_table,
+            hand_over,
+            clock,
+        )
+        self.looks = 0
+        self.freeze_guard = freeze.FreezeGuard(self.look, clock)
+        self.gate = gate.Gate(
+            pool='panel',
+            follower=self.follower,
+            run_table=self.run_table,
+            quarantine=self.quarantine,
+            admission=self.admission,
+            closer=closer,
+            keyed_requests=keyed.KeyedRequests(
+                self.run_table, self.claims, closer, self.admission.clock
+            ),
+            locator=self.locator,
+            gossip=self.gossip,
+            health=self.health,
+            drain=self.drain,
+            freeze_guard=self.freeze_guard,
+        )
+        self.link = helpers_runs.FakeLink()
+
+    async def look(self):
+        self.looks += 1
+
+    async def submit(self, attempt='a1', link=None, **changes):
+        """Submit without waiting for the end; let the gate decide."""
+        submit = helpers.make_submit(attempt, **changes)
+        await self.gate.receive(link or self.link, submit)
+        await helpers_runs.until(
+            lambda: self.find(attempt, link) or attempt in self.gate.pending
+        )
+
+    def find(self, attempt, link=None):
+        sent = (link or self.link).sent
+        return [message for message in sent if message.attempt == attempt]
+
+    async def answer(self, attempt, kind, link=None):
+        """Wait for a message of a kind and return it."""
+        found = []
+
+        def look():
+            found[:] = [
+                message
+                for message in self.find(attempt, link)
+                if isinstance(message, kind)
+            ]
+            return found
+
+        await helpers_runs.until(look)
+        return found[0]
+
+    async def settle(self, attempt, kind, **changes):
+        await self.submit(attempt, **changes)
+        return await self.answer(attempt, kind)
--- a/tests/state/test_pooltable.py
+++ b/tests/state/test_pooltable.py
@@ -55,13 +55,37 @@
     assert table.count == 1
 
 
-def test_sure_limit_takes_old_reports_as_idle():
+def test_safe_limit_falls_as_reports_age():
     clock = helpers.Clock()
     table = make_table(clock)
-    table.merge([helpers.make_load('s2', 10)])
-    clock.now += 1.0
+    table.merge([helpers.make_load('s2', 10)], 's2', 0.0)
+    assert table.safe_limit(1.25, 1.0) == table.bound_limit(1.25) == 7
+    clock.now += 0.5
+    assert table.safe_limit(1.25, 1.0) == 3
+    clock.now += 3.0
+    assert table.safe_limit(1.25, 1.0) == 1
     assert table.bound_limit(1.25) == 7
-    assert table.sure_limit(1.25, 0.5) == 1
+
+
+def test_passed_on_report_is_older_than_a_direct_one():
+    table = make_table()
+    loads = [helpers.make_load('s2', 10), helpers.make_load('s3', 10)]
+    table.merge(loads, 's2', 0.0)
+    direct, passed_on = table.entries['s2'], table.entries['s3']
+    assert direct.stated_at - passed_on.stated_at == pooltable.RELAY_AGE_S
+
+
+def test_named_mate_is_named_less_for_a_while():
+    clock = helpers.Clock()
+    table = make_table(clock)
+    table.merge([helpers.make_load('s2', 0), helpers.make_load('s3', 1)])
+
+    def name():
+        return table.name_alternatives(1)[0].vm
+
+    assert [name() for _ in range(4)] == ['s2', 's2', 's3', 's2']
+    clock.now += 2 * pooltable.NAMED_S
+    assert name() == 's2'
 
 
 @settings(max_examples=200, derandomize=True)
