--- a/arbutusvale/load/plan.py
+++ b/arbutusvale/load/plan.py
@@ -25,16 +25,16 @@
 
     seed: int = 1
     seconds: float = 60.0
-    chats: int = 300
+    chats: int = 220
     turns: float = 6.0
     first_words: int = 120
     later_words: int = 20
     answer_tokens: int = 8
-    burst_chats: int = 60
+    burst_chats: int = 30
     burst_s: float = 2.0
     bookings: int = 120
     resent_share: float = 0.2
-    reads: int = 120
+    reads: int = 240
     leaves: int = 1
     joins: int = 1
 
--- /dev/null
+++ b/arbutusvale/load/procstat.py
@@ -0,0 +1,32 @@
+"""Read processor time and resident memory of running processes."""
+
+import dataclasses
+import os
+import pathlib
+
+_PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
+_TICKS_PER_S = os.sysconf('SC_CLK_TCK')
+_USER_TICKS = 11
+_SYSTEM_TICKS = 12
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usage:
+    """Hold processor seconds used so far and resident bytes."""
+
+    cpu_s: float
+    rss_bytes: int
+
+
+def read(pid: int) -> Usage:
+    """Read one process's use; raises OSError when it is gone."""
+    folder = pathlib.Path('/proc') / str(pid)
+    fields = (folder / 'stat').read_text().rpartition(')')[2].split()
+    ticks = int(fields[_USER_TICKS]) + int(fields[_SYSTEM_TICKS])
+    resident = int((folder / 'statm').read_text().split()[1])
+    return Usage(ticks / _TICKS_PER_S, resident * _PAGE_BYTES)
+
+
+def read_own() -> Usage:
+    """Read this process's use."""
+    return read(os.getpid())
--- a/arbutusvale/load/report.py
+++ b/arbutusvale/load/report.py
@@ -5,7 +5,7 @@
 import math
 import pathlib
 
-from arbutusvale.load import score
+from arbutusvale.state import measures
 
 
 @dataclasses.dataclass(frozen=True)
@@ -245,7 +245,7 @@
             f'p{p:.0f}': [
                 r.first_token_ms[f'p{p:.0f}'] for r in measurement.results
             ]
-            for p in score.PERCENTILES
+            for p in measures.PERCENTILES
         },
     )
     _draw_slope(axes[1][1], measurement.slope)
--- a/arbutusvale/load/score.py
+++ b/arbutusvale/load/score.py
@@ -4,33 +4,7 @@
 import dataclasses
 import math
 
-from hdrh import histogram
-
-LOWEST_US = 1
-HIGHEST_US = 600_000_000
-SIGNIFICANT_DIGITS = 3
-PERCENTILES = (50.0, 95.0, 99.0)
-
-
-class Latency:
-    """Record times; returns percentiles in milliseconds."""
-
-    def __init__(self):
-        self.histogram = histogram.HdrHistogram(
-            LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
-        )
-
-    def record(self, seconds: float) -> None:
-        """Record one time."""
-        self.histogram.record_value(max(LOWEST_US, int(seconds * 1e6)))
-
-    def percentile(self, percent: float) -> float:
-        """Return a percentile in milliseconds."""
-        return self.histogram.get_value_at_percentile(percent) / 1e3
-
-    def summary(self) -> dict[str, float]:
-        """Return the percentiles that reports show, in milliseconds."""
-        return {f'p{p:.0f}': self.percentile(p) for p in PERCENTILES}
+from arbutusvale.state import measures
 
 
 @dataclasses.dataclass
@@ -80,8 +54,12 @@
     outcomes: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
-    first_token: Latency = dataclasses.field(default_factory=Latency)
-    read_time: Latency = dataclasses.field(default_factory=Latency)
+    first_token: measures.Latency = dataclasses.field(
+        default_factory=measures.Latency
+    )
+    read_time: measures.Latency = dataclasses.field(
+        default_factory=measures.Latency
+    )
     skew: Skew = dataclasses.field(default_factory=Skew)
 
     @property
@@ -103,3 +81,11 @@
             'requests ran though told not-run': self.false_not_run,
         }
         return [f'{count} {text}' for text, count in named.items() if count]
+
+
+def milliseconds(latency: measures.Latency) -> dict[str, float]:
+    """Return the percentiles that reports show, in milliseconds."""
+    return {
+        f'p{percent:.0f}': latency.percentile(percent) * 1e3
+        for percent in measures.PERCENTILES
+    }
--- a/arbutusvale/protocol/platform.py
+++ b/arbutusvale/protocol/platform.py
@@ -33,6 +33,7 @@
         path: str,
         timeout: float,
         body: bytes | None = None,
+        headers: dict[str, str] | None = None,
     ) -> httpclient.HTTPResponse:
         """POST ``body`` or else GET.
 
@@ -44,6 +45,7 @@
                 self.root + path,
                 method='GET' if body is None else 'POST',
                 body=body,
+                headers=headers,
                 connect_timeout=CONNECT_TIMEOUT_S,
                 request_timeout=timeout,
                 raise_error=False,
@@ -104,12 +106,32 @@
 
 
 class HttpVmList(_Platform):
-    """Implement :class:`ports.VmList`."""
+    """Implement :class:`ports.VmList`.
+
+    Asks for the list only if it changed, where the platform supports that.
+    """
+
+    def __init__(self, address: str, client: httpclient.AsyncHTTPClient):
+        super().__init__(address, client)
+        self.etag = ''
+        self.vms: list[ports.Vm] = []
 
     async def read(self) -> list[ports.Vm]:
         """Return the list."""
-        answer = await self.call(VM_LIST, '/vms', READ_TIMEOUT_S)
+        headers = {'If-None-Match': self.etag} if self.etag else None
+        answer = await self.call(
+            VM_LIST, '/vms', READ_TIMEOUT_S, headers=headers
+        )
+        if answer.code == 304 and self.etag:
+            return list(self.vms)
         _check_success(VM_LIST, answer)
+        self.vms = self.decode(answer.body)
+        self.etag = answer.headers.get('ETag', '')
+        return list(self.vms)
+
+    @staticmethod
+    def decode(body: bytes) -> list[ports.Vm]:
+        """Read the list from the platform's document."""
         return [
             ports.Vm(
                 entry['name'],
@@ -120,7 +142,7 @@
                 entry['pool'],
                 entry['state'],
             )
-            for entry in json.loads(answer.body)['vms']
+            for entry in json.loads(body)['vms']
         ]
 
 
--- /dev/null
+++ b/arbutusvale/standins/fleet.py
@@ -0,0 +1,256 @@
+"""Run a whole trial fleet on one event loop.
+
+Platform, engines, plain services, a sidecar for each and the routers are
+the real programs, built by :mod:`arbutusvale.compose`; only the platform
+and the backend servers are stand-ins.
+"""
+
+import asyncio
+import dataclasses
+import math
+import time
+
+from arbutusvale import compose
+from arbutusvale import settings
+from arbutusvale.protocol import messages
+from arbutusvale.protocol import signing
+from arbutusvale.standins import boundcheck
+from arbutusvale.standins import engine
+from arbutusvale.standins import faults
+from arbutusvale.standins import fleetshape
+from arbutusvale.standins import platform
+from arbutusvale.standins import service
+
+ANY_PORT = '127.0.0.1:0'
+FLEET_KEY = 'fleet-key-of-the-trial'
+OPERATOR = 'trial'
+DATA_CENTRES = ('poa-1', 'poa-2', 'cxj-1')
+GRACE_S = 10.0
+READY_BOUND_S = 30.0
+POLL_S = 0.02
+
+
+@dataclasses.dataclass
+class Guarded:
+    """Hold a backend server and its sidecar.
+
+    ``since`` and ``until`` tell when it was in the pool, by the monotonic
+    clock.
+    """
+
+    name: str
+    pool: str
+    server: engine.EngineStandin | service.ServiceStandin
+    sidecar: compose.Sidecar
+    since: float = math.inf
+    until: float = math.inf
+
+    @property
+    def live(self) -> bool:
+        """Tell whether it takes new work."""
+        return self.since < math.inf and self.until == math.inf
+
+
+class TrialFleet:
+    """Start, change and stop the fleet."""
+
+    def __init__(self, shape: fleetshape.FleetShape):
+        self.shape = shape
+        self.keys = signing.generate_keys()
+        self.operators = {OPERATOR: self.keys.public}
+        self.platform = platform.PlatformStandin(
+            ANY_PORT, vm_lag_s=shape.vm_lag_s
+        )
+        self.proxies: dict[str, faults.FaultProxy] = {}
+        self.engines: dict[str, Guarded] = {}
+        self.services: dict[str, Guarded] = {}
+        self.routers: dict[str, compose.Router] = {}
+
+    async def start(self) -> None:
+        """Start everything; a bundle still has to be rolled out."""
+        await self.platform.start()
+        for role in messages.Role:
+            proxy = faults.FaultProxy(ANY_PORT, self.platform.address)
+            await proxy.start()
+            self.proxies[role] = proxy
+        for _ in range(self.shape.engines):
+            await self.add_engine()
+        for _ in range(self.shape.services):
+            await self.add_service()
+        for _ in range(self.shape.routers):
+            await self.add_router()
+        await self._wait_listed()
+
+    async def _wait_listed(self) -> None:
+        """Wait until the platform shows the whole VM list."""
+        async with asyncio.timeout(READY_BOUND_S):
+            while True:
+                listed = self.platform.vm_lists[-1].vms
+                if self.platform.visible_vms() == listed:
+                    return
+                await asyncio.sleep(POLL_S)
+
+    async def wait_ready(self) -> None:
+        """Wait until every process takes work and knows its pool."""
+        async with asyncio.timeout(READY_BOUND_S):
+            while True:
+                if all(self.is_ready(each) for each in self.processes()):
+                    break
+                await asyncio.sleep(POLL_S)
+
+    def is_ready(self, process: compose.Process) -> bool:
+        """Tell whether a process is ready and has the whole VM list."""
+        listed = len(self.platform.vm_lists[-1].vms)
+        if len(process.fleet.vms) < listed:
+            return False
+        if isinstance(process, compose.Sidecar) and not process.claims.ready:
+            return False
+        return process.get_readiness().ready
+
+    def processes(self) -> list[compose.Process]:
+        """Return all running routers and sidecars."""
+        guarded = [*self.engines.values(), *self.services.values()]
+        sidecars = [each.sidecar for each in guarded if each.live]
+        return [*self.routers.values(), *sidecars]
+
+    async def stop(self) -> None:
+        """Stop everything, without waiting for requests."""
+        for router in self.routers.values():
+            await router.stop(0)
+        guarded = [*self.engines.values(), *self.services.values()]
+        running = [each for each in guarded if each.until == math.inf]
+        await asyncio.gather(*(each.sidecar.stop(0) for each in running))
+        for each in running:
+            await each.server.stop()
+        for proxy in self.proxies.values():
+            await proxy.stop()
+        await self.platform.stop()
+
+    async def add_engine(self) -> Guarded:
+        """Start an engine with its sidecar and list its VM."""
+        shape = self.shape
+        name = f'engine-{len(self.engines) + 1}'
+        server = engine.EngineStandin(
+            ANY_PORT,
+            name,
+            shape.slots,
+            cache_entries=shape.cache_entries,
+            speed=shape.speed,
+            seed=shape.seed + len(self.engines),
+            event_lag_s=shape.event_lag_s,
+            event_drop_share=shape.event_drop_share,
+        )
+        added = await self._guard(
+            name, fleetshape.CHAT_POOL, server, settings.ServerKind.ENGINE
+        )
+        self.engines[name] = added
+        return added
+
+    async def add_service(self) -> Guarded:
+        """Start a plain service with its sidecar and list its VM."""
+        name = f'desk-{len(self.services) + 1}'
+        server = service.ServiceStandin(ANY_PORT, name)
+        added = await self._guard(
+            name, fleetshape.PLAIN_POOL, server, settings.ServerKind.SERVICE
+        )
+        self.services[name] = added
+        return added
+
+    async def add_router(self) -> compose.Router:
+        """Start a router and list its VM."""
+        name = f'entry-{len(self.routers) + 1}'
+        router = compose.Router(
+            settings.RouterSettings(
+                **self._settings(name, messages.Role.ROUTER)
+            )
+        )
+        await router.start()
+        self.routers[name] = router
+        self._list_vm(router, '', router.caller_server.port)
+        return router
+
+    async def leave(self, name: str) -> int:
+        """Drain one server as its VM leaves; returns the requests cut."""
+        guarded = (self.engines | self.services)[name]
+        guarded.until = time.monotonic()
+        vm = self.platform.vm_lists[-1].vms[name]
+        self.platform.put_vm({**vm, 'state': messages.VmState.LEAVING})
+        cut = await guarded.sidecar.stop(GRACE_S)
+        self.platform.remove_vm(name)
+        await guarded.server.stop()
+        return cut
+
+    async def _guard(
+        self,
+        name: str,
+        pool: str,
+        server: engine.EngineStandin | service.ServiceStandin,
+        kind: settings.ServerKind,
+    ) -> Guarded:
+        """Start a server with its sidecar and list its VM."""
+        await server.start()
+        held = settings.SidecarSettings(
+            **self._settings(name, messages.Role.SIDECAR),
+            pool=pool,
+            server=server.address,
+            kind=kind,
+        )
+        sidecar = compose.Sidecar(held)
+        await sidecar.start()
+        self._list_vm(sidecar, pool, sidecar.link_server.port)
+        return Guarded(name, pool, server, sidecar, time.monotonic())
+
+    def _settings(self, vm: str, role: messages.Role) -> dict:
+        """Return the settings that all processes have."""
+        place = len(self.engines) + len(self.services) + len(self.routers)
+        return {
+            'vm': vm,
+            'data_centre': DATA_CENTRES[place % len(DATA_CENTRES)],
+            'listen': ANY_PORT,
+            'admin': ANY_PORT,
+            'platform': f'http://{self.proxies[role].address}',
+            'fleet_key': FLEET_KEY,
+            'operators': self.operators,
+        }
+
+    def _list_vm(self, process: compose.Process, pool: str, port: int) -> None:
+        """Put a process on the VM list."""
+        held = process.settings
+        self.platform.put_vm(
+            {
+                'name': held.vm,
+                'role': process.role.value,
+                'address': f'127.0.0.1:{port}',
+                'admin': f'127.0.0.1:{process.admin.port}',
+                'data_centre': held.data_centre,
+                'pool': pool,
+                'state': messages.VmState.LIVE.value,
+            }
+        )
+
+    def caller_addresses(self) -> list[str]:
+        """Return the routers' addresses for callers."""
+        return [
+            f'127.0.0.1:{router.caller_server.port}'
+            for router in self.routers.values()
+        ]
+
+    def count_bookings(self) -> dict[str, int]:
+        """Return how often each booking ran, over all services."""
+        runs: dict[str, int] = {}
+        for guarded in self.services.values():
+            for name, count in guarded.server.bookings.items():
+                runs[name] = runs.get(name, 0) + count
+        return runs
+
+    def check_bound(self) -> boundcheck.BoundReport:
+        """Check the load bound by the engines' own counts."""
+        histories = {
+            name: guarded.server.loads.history()
+            for name, guarded in self.engines.items()
+        }
+        live = {
+            name: (guarded.since, guarded.until)
+            for name, guarded in self.engines.items()
+        }
+        return boundcheck.check(histories, self.shape.bound, live)
--- /dev/null
+++ b/arbutusvale/standins/fleetshape.py
@@ -0,0 +1,106 @@
+"""Describe a trial fleet and write its bundle."""
+
+import dataclasses
+import hashlib
+
+import yaml
+
+from arbutusvale.protocol import bundle
+from arbutusvale.standins import engine
+
+MODEL = 'trial-model'
+CHAT_SERVICE = 'drafts'
+CHAT_POOL = 'drafts-pool'
+PLAIN_SERVICE = 'desk'
+PLAIN_POOL = 'desk-pool'
+LARGE_SHARE = 0.3
+OTHER_SHARE = 0.05
+
+
+@dataclasses.dataclass(frozen=True)
+class FleetShape:
+    """Hold the sizes of a trial fleet and the policy of its model pool."""
+
+    engines: int = 6
+    services: int = 3
+    routers: int = 2
+    slots: int = 8
+    queue: int = 16
+    cache_entries: int = 200
+    policy: str = 'directory'
+    bound: float = bundle.DEFAULT_BOUND
+    organisations: int = 10
+    large: int = 2
+    event_lag_s: float = 0.2
+    event_drop_share: float = 0.02
+    vm_lag_s: float = 1.0
+    seed: int = 1
+    speed: engine.EngineSpeed = dataclasses.field(
+        default_factory=lambda: engine.EngineSpeed(
+            first_token_s=0.05, prompt_token_s=0.001, token_s=0.14
+        )
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Account:
+    """Hold an organisation of the trial, its API key and share of chats."""
+
+    organisation: str
+    api_key: str
+    share: float
+
+
+def list_accounts(shape: FleetShape) -> list[Account]:
+    """Name the organisations: first the large ones, then the small."""
+    accounts = []
+    for number in range(shape.organisations):
+        share = LARGE_SHARE if number < shape.large else OTHER_SHARE
+        name = f'organisation-{number}'
+        accounts.append(Account(name, f'key-of-{name}', share))
+    return accounts
+
+
+def write_bundle(
+    shape: FleetShape, operators: dict[str, str], version: str
+) -> str:
+    """Return the trial's bundle as YAML."""
+    document = {
+        'version': version,
+        'organisations': {
+            account.organisation: {
+                'keys': [_digest(account.api_key)],
+                'services': [CHAT_SERVICE, PLAIN_SERVICE],
+                'rate': 1000.0,
+                'burst': 1000,
+                'concurrency': 1000,
+            }
+            for account in list_accounts(shape)
+        },
+        'services': {
+            CHAT_SERVICE: {
+                'kind': 'model',
+                'pool': CHAT_POOL,
+                'model': MODEL,
+            },
+            PLAIN_SERVICE: {'kind': 'plain', 'pool': PLAIN_POOL},
+        },
+        'pools': {
+            CHAT_POOL: {
+                'policy': {'kind': shape.policy, 'bound': shape.bound},
+                'slots': shape.slots,
+                'queue': shape.queue,
+            },
+            PLAIN_POOL: {
+                'policy': {'kind': 'least_loaded', 'bound': 2.0},
+                'slots': 32,
+            },
+        },
+        'operators': operators,
+    }
+    return yaml.safe_dump(document, sort_keys=False)
+
+
+def _digest(api_key: str) -> str:
+    """Return the form in which the bundle holds an API key."""
+    return 'sha256:' + hashlib.sha256(api_key.encode()).hexdigest()
--- a/tests/protocol/test_platform.py
+++ b/tests/protocol/test_platform.py
@@ -87,6 +87,8 @@
                 body='{"role": "sidecar", "state": "live"}',
             )
             assert [vm.name for vm in await vms.read()] == ['a']
+            assert [vm.name for vm in await vms.read()] == ['a']
+            assert vms.etag
             await helpers.set_faults(client, standin, vm_lag_s=60.0)
             assert await vms.read() == []
             await helpers.set_faults(client, standin, vm_outage=True)
