--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 	$(BIN)/arbutusvale-standin fleet
 
 bench: setup
-	$(BIN)/arbutusvale-load bench
+	$(BIN)/python -m tests.bench --out docs/measurements
 
 measure: setup
 	$(BIN)/arbutusvale-load measure --out docs/measurements
--- a/arbutusvale/load/bench.py
+++ b/arbutusvale/load/bench.py
@@ -8,6 +8,8 @@
 import dataclasses
 import itertools
 
+import pydantic.dataclasses
+
 from arbutusvale.load import caller
 from arbutusvale.load import procstat
 from arbutusvale.load import score
@@ -16,9 +18,10 @@
 CALL_TIMEOUT_S = 30.0
 READ_PATH = '/status/room-1'
 WARM_UP_CALLS = 50
+RAMP_S = 0.005
 
 
-@dataclasses.dataclass(frozen=True)
+@pydantic.dataclasses.dataclass(frozen=True, kw_only=True)
 class Bench:
     """Say what to measure.
 
@@ -201,6 +204,7 @@
 
 async def _stream_one(bench: Bench, number: int, tokens: int) -> int:
     """Play one turn of a chat; returns the chunks of its answer."""
+    await asyncio.sleep(number * RAMP_S)
     message = {'role': 'user', 'content': f'stream {number}'}
     reply = await caller.chat(
         bench.router,
@@ -212,7 +216,9 @@
         CALL_TIMEOUT_S * 4,
     )
     if not (reply.answered and reply.own):
-        raise RuntimeError(f'a stream failed: {reply.reply.status}')
+        raise RuntimeError(
+            f'a stream failed: {reply.reply.status} {reply.reply.problem}'
+        )
     return reply.tokens
 
 
--- /dev/null
+++ b/arbutusvale/ui/commands/load_bench.py
@@ -0,0 +1,94 @@
+"""Measure the cost of router and sidecar in running processes."""
+
+import asyncio
+import dataclasses
+
+from arbutusvale import yamlfile
+from arbutusvale.load import bench
+from arbutusvale.load import linkcost
+from arbutusvale.load import report
+from arbutusvale.ui import exitcodes
+from arbutusvale.ui import output
+
+RATES = (20.0, 73.0, 150.0)
+COMPARE_S = 10.0
+CONCURRENCY = 32
+SATURATE_S = 8.0
+STREAMS = 400
+TOKENS = 150
+
+
+@dataclasses.dataclass(frozen=True)
+class Results:
+    """Hold all that the benchmark measured."""
+
+    latencies: list[bench.Latencies]
+    throughput: bench.Throughput
+    streams: bench.Streams
+    idle_link: linkcost.LinkCost
+
+
+def run(options: dict) -> int:
+    """Measure and print the results."""
+    read = yamlfile.read(options['FILE'], bench.Bench)
+    results = asyncio.run(measure(read))
+    if options['--json']:
+        output.print_json(dataclasses.asdict(results))
+    else:
+        print(text(results))
+    return exitcodes.ExitCode.DONE
+
+
+async def measure(read: bench.Bench) -> Results:
+    """Run all parts, one after the other."""
+    idle_link = await linkcost.measure()
+    await bench.warm_up(read)
+    latencies = [await bench.compare(read, rate, COMPARE_S) for rate in RATES]
+    streams = await bench.stream(read, STREAMS, TOKENS)
+    throughput = await bench.saturate(read, CONCURRENCY, SATURATE_S)
+    return Results(latencies, throughput, streams, idle_link)
+
+
+def text(results: Results) -> str:
+    """Return the results as tables."""
+    rows = [
+        [
+            f'{each.rate:.0f}',
+            f'{each.router_core_share:.2f}',
+            *(
+                '/'.join(f'{value:.2f}' for value in times.values())
+                for times in (each.direct, each.routed, each.added)
+            ),
+        ]
+        for each in results.latencies
+    ]
+    headings = [
+        'requests/s',
+        'router core',
+        'direct ms p50/95/99',
+        'routed ms',
+        'added ms',
+    ]
+    throughput, streams = results.throughput, results.streams
+    link = results.idle_link
+    costs = [
+        ['requests/s, closed loop', f'{throughput.per_s:.0f}'],
+        ['requests/s per router core', f'{throughput.per_router_core:.0f}'],
+        ['router ms/request', f'{throughput.router_cpu_ms:.2f}'],
+        ['sidecar ms/request', f'{throughput.sidecar_cpu_ms:.2f}'],
+        ['streams in flight', str(streams.streams)],
+        ['chunks/s', f'{streams.chunks_per_s:.0f}'],
+        ['chunks/s per router core', f'{streams.chunks_per_router_core:.0f}'],
+        [
+            'chunks/s per sidecar core',
+            f'{streams.chunks_per_sidecar_core:.0f}',
+        ],
+        ['router KB per stream', f'{streams.router_rss_bytes / 1024:.1f}'],
+        ['sidecar KB per stream', f'{streams.sidecar_rss_bytes / 1024:.1f}'],
+        ['idle link bytes/s', f'{link.idle_bytes_per_s:.2f}'],
+        ['idle link bytes to open', f'{link.opening_bytes:.0f}'],
+        ['idle link KB, both ends', f'{link.rss_bytes / 1024:.1f}'],
+    ]
+    return '\n\n'.join(
+        [report.table(headings, rows), report.table(['cost', ''], costs)]
+    )
--- /dev/null
+++ b/arbutusvale/ui/commands/load_measure.py
@@ -0,0 +1,75 @@
+"""Measure every policy on the same seeded day, and control bytes by size."""
+
+import asyncio
+import dataclasses
+import pathlib
+
+from arbutusvale import errors
+from arbutusvale.load import plan
+from arbutusvale.load import rates
+from arbutusvale.load import report
+from arbutusvale.standins import fleet
+from arbutusvale.standins import fleetshape
+from arbutusvale.ui import exitcodes
+from arbutusvale.ui import output
+from arbutusvale.ui import trial
+
+POLICIES = ('random', 'least_loaded', 'rendezvous', 'directory')
+SIZES = (6, 12, 24, 48)
+IDLE_S = 12.0
+SETTLE_S = 3.0
+
+
+def run(options: dict) -> int:
+    """Play the days, then write and print what they showed."""
+    main_seed = read_seed(options['--seed'])
+    folder = pathlib.Path(options['--out'])
+    folder.mkdir(parents=True, exist_ok=True)
+    measured = asyncio.run(measure(main_seed, str(folder)))
+    report.write_json(measured, folder / 'measure.json')
+    report.write_text(measured, folder / 'measure.txt')
+    report.plot(measured, folder / 'measure.png')
+    if options['--json']:
+        output.print_json(dataclasses.asdict(measured))
+    else:
+        print(report.text(measured), end='')
+    return exitcodes.ExitCode.DONE
+
+
+def read_seed(text: str) -> int:
+    """Read the seed of the load."""
+    if not text.isdigit():
+        raise errors.UsageError(
+            f'{text!r} is no seed.', 'Give a whole number, as --seed=1.'
+        )
+    return int(text)
+
+
+async def measure(seed: int, folder: str) -> report.Measurement:
+    """Measure all policies in turn, then the slope of control bytes."""
+    results = []
+    for policy in POLICIES:
+        shape = fleetshape.FleetShape(policy=policy, seed=seed)
+        played = await trial.play_day(shape, plan.DayShape(seed=seed))
+        results.append(played.result)
+    points = [await measure_idle(size, seed) for size in SIZES]
+    command = f'arbutusvale-load measure --seed={seed} --out={folder}'
+    return report.Measurement(command, seed, results, points)
+
+
+async def measure_idle(sidecars: int, seed: int) -> report.SlopePoint:
+    """Count the control bytes of an idle fleet with ``sidecars`` engines."""
+    shape = fleetshape.FleetShape(engines=sidecars, services=0, seed=seed)
+    idle = fleet.TrialFleet(shape)
+    await idle.start()
+    try:
+        await trial.roll_out(idle, 'idle-1')
+        await idle.wait_ready()
+        await asyncio.sleep(SETTLE_S)
+        view = trial.TrialView(idle)
+        before = await view.usage()
+        await asyncio.sleep(IDLE_S)
+        control = rates.control_rates(before, await view.usage(), IDLE_S)
+    finally:
+        await idle.stop()
+    return report.SlopePoint(sidecars, IDLE_S, control)
--- a/arbutusvale/ui/usage.py
+++ b/arbutusvale/ui/usage.py
@@ -104,7 +104,7 @@
 LOAD = f"""Play chats and bookings against a fleet and measure it.
 
 Usage:
-  arbutusvale-load bench [--seed=N] [--json]
+  arbutusvale-load bench FILE [--json]
   arbutusvale-load measure [--seed=N] [--out=DIR] [--json]
   arbutusvale-load play ROUTERS --key=KEY [--seed=N] [--seconds=S] [--json]
   arbutusvale-load slopes [--seed=N] [--json]
@@ -121,7 +121,9 @@
   -h --help    Print this text.
   --version    Print the version.
 
-ROUTERS are URLs of routers, with commas between.  PLATFORM is the address
+FILE says in YAML which running processes to measure; `make bench` starts
+them and writes it.  ROUTERS are URLs of routers, with commas between.
+PLATFORM is the address
 of a log service, whose stream of claims the program fills.
 
 {_CODES}"""
