Count the bytes exchanged with the platform on the status page

Ruled out: counting at sockets, which tornado's client does not expose; the bytes are those of the HTTP messages as usually written.

--- a/arbutusvale/compose.py
+++ b/arbutusvale/compose.py
@@ -66,11 +66,15 @@
         self.generator = numpy.random.default_rng()
         self.client = httpclient.make_client()
         self.counters = linkcounters.LinkCounters()
+        self.traffic = platform.PlatformTraffic()
         self.fleet = fleet.Fleet()
         self.membership = membership.Membership(
-            platform.HttpVmList(held.platform, self.client), self.fleet
+            platform.HttpVmList(held.platform, self.client, self.traffic),
+            self.fleet,
+        )
+        self.log = platform.HttpLogService(
+            held.platform, self.client, self.traffic
         )
-        self.log = platform.HttpLogService(held.platform, self.client)
         self.chain = bundles.BundleChain(held.operators)
         self.follower = bundlefollower.BundleFollower(
             self.log,
@@ -141,6 +145,12 @@
             request_bytes_received=self.counters.received.request_bytes,
         )
 
+    def describe_platform(self) -> status.PlatformStatus:
+        """Describe the bytes exchanged with the platform."""
+        return status.PlatformStatus(
+            sent=dict(self.traffic.sent), received=dict(self.traffic.received)
+        )
+
     def _list_peers(self) -> list[str]:
         """List the VMs that accept links: all sidecars but this one."""
         return [
@@ -216,6 +226,7 @@
             ready=self.get_readiness().ready,
             bundle=self.describe_bundle(),
             links=self.describe_links(),
+            platform=self.describe_platform(),
             active=self.dispatcher.active,
             outcomes=dict(self.dispatcher.measures.outcomes),
             retries=self.dispatcher.measures.retries,
@@ -343,7 +354,7 @@
             pool=self.settings.pool,
             log=self.log,
             weights=platform.HttpWeightStore(
-                self.settings.platform, self.client
+                self.settings.platform, self.client, self.traffic
             ),
             engine=self.server,
             read_head=lambda: self.follower.head,
@@ -423,6 +434,7 @@
             ready=self.get_readiness().ready,
             bundle=self.describe_bundle(),
             links=self.describe_links(),
+            platform=self.describe_platform(),
             load=self.places.load,
             mean_load=self.table.mean,
             directory_entries=len(self.directory.places),
--- a/arbutusvale/protocol/platform.py
+++ b/arbutusvale/protocol/platform.py
@@ -1,10 +1,12 @@
 """Reach the platform's log service, VM list and weight store over HTTP."""
 
 import base64
+import collections
 import json
 import urllib.parse
 
 from tornado import httpclient
+from tornado import httputil
 from tornado import simple_httpclient
 
 from arbutusvale import errors
@@ -20,12 +22,44 @@
 _NOT_SENT = ('Timeout while connecting', 'Timeout in request queue')
 
 
+class PlatformTraffic:
+    """Count the bytes of HTTP exchanged with the platform.
+
+    Both counters go by what was called: a log stream, the VM list or the
+    weights.  Heads of messages are counted as they are usually written.
+    """
+
+    def __init__(self):
+        self.sent: collections.Counter[str] = collections.Counter()
+        self.received: collections.Counter[str] = collections.Counter()
+
+    def add(self, called: str, answer: httpclient.HTTPResponse) -> None:
+        """Count one request and its answer."""
+        request = answer.request
+        self.sent[called] += (
+            len(f'{request.method} {request.url} HTTP/1.1\r\n')
+            + _size_of_headers(request.headers)
+            + len(request.body or b'')
+        )
+        self.received[called] += (
+            len(f'HTTP/1.1 {answer.code} {answer.reason}\r\n')
+            + _size_of_headers(answer.headers)
+            + len(answer.body or b'')
+        )
+
+
 class _Platform:
     """Call the platform at one address."""
 
-    def __init__(self, address: str, client: httpclient.AsyncHTTPClient):
+    def __init__(
+        self,
+        address: str,
+        client: httpclient.AsyncHTTPClient,
+        traffic: PlatformTraffic | None = None,
+    ):
         self.root = address if '://' in address else f'http://{address}'
         self.client = client
+        self.traffic = traffic or PlatformTraffic()
 
     async def call(
         self,
@@ -41,7 +75,7 @@
         effect and :class:`errors.LogUnavailable` when it did not.
         """
         try:
-            return await self.client.fetch(
+            answer = await self.client.fetch(
                 self.root + path,
                 method='GET' if body is None else 'POST',
                 body=body,
@@ -58,6 +92,14 @@
             raise errors.LogAnswerLost(stream, str(error)) from error
         except (httpclient.HTTPError, OSError) as error:
             raise errors.LogAnswerLost(stream, str(error)) from error
+        self.traffic.add(stream, answer)
+        return answer
+
+
+def _size_of_headers(headers: httputil.HTTPHeaders) -> int:
+    """Return the bytes of the header lines and the empty line."""
+    lines = [f'{name}: {value}\r\n' for name, value in headers.get_all()]
+    return sum(map(len, lines)) + len('\r\n')
 
 
 def _check_success(stream: str, answer: httpclient.HTTPResponse) -> None:
@@ -111,8 +153,13 @@
     Asks for the list only if it changed, where the platform supports that.
     """
 
-    def __init__(self, address: str, client: httpclient.AsyncHTTPClient):
-        super().__init__(address, client)
+    def __init__(
+        self,
+        address: str,
+        client: httpclient.AsyncHTTPClient,
+        traffic: PlatformTraffic | None = None,
+    ):
+        super().__init__(address, client, traffic)
         self.etag = ''
         self.vms: list[ports.Vm] = []
 
--- a/arbutusvale/state/status.py
+++ b/arbutusvale/state/status.py
@@ -26,6 +26,14 @@
     request_bytes_received: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformStatus:
+    """Count the bytes exchanged with the platform, by what was called."""
+
+    sent: dict[str, int]
+    received: dict[str, int]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RouterStatus:
     """Describe a router."""
@@ -37,6 +45,7 @@
     ready: bool
     bundle: BundleStatus | None
     links: LinkStatus
+    platform: PlatformStatus
     active: int
     outcomes: dict[str, int]
     retries: int
@@ -60,6 +69,7 @@
     ready: bool
     bundle: BundleStatus | None
     links: LinkStatus
+    platform: PlatformStatus
     load: int
     mean_load: float
     directory_entries: int
--- a/tests/protocol/test_platform.py
+++ b/tests/protocol/test_platform.py
@@ -110,3 +110,24 @@
             assert standin.weights_granted == 1
 
     asyncio.run(check())
+
+
+def test_traffic_is_counted_by_what_was_called():
+    async def check():
+        standin = platform_standin.PlatformStandin(LOCAL)
+        async with helpers.running(standin) as client:
+            await client.fetch(
+                f'http://{standin.address}/vms/a',
+                method='PUT',
+                body='{"role": "sidecar", "state": "live"}',
+            )
+            traffic = platform.PlatformTraffic()
+            vms = platform.HttpVmList(standin.address, client, traffic)
+            await vms.read()
+            whole = traffic.received['vms']
+            await vms.read()
+            unchanged = traffic.received['vms'] - whole
+            assert 0 < unchanged < whole
+            assert set(traffic.sent) == {'vms'}
+
+    asyncio.run(check())
