Resume an engine's answer when its connection falls silent

A connection between sidecar and engine may be dead while new ones work, and then a stream stood still until its timeout. After a second of silence the sidecar asks the engine for the rest from the byte it lacks, over a second connection, and reads on from whichever carries something; an engine that is only slow keeps its first one, and one that cannot resume is waited for. Ruled out: running the request again, as its tokens may differ and the caller has seen some.

In a scratch copy that never opens the second connection all 3 new scenarios failed, as AssertionError: the stream still runs after 30.0 s assert (0, TimeoutError('timed out')) == (200, None) With it all pass. Plain services have no resume: an idempotent call is hedged by the router, a booking waits for its timeout and is unknown.

--- a/arbutusvale/protocol/engine.py
+++ b/arbutusvale/protocol/engine.py
@@ -1,5 +1,6 @@
 """Reach a model engine beside its sidecar over HTTP."""
 
+from collections.abc import AsyncIterator
 import contextlib
 import json
 import urllib.parse
@@ -7,8 +8,10 @@
 from tornado import httpclient
 
 from arbutusvale import errors
+from arbutusvale.protocol import httpanswer
 from arbutusvale.protocol import plainservice
 from arbutusvale.protocol import ports
+from arbutusvale.protocol import resumption
 
 CACHE_KEY = 'Prompt-Cache-Key'
 PRIORITY = 'Priority'
@@ -32,6 +35,47 @@
             headers.append([CACHE_KEY, request.chat])
         return headers
 
+    async def run(
+        self, request: ports.ServerRequest
+    ) -> AsyncIterator[ports.ServerHead | bytes]:
+        """Run a request and resume its answer when a connection is silent.
+
+        Yields one head, then pieces of the body.
+        """
+        answer = resumption.read_resuming(self, request)
+        try:
+            async for part in answer:
+                yield part
+        finally:
+            await answer.aclose()
+
+    async def resume(
+        self, request: ports.ServerRequest, start: int, silence_s: float
+    ) -> AsyncIterator[ports.ServerHead | bytes | httpanswer.Silent]:
+        """Yield the answer of a run in flight again from byte ``start``.
+
+        Raises :class:`errors.ServerBroken` when the engine lost the run
+        and :class:`resumption.NotResumable` when it cannot resume any.
+        """
+        run_id = urllib.parse.quote(request.request_id, safe='')
+        answer = httpanswer.stream(
+            self.address,
+            'GET',
+            f'/resume/{run_id}?from={start}',
+            self.own_headers(request),
+            b'',
+            request.timeout,
+            silence_s,
+        )
+        try:
+            async for part in answer:
+                if isinstance(part, ports.ServerHead):
+                    resumption.check_status(self.address, part)
+                    self.check_echo(request, part)
+                yield part
+        finally:
+            await answer.aclose()
+
     async def cancel(self, request_id: str) -> None:
         """Ask the engine to stop a request; failures are ignored."""
         with contextlib.suppress(*_NO_ANSWER):
--- a/arbutusvale/protocol/httpanswer.py
+++ b/arbutusvale/protocol/httpanswer.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
+import math
 import socket
 
 from tornado import http1connection
@@ -35,6 +36,11 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Silent:
+    """Tell that nothing arrived for a while; the answer may still come."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Ended:
     """Mark the end of an answer."""
@@ -93,9 +99,11 @@
     headers: list,
     body: bytes,
     timeout: float,
-) -> AsyncIterator[ports.ServerHead | bytes]:
+    silence_s: float = math.inf,
+) -> AsyncIterator[ports.ServerHead | bytes | Silent]:
     """Send a request and yield the head, then pieces of the body.
 
+    Yields a :class:`Silent` whenever nothing arrived for ``silence_s``.
     Closing the iterator closes the connection.  Raises
     :class:`errors.ServerUnreachable` when nothing was sent and
     :class:`errors.ServerBroken` when the answer is not whole or not there
@@ -110,8 +118,7 @@
     reading = asyncio.create_task(receiver.receive(connection))
     try:
         while True:
-            async with asyncio.timeout_at(deadline):
-                part = await receiver.parts.get()
+            part = await _next_part(receiver, deadline, silence_s)
             match part:
                 case _Ended(whole=True):
                     return
@@ -127,6 +134,20 @@
             await reading
 
 
+async def _next_part(
+    receiver: _Receiver, deadline: float, silence_s: float
+) -> ports.ServerHead | bytes | Silent | _Ended:
+    """Wait for the next part; raises TimeoutError at the deadline."""
+    silent_at = asyncio.get_running_loop().time() + silence_s
+    try:
+        async with asyncio.timeout_at(min(deadline, silent_at)):
+            return await receiver.parts.get()
+    except TimeoutError:
+        if deadline <= silent_at:
+            raise
+        return Silent()
+
+
 async def _connect(address: str, timeout: float) -> iostream.IOStream:
     """Open a connection or raise :class:`errors.ServerUnreachable`."""
     target = settings.split_address(address)
--- a/arbutusvale/protocol/plainservice.py
+++ b/arbutusvale/protocol/plainservice.py
@@ -1,6 +1,7 @@
 """Reach a plain service beside its sidecar over HTTP."""
 
 from collections.abc import AsyncIterator
+import math
 
 from tornado import httpclient
 
@@ -28,6 +29,17 @@
         An answer that does not echo the request id is dropped with its
         connection.  Closing the iterator closes the connection.
         """
+        answer = self.stream(request)
+        try:
+            async for part in answer:
+                yield part
+        finally:
+            await answer.aclose()
+
+    async def stream(
+        self, request: ports.ServerRequest, silence_s: float = math.inf
+    ) -> AsyncIterator[ports.ServerHead | bytes | httpanswer.Silent]:
+        """Run a request and tell of each silence of ``silence_s`` s."""
         own = {name.lower() for name, _ in self.own_headers(request)}
         headers = [
             [name, value]
@@ -41,6 +53,7 @@
             headers + self.own_headers(request),
             request.body,
             request.timeout,
+            silence_s,
         )
         try:
             async for part in answer:
--- a/arbutusvale/standins/engine.py
+++ b/arbutusvale/standins/engine.py
@@ -15,6 +15,7 @@
 from arbutusvale.standins import webserver
 
 DEFAULT_ANSWER_TOKENS = 12
+KEPT_RUNS = 256
 
 
 @dataclasses.dataclass
@@ -91,6 +92,9 @@
         self.events = enginestate.Events(self.generator)
         self.loads = enginestate.LoadReports()
         self.active: set[enginestate.Run] = set()
+        self.kept: collections.OrderedDict[str, enginestate.Run] = (
+            collections.OrderedDict()
+        )
 
     def routes(self) -> list:
         """Return the application's URL rules."""
@@ -98,6 +102,7 @@
         return [
             (callerapi.CHAT_PATH, ChatHandler, own),
             (r'/cancel/(.+)', CancelHandler, own),
+            (r'/resume/(.+)', ResumeHandler, own),
             ('/events', EventsHandler, own),
             ('/load', LoadHandler, own),
             ('/orders', OrdersHandler, own),
@@ -111,6 +116,9 @@
     def begin(self, run: enginestate.Run) -> None:
         """Count a request that came in."""
         self.active.add(run)
+        self.kept[run.request_id] = run
+        while len(self.kept) > KEPT_RUNS:
+            self.kept.popitem(last=False)
         self.runs[run.request_id] += 1
         self.peak = max(self.peak, len(self.active))
         self.report_load()
@@ -210,8 +218,19 @@
             finally:
                 slots.release()
         finally:
+            run.end(whole=run.whole)
             standin.end(run)
 
+    def left(self, run: enginestate.Run) -> bool:
+        """Tell whether nobody waits for the answer any more."""
+        return run.cancelled or (self.gone and not run.readers)
+
+    def pass_on(self, run: enginestate.Run, data: bytes) -> None:
+        """Write a part of the answer and keep it for those who resume."""
+        run.emit(data)
+        if not self.gone:
+            self.write(data)
+
     async def work(self, run: enginestate.Run) -> None:
         """Produce the answer, unless a fault or a cancel ends it."""
         faults = self.standin.faults
@@ -233,11 +252,11 @@
         await self.pause(speed.first_token_s + prefill)
         pieces = answer_pieces(prompt)
         for number, piece in enumerate(pieces):
-            if run.cancelled or self.gone:
+            if self.left(run):
                 self.drop()
                 return
             if prompt.stream:
-                self.send_piece(number, piece, len(pieces))
+                self.send_piece(run, number, piece, len(pieces))
             await self.pause(speed.token_s)
         self.finish_answer(run, prompt, cached, pieces)
 
@@ -265,21 +284,26 @@
         self.set_header(callerapi.REQUEST_ID, echoed)
         self.set_header('Content-Type', 'application/json')
 
-    def send_piece(self, number: int, piece: str, count: int) -> None:
+    def send_piece(
+        self, run: enginestate.Run, number: int, piece: str, count: int
+    ) -> None:
         """Send one token as a server-sent event."""
         delta = {'content': piece}
         if number == 0:
-            self.set_header('Content-Type', 'text/event-stream')
+            run.content_type = 'text/event-stream'
+            self.set_header('Content-Type', run.content_type)
             delta['role'] = 'assistant'
         reason = 'stop' if number == count - 1 else None
         choice = {'index': 0, 'delta': delta, 'finish_reason': reason}
-        self.send_event({'choices': [choice]})
-        self.flush()
+        self.send_event(run, {'choices': [choice]})
+        if not self.gone:
+            self.flush()
 
-    def send_event(self, fields: dict) -> None:
+    def send_event(self, run: enginestate.Run, fields: dict) -> None:
         """Write one server-sent event."""
         document = self.envelope('chat.completion.chunk')
-        self.write(f'data: {json.dumps(document | fields)}\n\n')
+        text = f'data: {json.dumps(document | fields)}\n\n'
+        self.pass_on(run, text.encode())
 
     def envelope(self, kind: str) -> dict:
         """Return the fields that all answer documents have."""
@@ -299,7 +323,7 @@
         pieces: list[str],
     ) -> None:
         """Send what follows the last token."""
-        if run.cancelled or self.gone:
+        if self.left(run):
             self.drop()
             return
         usage = {
@@ -310,14 +334,59 @@
         }
         if prompt.stream:
             if prompt.usage_wanted:
-                self.send_event({'choices': [], 'usage': usage})
-            self.write('data: [DONE]\n\n')
-            self.finish()
+                self.send_event(run, {'choices': [], 'usage': usage})
+            self.pass_on(run, b'data: [DONE]\n\n')
+            self.finish_whole(run)
             return
         message = {'role': 'assistant', 'content': ''.join(pieces)}
         choice = {'index': 0, 'message': message, 'finish_reason': 'stop'}
         document = self.envelope('chat.completion')
-        self.answer({**document, 'choices': [choice], 'usage': usage})
+        document |= {'choices': [choice], 'usage': usage}
+        run.content_type = 'application/json'
+        self.pass_on(run, json.dumps(document).encode())
+        self.finish_whole(run)
+
+    def finish_whole(self, run: enginestate.Run) -> None:
+        """Close a whole answer."""
+        run.whole = True
+        if not self.gone:
+            self.finish()
+
+
+class ResumeHandler(webserver.StandinHandler):
+    """Send the answer of a run again over another connection."""
+
+    async def get(self, run_id: str) -> None:
+        """Send what comes after byte ``from``, until the answer ends."""
+        run = self.standin.kept.get(run_id)
+        if run is None:
+            self.answer({'error': 'no such run'}, 410)
+            return
+        self.set_header(callerapi.REQUEST_ID, run_id)
+        run.readers += 1
+        try:
+            await self.follow(run, int(self.get_argument('from')))
+        finally:
+            run.readers -= 1
+
+    async def follow(self, run: enginestate.Run, sent: int) -> None:
+        """Write the answer from byte ``sent`` on as it grows."""
+        while not self.gone:
+            changed = run.changed
+            rest = bytes(run.output[sent:])
+            sent += len(rest)
+            if rest:
+                self.set_header('Content-Type', run.content_type)
+                self.write(rest)
+                self.flush()
+            elif run.ended:
+                break
+            else:
+                await changed.wait()
+        if run.whole and not self.gone:
+            self.finish()
+        else:
+            self.drop()
 
 
 class CancelHandler(webserver.StandinHandler):
--- a/arbutusvale/standins/enginestate.py
+++ b/arbutusvale/standins/enginestate.py
@@ -17,10 +17,32 @@
 
 @dataclasses.dataclass(eq=False)
 class Run:
-    """Hold one request that waits or runs."""
+    """Hold one request that waits or runs, and its answer so far.
+
+    ``readers`` counts connections that resumed the answer; ``ended`` and
+    ``whole`` tell that no more comes and that nothing is lacking.
+    """
 
     request_id: str
     cancelled: bool = False
+    readers: int = 0
+    content_type: str = ''
+    output: bytearray = dataclasses.field(default_factory=bytearray)
+    ended: bool = False
+    whole: bool = False
+    changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+    def emit(self, data: bytes) -> None:
+        """Append to the answer and wake the readers."""
+        self.output += data
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def end(self, whole: bool) -> None:
+        """Close the answer."""
+        self.ended = True
+        self.whole = whole
+        self.emit(b'')
 
 
 class Slots:
--- a/tests/features/connections.feature
+++ b/tests/features/connections.feature
@@ -50,6 +50,27 @@
     Then the booking is answered within 3 s of that
     And the booking ran 1 time
 
+  Scenario Outline: The link to an engine goes silent for good in a stream
+    Given an engine that its sidecar reaches through a proxy
+    And the engine takes 0.1 s for each token
+    When a chat streams 20 tokens and 3 of them arrived
+    And the connections to the engine go silent in direction <direction>
+    Then the stream is whole, with no gap above 3 s
+    And the engine ran the chat 1 time
+
+    Examples:
+      | direction |
+      | both      |
+      | to_client |
+
+  Scenario: The link to an engine goes silent for good before the first token
+    Given an engine that its sidecar reaches through a proxy
+    And the engine takes 0.5 s for each token
+    When a chat streams 3 tokens and the engine has begun
+    And the connections to the engine go silent in direction both
+    Then the stream is whole, with no gap above 3 s
+    And the engine ran the chat 1 time
+
   Scenario: A router is killed in the middle of a stream
     Given an engine and two routers that link to it through a proxy
     And the engine takes 0.1 s for each token
--- a/tests/features/test_connections.py
+++ b/tests/features/test_connections.py
@@ -57,6 +57,15 @@
     return Bench(built, built.guarded['service-1'])
 
 
+@given(
+    'an engine that its sidecar reaches through a proxy',
+    target_fixture='bench',
+)
+def _(build):
+    built = build(engines=1, services=0, server_proxies=True)
+    return Bench(built, built.guarded['engine-1'])
+
+
 @given(parsers.parse('the engine takes {seconds:g} s for each token'))
 def _(bench, seconds):
     bench.built.set_faults(
@@ -106,6 +115,15 @@
     bench.silent_at = time.monotonic()
 
 
+@when(
+    parsers.parse(
+        'the connections to the engine go silent in direction {direction}'
+    )
+)
+def _(bench, direction):
+    bench.built.set_faults(bench.guarded.server_control, freeze=direction)
+
+
 @when('a booking is sent and has run')
 def _(bench):
     bench.booking = bench.pool.submit(bench.built.book, 'bay-1')
