Prove at most one run per key with real processes

Every answer is checked against the services' own counts: never above one run, a booking that was only told 'not-run' has none, each answer holds its sender's token.

--- /dev/null
+++ b/tests/helpers_bookings.py
@@ -0,0 +1,217 @@
+"""Send bookings to a deployment under faults and check what was told."""
+
+import base64
+import concurrent.futures
+import dataclasses
+import time
+
+from arbutusvale.protocol import claimrecord
+from tests import deployment
+from tests import processes
+
+SHAPE = {
+    'engines': 0,
+    'services': 3,
+    'routers': 2,
+    'link_proxies': True,
+    'log_proxies': ('service-1', 'service-2', 'service-3'),
+}
+BOOKING = 'bay-7'
+LOG_DELAY_S = 0.5
+CALL_TIMEOUT_S = 20.0
+MOST_CALLERS = 32
+POLL_ANSWERED_S = 0.5
+NO_CLAIMS = claimrecord.encode(claimrecord.ClaimRecord('none', 1, []))
+UNANSWERED = 'unanswered'
+
+
+@dataclasses.dataclass
+class Sent:
+    """Hold one send of a booking and what its caller was told."""
+
+    booking: str
+    token: str
+    answer: processes.Answer | None
+    outcome: str
+    seconds: float
+
+
+class Bench:
+    """Drive one deployment of booking services."""
+
+    def __init__(self, built: deployment.Deployment):
+        self.built = built
+        self.window_s = 3600.0
+        self.callers = concurrent.futures.ThreadPoolExecutor(MOST_CALLERS)
+        self.futures: list[concurrent.futures.Future] = []
+        self.sends: list[Sent] = []
+        self.earlier: dict[str, int] = {}
+        self.holder: deployment.Guarded | None = None
+        self.stopped: deployment.Guarded | None = None
+
+    def close(self) -> None:
+        """End what still runs, so that no caller waits for long."""
+        self.callers.shutdown(wait=False, cancel_futures=True)
+
+    # Sending
+
+    def send(
+        self, router: str, booking: str = BOOKING, token: str = ''
+    ) -> None:
+        """Send a booking in the background; its key is its name."""
+        future = self.callers.submit(
+            self._send, router, booking, token or f'token-of-{booking}'
+        )
+        self.futures.append(future)
+
+    def _send(self, router: str, booking: str, token: str) -> Sent:
+        """Send a booking and read what its caller is told."""
+        began = time.monotonic()
+        try:
+            answer = self.built.book(
+                booking,
+                router,
+                idempotency_key=f'key-of-{booking}',
+                token=token,
+                timeout_s=CALL_TIMEOUT_S,
+            )
+            outcome = answer.header('Arbutusvale-Outcome')
+        except OSError:
+            answer, outcome = None, UNANSWERED
+        seconds = time.monotonic() - began
+        sent = Sent(booking, token, answer, outcome, seconds)
+        self.sends.append(sent)
+        return sent
+
+    def last(self) -> Sent:
+        """Return the send that was begun last, when it has its answer."""
+        return self.futures[-1].result(CALL_TIMEOUT_S * 2)
+
+    def wait_for_answers(self) -> None:
+        """Wait until every caller has got its answer."""
+        for future in self.futures:
+            future.result(CALL_TIMEOUT_S * 2)
+
+    # Checking
+
+    def count(self, booking: str = BOOKING) -> int:
+        """Return how often a booking ran, by the services' own counts."""
+        counted = self.built.count_bookings().get(booking, 0)
+        return counted + self.earlier.get(booking, 0)
+
+    def check_truth(self) -> None:
+        """Check every answer so far against the services' counts."""
+        for booking in {sent.booking for sent in self.sends}:
+            runs = self.count(booking)
+            assert runs <= 1, (booking, runs)
+            told = [sent for sent in self.sends if sent.booking == booking]
+            if all(sent.outcome == 'not-run' for sent in told):
+                assert runs == 0, (booking, 'told not-run')
+            for sent in told:
+                if sent.outcome == 'answered':
+                    assert runs == 1, booking
+                    assert sent.answer.json()['token'] == sent.token
+
+    def wait_for_run(self) -> None:
+        """Wait until the booking has run."""
+        processes.wait_until(lambda: self.count(), what='the booking ran')
+
+    def find_holder(self) -> deployment.Guarded:
+        """Return the server that ran the booking, waiting for it."""
+
+        def search() -> deployment.Guarded | None:
+            for guarded in self.built.guarded.values():
+                if not guarded.server.running():
+                    continue
+                if guarded.stats()['bookings'].get(BOOKING):
+                    return guarded
+            return None
+
+        if self.holder is None:
+            self.holder = processes.wait_until(search, what='a holder')
+        return self.holder
+
+    def read_status(self, guarded: deployment.Guarded) -> dict:
+        """Read a sidecar's status."""
+        return processes.call('GET', f'http://{guarded.admin}/status').json()
+
+    # Faults
+
+    def set_services(self, **faults) -> None:
+        """Set faults of all booking services."""
+        for guarded in self.built.guarded.values():
+            self.built.set_faults(guarded.server_address, **faults)
+
+    def wait_for_window(self, seconds: float) -> None:
+        """Wait until every sidecar knows the log's retention."""
+        self.window_s = seconds
+        self.append_claims(NO_CLAIMS)
+        for guarded in self.built.guarded.values():
+            processes.wait_until(
+                lambda g=guarded: (
+                    self.read_status(g)['claim_window_s'] == seconds
+                ),
+                what='the new retention is known',
+            )
+
+    def append_claims(self, record: bytes) -> None:
+        """Append a record to the stream of claims."""
+        url = f'http://{self.built.platform_address}/log/claims-0'
+        assert processes.call('POST', url, record).status == 200
+
+    def kill_server(self, guarded: deployment.Guarded) -> None:
+        """Kill a server, keeping its counts."""
+        for booking, runs in guarded.stats()['bookings'].items():
+            self.earlier[booking] = self.earlier.get(booking, 0) + runs
+        guarded.server.kill()
+
+    def restart_server(self, guarded: deployment.Guarded) -> None:
+        """Start a killed server and wait until its sidecar uses it."""
+        guarded.server.start()
+        deployment.wait_for_http(f'http://{guarded.server_address}/stats')
+        deployment.wait_for_ready(guarded.admin, guarded.sidecar)
+
+    def restart_sidecar(self, guarded: deployment.Guarded) -> None:
+        """Start a killed sidecar and wait until it is ready."""
+        guarded.sidecar.start()
+        deployment.wait_for_ready(guarded.admin, guarded.sidecar)
+
+    def stop_between_claim_and_run(self, router: str) -> None:
+        """Stop a sidecar whose claim is in the log but not read back."""
+        before = self.read_claims()
+        for control in self.built.log_controls.values():
+            self.built.set_faults(control, delay_s=LOG_DELAY_S)
+        self.send(router)
+        processes.wait_until(
+            lambda: self.read_claims() not in (before, b''),
+            what='a claim in the log',
+        )
+        record = self.read_claims()
+        self.stopped = next(
+            guarded
+            for guarded in self.built.guarded.values()
+            if guarded.name.encode() in record
+        )
+        self.stopped.sidecar.freeze()
+        for control in self.built.log_controls.values():
+            self.built.set_faults(control, delay_s=0.0)
+
+    def read_claims(self) -> bytes:
+        """Return the newest retained record of claims; empty for none."""
+        url = f'http://{self.built.platform_address}/log/claims-0?wait=0&from='
+        answer = processes.call('GET', f'{url}0')
+        if answer.status == 410:
+            answer = processes.call('GET', f'{url}{answer.json()["oldest"]}')
+        records = answer.json().get('records')
+        return base64.b64decode(records[-1]['data']) if records else b''
+
+    def stop_through_a_window(self) -> None:
+        """Stop a sidecar, let claims come and expire, and wake it."""
+        self.stopped = self.built.guarded['service-1']
+        self.stopped.sidecar.freeze()
+        self.append_claims(NO_CLAIMS)
+        time.sleep(POLL_ANSWERED_S)
+        self.append_claims(NO_CLAIMS)
+        time.sleep(self.window_s + 1)
+        self.append_claims(NO_CLAIMS)
+        self.stopped.sidecar.thaw()
