--- /dev/null
+++ b/arbutusvale/ui/commands/load_play.py
@@ -0,0 +1,144 @@
+"""Play a short seeded day of chats against running routers."""
+
+import asyncio
+import json
+
+from arbutusvale import errors
+from arbutusvale.load import caller
+from arbutusvale.load import fleetview
+from arbutusvale.load import plan
+from arbutusvale.load import player
+from arbutusvale.load import report
+from arbutusvale.load import score
+from arbutusvale.protocol import callerapi
+from arbutusvale.ui import exitcodes
+from arbutusvale.ui import output
+from arbutusvale.ui.commands import load_measure
+
+CHATS_PER_S = 3
+CALL_TIMEOUT_S = 10.0
+
+
+class UnseenFleet:
+    """Stand for a fleet of which only the routers can be reached."""
+
+    async def loads(self) -> dict[str, int]:
+        """Return nothing: engines cannot be asked."""
+        return {}
+
+    async def holders(self, organisation: str, chat: str) -> list[str]:
+        """Return nothing: engines cannot be asked."""
+        return []
+
+    async def usage(self) -> list[fleetview.ProcessUsage]:
+        """Return nothing: the processes' counts are not read."""
+        return []
+
+    async def leave(self) -> None:
+        """Do nothing: the pool is not this program's to change."""
+
+    async def join(self) -> None:
+        """Do nothing: the pool is not this program's to change."""
+
+
+def run(options: dict) -> int:
+    """Play the day and print what the callers saw."""
+    counts = asyncio.run(
+        play(
+            read_routers(options['ROUTERS']),
+            options['--key'],
+            load_measure.read_seed(options['--seed']),
+            read_seconds(options['--seconds']),
+        )
+    )
+    shown = describe(counts)
+    if options['--json']:
+        output.print_json(shown)
+    else:
+        rows = [[name, str(value)] for name, value in shown.items()]
+        print(report.table(['measure', ''], rows))
+    broken = counts.broken_promises()
+    for each in broken:
+        print(f'BROKEN: {each}')
+    if broken or not counts.answered:
+        return exitcodes.ExitCode.FAILED
+    return exitcodes.ExitCode.DONE
+
+
+def read_routers(text: str) -> list[str]:
+    """Read the routers' URLs or addresses."""
+    return [
+        part.strip().removeprefix('http://').rstrip('/')
+        for part in text.split(',')
+    ]
+
+
+def read_seconds(text: str) -> float:
+    """Read the length of the play."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = 0.0
+    if seconds <= 0:
+        raise errors.UsageError(
+            f'{text!r} is no number of seconds.', 'Give --seconds=10.'
+        )
+    return seconds
+
+
+async def play(
+    routers: list[str], api_key: str, seed: int, seconds: float
+) -> score.Score:
+    """Play chats with the first model that the key may use."""
+    customer = plan.Customer('caller', api_key, 1.0)
+    shape = plan.DayShape(
+        seed=seed,
+        seconds=seconds,
+        chats=max(1, int(CHATS_PER_S * seconds)),
+        burst_chats=0,
+        bookings=0,
+        reads=0,
+        leaves=0,
+        joins=0,
+    )
+    model = await find_model(routers[0], api_key)
+    target = fleetview.Target(routers, [customer], model, '')
+    day = plan.plan_day(shape, [customer])
+    return await player.Player(day, target, UnseenFleet()).play()
+
+
+async def find_model(router: str, api_key: str) -> str:
+    """Ask a router for the first model that the key may use."""
+    reply = await caller.call(
+        router,
+        'GET',
+        callerapi.MODELS_PATH,
+        [['Authorization', f'Bearer {api_key}']],
+        b'',
+        CALL_TIMEOUT_S,
+    )
+    models = json.loads(reply.body)['data'] if reply.status == 200 else []
+    if not models:
+        raise errors.UsageError(
+            f'{router} offers no model: status {reply.status}. '
+            f'{reply.problem}',
+            'Check the address and the key.',
+        )
+    return models[0]['id']
+
+
+def describe(counts: score.Score) -> dict:
+    """Return what callers saw, by name."""
+    return {
+        'turns': counts.turns,
+        'answered': counts.answered,
+        'cache reuse': round(counts.reuse, 3),
+        **{
+            f'first token {name} ms': round(value, 1)
+            for name, value in score.milliseconds(counts.first_token).items()
+        },
+        **{
+            f'answers {name}': count
+            for name, count in sorted(counts.outcomes.items())
+        },
+    }
