Avoid slow and failing servers for longer each time

Back-offs ended after a quarter of a second and then took several failures or eight slow answers to start again, so a bad server kept a third of the traffic. After a back-off one answer now decides; a server that lost the race against a hedge counts as failing; an idempotent request with a 5xx answer goes elsewhere inside the retry budget. A status check is hedged after 1 s also before there is a p95.

--- a/arbutusvale/coordination/avoidance.py
+++ b/arbutusvale/coordination/avoidance.py
@@ -12,20 +12,24 @@
 _MAX_DOUBLINGS = 7
 _FAILURES_IN_ROW = 3
 _SLOW_FACTOR = 4.0
-_SLOW_FLOOR_S = 0.25
+_SLOW_FLOOR_S = 0.1
 _MIN_ANSWERS = 8
 _SMOOTHING = 0.2
 
 
 @dataclasses.dataclass(slots=True)
 class _Record:
-    """Hold what is known of one VM; times are in seconds."""
+    """Hold what is known of one VM; times are in seconds.
+
+    On ``probation``, after a back-off, the next answer alone decides.
+    """
 
     until: float = 0.0
     back_offs: int = 0
     failures: int = 0
     answers: int = 0
     latency: float = 0.0
+    probation: bool = False
 
 
 class Avoidance:
@@ -53,7 +57,7 @@
         """Count a failed answer; several in a row are avoided."""
         record = self._find(vm)
         record.failures += 1
-        if record.failures >= _FAILURES_IN_ROW:
+        if record.probation or record.failures >= _FAILURES_IN_ROW:
             self._back_off(record)
 
     def note_success(self, vm: str) -> None:
@@ -62,15 +66,16 @@
         record.failures = 0
         if record.until <= self.clock():
             record.back_offs = 0
+            record.probation = False
 
     def note_latency(self, vm: str, latency_s: float, pool: list[str]) -> None:
         """Count an answer's latency; avoid a VM far slower than its pool."""
         record = self._find(vm)
         record.answers += 1
-        weight = _SMOOTHING if record.answers > 1 else 1.0
+        first = record.answers == 1 or record.probation
+        weight = 1.0 if first else _SMOOTHING
         record.latency += weight * (latency_s - record.latency)
         if self._is_slow(record, vm, pool):
-            record.answers = 0
             self._back_off(record)
 
     def forget(self, known: set[str]) -> None:
@@ -91,6 +96,7 @@
         full = min(_MAX_S, _BASE_S * 2**record.back_offs)
         record.until = now + full * self.generator.uniform(0.75, 1.25)
         record.back_offs = min(record.back_offs + 1, _MAX_DOUBLINGS)
+        record.probation = True
         record.failures = 0
 
     def _is_slow(self, record: _Record, vm: str, pool: list[str]) -> bool:
--- a/arbutusvale/coordination/hedging.py
+++ b/arbutusvale/coordination/hedging.py
@@ -13,6 +13,7 @@
 from arbutusvale.protocol import messages
 
 MIN_DELAY_S = 0.02
+FIRST_DELAY_S = 1.0
 _PERCENT = 95.0
 _MIN_VALUES = 20
 _UNKNOWN = messages.Outcome.UNKNOWN.value
@@ -27,7 +28,8 @@
 
     The first whole answer wins and the other search is cancelled.
     """
-    first = asyncio.create_task(search.Search(parts, work, candidates).run())
+    slow = search.Search(parts, work, candidates)
+    first = asyncio.create_task(slow.run())
     tasks = [first]
     try:
         await asyncio.wait(tasks, timeout=_delay(parts, work))
@@ -35,7 +37,9 @@
             _log_hedge(parts, work)
             second = search.Search(parts, work, candidates)
             tasks.append(asyncio.create_task(second.run()))
-        return await _take_first(tasks)
+        answer = await _take_first(tasks)
+        slow.overtaken = not first.done()
+        return answer
     except asyncio.CancelledError:
         _drop_opened({task for task in tasks if task.done()})
         raise
@@ -48,11 +52,11 @@
     parts: routerparts.RouterParts, work: callerrequest.Work
 ) -> float | None:
     """Return the seconds to wait first; None means for ever."""
-    recent = parts.measures.recent.get(work.service)
-    if not _is_hedgeable(work) or recent is None:
-        return None
-    if recent.count < _MIN_VALUES:
+    if not _is_hedgeable(work):
         return None
+    recent = parts.measures.recent.get(work.service)
+    if recent is None or recent.count < _MIN_VALUES:
+        return FIRST_DELAY_S
     return max(MIN_DELAY_S, recent.percentile(_PERCENT))
 
 
--- a/arbutusvale/coordination/refusals.py
+++ b/arbutusvale/coordination/refusals.py
@@ -77,9 +77,9 @@
         case attempts.Overdue():
             return Final(overdue())
         case attempts.Lost():
-            return _retry_if_idempotent(work, _broken('sidecar_lost'))
+            return _retry_if_idempotent(work, broken('sidecar_lost'))
         case attempts.Corrupt():
-            return _retry_if_idempotent(work, _broken('answer_corrupt'))
+            return _retry_if_idempotent(work, broken('answer_corrupt'))
 
 
 def no_server(work: callerrequest.Work) -> callerapi.ErrorAnswer:
@@ -184,7 +184,7 @@
                 free=False,
             )
         case _:
-            return _retry_if_idempotent(work, _broken('server_failed'))
+            return _retry_if_idempotent(work, broken('server_failed'))
 
 
 def _retry_if_idempotent(
@@ -196,7 +196,7 @@
     return Final(error)
 
 
-def _broken(code: str) -> callerapi.ErrorAnswer:
+def broken(code: str) -> callerapi.ErrorAnswer:
     """Answer when the attempt may have run without a whole answer."""
     return callerapi.ErrorAnswer(
         502,
--- a/arbutusvale/coordination/search.py
+++ b/arbutusvale/coordination/search.py
@@ -29,6 +29,7 @@
         messages.Refusal.NOT_READY.value,
     }
 )
+_RETRIED_STATUSES = frozenset({500, 502, 503, 504})
 _UNHOPPED = frozenset(
     {
         messages.Refusal.STALE_BUNDLE.value,
@@ -55,6 +56,7 @@
 
     ``candidates`` may be shared with another search for the same request.
     Once the request ``may_have_run``, no later "not run" is believed.
+    ``overtaken`` says that a later search for it was faster.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         self.candidates = candidates
         self.error = refusals.no_server(work)
         self.may_have_run = False
+        self.overtaken = False
         self.hops = 0
         self.tries = 0
         self.catch_ups = 0
@@ -83,7 +86,12 @@
             result = await self._try(choice)
             if isinstance(result, Opened):
                 self._note_answer(result)
-                return result
+                if not await self._may_retry_error(result):
+                    return result
+                result.attempt.end(stop=True)
+                self.error = refusals.broken('server_error')
+                self.may_have_run = True
+                continue
             step = refusals.judge(result, self.work)
             self._note_failure(choice, result)
             self._note_error(result, step)
@@ -91,6 +99,12 @@
                 break
         return self.error
 
+    async def _may_retry_error(self, opened: Opened) -> bool:
+        """Tell whether to try an answer with a server's error elsewhere."""
+        if opened.head.status not in _RETRIED_STATUSES:
+            return False
+        return self.work.idempotent and await self._take_retry()
+
     def _note_error(
         self, result: refusals.Failure, step: refusals.Step
     ) -> None:
@@ -166,6 +180,8 @@
             result = await self._collect(attempt)
             return result
         finally:
+            if result is None and self.overtaken:
+                self.parts.avoidance.note_failure(choice.vm)
             if result is None or isinstance(result, Opened):
                 self._note_latency(choice.vm, time.monotonic() - started)
             if not isinstance(result, Opened):
@@ -211,8 +227,8 @@
         home = self.candidates.home
         if opened.head.status >= 500:
             parts.avoidance.note_failure(vm)
-        else:
-            parts.avoidance.note_success(vm)
+            return
+        parts.avoidance.note_success(vm)
         if parts.placement.note_ran(self.work, home, vm):
             placed = messages.Placed(self.work.chat, vm)
             parts.attempts.send_aside(home, placed)
--- a/tests/coordination/test_dispatch.py
+++ b/tests/coordination/test_dispatch.py
@@ -396,3 +396,49 @@
         assert len(links.submits()) == 1
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(('method', 'status'), [('GET', 200), ('POST', 500)])
+def test_only_an_idempotent_call_is_retried_after_a_server_error(
+    method, status
+):
+    links = helpers_router.FakeLinks()
+    failed = []
+
+    def fail_first(link, submit):
+        if failed:
+            return helpers_router.answer_with_name(link, submit)
+        failed.append(link.vm)
+        return helpers_router.answer(submit.attempt, b'error', status=500)
+
+    for vm in NAMES:
+        links.scripts[vm] = fail_first
+    events = run(links, helpers_router.plain_request(method))
+    assert events[0].status == status
+    assert body_of(events) != failed[0].encode()
+
+
+def test_the_last_server_error_is_passed_on():
+    links = helpers_router.FakeLinks()
+    for vm in NAMES:
+        links.scripts[vm] = lambda link, submit: helpers_router.answer(
+            submit.attempt, b'error', status=503
+        )
+    events = run(links, helpers_router.plain_request('GET'))
+    assert events[0].status == 503
+    assert body_of(events) == b'error'
+    assert len(links.submits()) == 3
+
+
+def test_a_server_error_before_a_refusal_is_not_told_as_not_run():
+    links = helpers_router.FakeLinks()
+
+    def fail_then_refuse(link, submit):
+        for vm in NAMES:
+            links.scripts[vm] = helpers_router.refuse(REFUSAL.FULL)
+        return helpers_router.answer(submit.attempt, b'error', status=500)
+
+    for vm in NAMES:
+        links.scripts[vm] = fail_then_refuse
+    (error,) = run(links, helpers_router.plain_request('GET'))
+    assert (error.status, error.outcome) == (502, 'unknown')
--- a/tests/coordination/test_placement.py
+++ b/tests/coordination/test_placement.py
@@ -132,14 +132,24 @@
     assert avoided.is_avoided('s-1')
     clock.now += 1
     assert not avoided.is_avoided('s-1')
+    avoided.note_failure('s-1')
+    assert avoided.is_avoided('s-1')
+    clock.now += 1
+    avoided.note_success('s-1')
+    avoided.note_failure('s-1')
+    assert not avoided.is_avoided('s-1')
 
 
 def test_a_vm_far_slower_than_its_pool_is_avoided():
-    avoided = make_avoidance(Clock())
+    clock = Clock()
+    avoided = make_avoidance(clock)
     for _ in range(10):
         for vm in NAMES:
             avoided.note_latency(vm, 3.0 if vm == 's-3' else 0.1, NAMES)
     assert [avoided.is_avoided(vm) for vm in NAMES] == [False, False, True]
+    clock.now += 1
+    avoided.note_latency('s-3', 0.1, NAMES)
+    assert not avoided.is_avoided('s-3')
 
 
 def test_the_limits_of_an_organisation():
