Prove rollouts and bundles with real processes

A log slower than the margin of a poll looked like one that is down, so that no process would read a new bundle ('not true within 5.0 s' in the unit test); the margin grows on timeouts now.

--- a/arbutusvale/coordination/bundlefollower.py
+++ b/arbutusvale/coordination/bundlefollower.py
@@ -27,6 +27,8 @@
 
 POLL_WAIT_S = 2.5
 POLL_MARGIN_S = 1.0
+POLL_MARGIN_MAX_S = 5.0
+MARGIN_DECAY = 0.9
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 2.0
 ANNOUNCE_INTERVAL_S = 10.0
@@ -68,6 +70,7 @@
         self.head_time: float | None = None
         self.last_change = clock()
         self.retention = 0.0
+        self.margin = POLL_MARGIN_S
         self.queries = 0
         self.restating: asyncio.Task | None = None
 
@@ -147,13 +150,19 @@
             delay = min(2 * delay, RETRY_MAX_S)
 
     async def _read(self, wait: float) -> None:
-        """Read one page and apply it; raises :class:`LogUnavailable`."""
+        """Read one page and apply it; raises :class:`LogUnavailable`.
+
+        A short margin finds a silent connection soon; it grows while the
+        log is merely slow.
+        """
         try:
-            async with asyncio.timeout(wait + POLL_MARGIN_S):
+            async with asyncio.timeout(wait + self.margin):
                 page = await self.log.read(
                     signing.STREAM, self.chain.position, wait
                 )
+            self.margin = max(POLL_MARGIN_S, MARGIN_DECAY * self.margin)
         except TimeoutError as error:
+            self.margin = min(2 * self.margin, POLL_MARGIN_MAX_S)
             raise errors.LogUnavailable(
                 signing.STREAM, 'the read timed out'
             ) from error
--- a/tests/coordination/test_bundlefollower.py
+++ b/tests/coordination/test_bundlefollower.py
@@ -179,3 +179,16 @@
     async with running(follower):
         await fakes.wait_for(lambda: follower.head.version == 'v2')
     assert follower.head.offset == 2
+
+
+@fakes.asynchronous
+async def test_slow_log_is_waited_for_longer(monkeypatch):
+    monkeypatch.setattr(bundlefollower, 'POLL_MARGIN_S', 0.05)
+    monkeypatch.setattr(bundlefollower, 'POLL_WAIT_S', 0.05)
+    log = fakes.FakeLog()
+    log.delay = 0.3
+    follower = make_follower(log)
+    async with running(follower):
+        await log.append('config', FIRST)
+        await fakes.wait_for(lambda: follower.head is not None)
+    assert follower.margin > 0.2
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -382,7 +382,12 @@
 
     def read_log(self, stream: str) -> list[bytes]:
         """Return all retained records of a stream."""
-        answer = self.platform_call('GET', f'/log/{stream}?from=0&wait=0')
+        path = f'/log/{stream}?wait=0&from='
+        root = f'http://{self.platform_address}'
+        answer = processes.call('GET', f'{root}{path}0')
+        if answer.status == 410:
+            oldest = answer.json()['oldest']
+            answer = self.platform_call('GET', f'{path}{oldest}')
         return [
             base64.b64decode(record['data'])
             for record in answer.json()['records']
--- /dev/null
+++ b/tests/features/test_rollout.py
@@ -0,0 +1,349 @@
+"""Prove what holds of bundles and rollouts with real processes."""
+
+import concurrent.futures
+import re
+import time
+
+import pytest
+import pytest_bdd
+
+from arbutusvale.protocol import signing
+from tests import deployment
+from tests import processes
+
+pytestmark = pytest.mark.process
+pytest_bdd.scenarios('rollout.feature')
+IN_FORCE_BOUND_S = 4.0
+IN_FORCE = re.compile(r'event=bundle-in-force offset=(\d+) version=(\S+)')
+SLOW_S = 2.0
+
+
+@pytest.fixture
+def state():
+    """Hold what the steps of one scenario pass on."""
+    return {}
+
+
+@pytest_bdd.given(
+    pytest_bdd.parsers.parse(
+        'a deployment with {engines:d} engines and {routers:d} routers'
+    ),
+    target_fixture='fleet',
+)
+def make_fleet(build, engines, routers):
+    return build(engines=engines, services=0, routers=routers)
+
+
+def list_admins(fleet):
+    """List the admin addresses of the processes that run."""
+    pairs = [(each.admin, each.sidecar) for each in fleet.guarded.values()]
+    pairs += [(each.admin, each.program) for each in fleet.routers.values()]
+    return [admin for admin, program in pairs if program.running()]
+
+
+def read_bundle(admin):
+    status = processes.call('GET', f'http://{admin}/status', timeout_s=5.0)
+    return status.json()['bundle'] or {'version': '', 'offset': -1}
+
+
+def read_versions(fleet):
+    return {read_bundle(admin)['version'] for admin in list_admins(fleet)}
+
+
+def wait_for_version(fleet, version):
+    processes.wait_until(
+        lambda: read_versions(fleet) == {version},
+        IN_FORCE_BOUND_S,
+        f'{version} is not in force everywhere',
+    )
+
+
+def make_document(fleet, version, **changes):
+    return fleet.make_bundle(version=version, **changes)
+
+
+def sign(fleet, document, parent, operator=deployment.OPERATOR, key=None):
+    """Sign a bundle document; returns its record."""
+    text = deployment.yaml.safe_dump(document)
+    private = key or fleet.keys.private
+    publication = document['version']
+    record = signing.sign(text, operator, private, parent, publication)
+    return signing.encode(record)
+
+
+def append(fleet, record):
+    answer = fleet.platform_call('POST', '/log/config', record)
+    return answer.json()['offset']
+
+
+def roll_out(fleet, version, timeout_s=10, **changes):
+    document = make_document(fleet, version, **changes)
+    path = fleet.write_bundle(document, version)
+    return processes.run_operator(
+        [
+            'rollout',
+            path,
+            f'--settings={fleet.operator_settings()}',
+            f'--timeout={timeout_s}',
+        ]
+    )
+
+
+@pytest_bdd.when('ana and bia sign bundles that follow the same one')
+def sign_two(fleet, state):
+    bia = signing.generate_keys()
+    operators = {**fleet.operators, 'bia': bia.public}
+    done = roll_out(fleet, 'v2', operators=operators)
+    assert done.returncode == 0, done.stderr
+    parent = fleet.head_digest()
+    state['signed'] = {}
+    for name, private in (('ana', fleet.keys.private), ('bia', bia.private)):
+        document = make_document(fleet, f'of-{name}', operators=operators)
+        path = fleet.folder / f'{name}.signed'
+        path.write_bytes(sign(fleet, document, parent, name, private))
+        state['signed'][name] = path
+
+
+@pytest_bdd.when('both roll out at once while the log service is slow')
+def race(fleet, state):
+    fleet.platform_faults(slow_s=SLOW_S)
+    settings = fleet.operator_settings()
+    with concurrent.futures.ThreadPoolExecutor(2) as threads:
+        runs = {
+            name: threads.submit(
+                processes.run_operator,
+                ['rollout', str(path), f'--settings={settings}'],
+            )
+            for name, path in state['signed'].items()
+        }
+        state['runs'] = {name: run.result() for name, run in runs.items()}
+    fleet.platform_faults(slow_s=0.0)
+
+
+@pytest_bdd.then('one of them won and the other is told whose version won')
+def one_won(state):
+    codes = {name: run.returncode for name, run in state['runs'].items()}
+    assert sorted(codes.values()) == [0, 3], state['runs']
+    winner, loser = sorted(codes, key=codes.get)
+    told = f'lost the race: version of-{winner} by {winner} is in force'
+    assert told in state['runs'][loser].stdout
+    state['winner'] = winner
+
+
+@pytest_bdd.then('the log holds the records of both')
+def both_in_log(fleet, state):
+    records = fleet.read_log('config')
+    for path in state['signed'].values():
+        assert path.read_bytes() in records
+
+
+@pytest_bdd.then("every process has the winner's version")
+def winner_in_force(fleet, state):
+    wait_for_version(fleet, f'of-{state["winner"]}')
+
+
+@pytest_bdd.then(pytest_bdd.parsers.re(r'every process has (?P<version>v\d)'))
+def in_force(fleet, version):
+    wait_for_version(fleet, version)
+
+
+@pytest_bdd.then('the versions in force only rose')
+def only_rose(fleet):
+    """Compare each process's log lines with the order in the log."""
+    accepted = []
+    for record in fleet.read_log('config'):
+        try:
+            version = signing.read_bundle(signing.decode(record)).version
+        except Exception:
+            continue
+        if version not in accepted:
+            accepted.append(version)
+    for program in fleet.programs:
+        seen = IN_FORCE.findall(program.output())
+        offsets = [int(offset) for offset, _ in seen]
+        assert offsets == sorted(set(offsets)), (program.name, seen)
+        places = [accepted.index(version) for _, version in seen]
+        assert places == sorted(set(places)), (program.name, seen)
+
+
+@pytest_bdd.when('the log service loses the answer to the next append')
+def lose_answer(fleet):
+    fleet.platform_faults(drop_append_answers=1)
+
+
+@pytest_bdd.when(pytest_bdd.parsers.re(r'ana rolls out (?P<version>v\d)'))
+def ana_rolls_out(fleet, state, version):
+    timeout_s = 2 if state.get('frozen') else 10
+    state['run'] = roll_out(fleet, version, timeout_s)
+
+
+@pytest_bdd.when('ana rolls out v3 without motolitoral')
+def roll_out_without(fleet, state):
+    document = fleet.make_bundle()
+    organisations = document['organisations']
+    del organisations['motolitoral']
+    state['run'] = roll_out(fleet, 'v3', 0, organisations=organisations)
+
+
+@pytest_bdd.then(
+    pytest_bdd.parsers.re(r'the rollout ends with code (?P<code>\d)')
+)
+def ended_with(state, code):
+    run = state['run']
+    assert run.returncode == int(code), (run.stdout, run.stderr)
+
+
+@pytest_bdd.then('the rollout ends with code 5 and names entry-2')
+def names_laggard(state):
+    run = state['run']
+    assert run.returncode == 5, (run.stdout, run.stderr)
+    assert re.search(r'^entry-2 +not reachable$', run.stdout, re.M)
+    assert 'entry-1' not in run.stdout
+
+
+@pytest_bdd.then(pytest_bdd.parsers.parse('the log holds {count:d} records'))
+def log_holds(fleet, count):
+    assert len(fleet.read_log('config')) == count
+
+
+@pytest_bdd.when('the log service goes down')
+def log_down(fleet):
+    fleet.platform_faults(outage=True)
+
+
+@pytest_bdd.when('the log service is back')
+def log_back(fleet):
+    fleet.platform_faults(outage=False)
+
+
+@pytest_bdd.when('every sidecar is killed')
+def kill_sidecars(fleet):
+    for guarded in fleet.guarded.values():
+        guarded.sidecar.kill()
+
+
+@pytest_bdd.when('entry-3 starts')
+def start_third(fleet):
+    fleet.start_router(fleet.add_router('entry-3'), wait=False)
+
+
+@pytest_bdd.then(
+    pytest_bdd.parsers.re(r'entry-3 is ready and has (?P<version>v\d)')
+)
+def third_ready(fleet, version):
+    entry = fleet.routers['entry-3']
+    deployment.wait_for_ready(entry.admin, entry.program)
+    assert read_bundle(entry.admin)['version'] == version
+
+
+@pytest_bdd.then('entry-3 answers a chat')
+def third_answers(fleet):
+    assert fleet.chat(['a question'], 'entry-3').status == 200
+
+
+@pytest_bdd.then('entry-3 is not ready and turns a chat away as not run')
+def third_not_ready(fleet):
+    entry = fleet.routers['entry-3']
+    deployment.wait_for_http(f'http://{entry.admin}/health/live')
+    ready = processes.call('GET', f'http://{entry.admin}/health/ready')
+    assert ready.status == 503
+    answer = fleet.chat(['a question'], 'entry-3')
+    assert answer.status == 503
+    assert answer.header('Arbutusvale-Outcome') == 'not-run'
+
+
+@pytest_bdd.when('entry-2 freezes')
+def freeze(fleet, state):
+    fleet.routers['entry-2'].program.freeze()
+    state['frozen'] = True
+
+
+@pytest_bdd.when('entry-2 wakes')
+def wake(fleet):
+    fleet.routers['entry-2'].program.thaw()
+
+
+@pytest_bdd.then('entry-2 refuses the first request of motolitoral')
+def refuses_first(fleet):
+    key = deployment.OTHER_API_KEY
+    answer = fleet.chat(['a question'], 'entry-2', key)
+    assert answer.status == 401, answer
+
+
+@pytest_bdd.when('ana appends v2 to v4, one after the other')
+def append_three(fleet, state):
+    state['took_s'] = []
+    for number in range(2, 5):
+        document = make_document(fleet, f'v{number}')
+        record = sign(fleet, document, fleet.head_digest())
+        append(fleet, record)
+        start = time.monotonic()
+        wait_for_version(fleet, f'v{number}')
+        state['took_s'].append(time.monotonic() - start)
+
+
+@pytest_bdd.then('each was in force on every process within 4 seconds')
+def within_bound(state):
+    assert max(state['took_s']) <= IN_FORCE_BOUND_S
+
+
+@pytest_bdd.when(
+    pytest_bdd.parsers.re(r'a record with (?P<fault>.+) is appended')
+)
+def append_faulty(fleet, state, fault):
+    head = fleet.head_digest()
+    document = make_document(fleet, 'v9')
+    match fault:
+        case 'a bad signature':
+            other = signing.generate_keys()
+            record = sign(fleet, document, head, key=other.private)
+        case 'an unknown operator':
+            other = signing.generate_keys()
+            record = sign(fleet, document, head, 'eve', other.private)
+        case 'an invalid bundle':
+            document['pools'] = {}
+            record = sign(fleet, document, head)
+        case 'noise':
+            record = b'noise'
+        case 'an old parent':
+            record = sign(fleet, document, b'')
+    state['appended'] = append(fleet, record)
+
+
+@pytest_bdd.when('the record of v1 is appended again')
+def replay(fleet, state):
+    state['appended'] = append(fleet, fleet.read_log('config')[0])
+
+
+@pytest_bdd.then(
+    pytest_bdd.parsers.re(
+        r'every process has read it and still has (?P<version>v\d)'
+    )
+)
+def read_and_unchanged(fleet, state, version):
+    line = f'event=bundle-rejected offset={state["appended"]} '
+    programs = [each.sidecar for each in fleet.guarded.values()]
+    programs += [each.program for each in fleet.routers.values()]
+    processes.wait_until(
+        lambda: all(line in program.output() for program in programs),
+        IN_FORCE_BOUND_S,
+        f'not every process rejected offset {state["appended"]}',
+    )
+    assert read_versions(fleet) == {version}
+
+
+@pytest_bdd.when('the log service keeps records for 6 seconds')
+def keep_shortly(fleet):
+    fleet.platform_faults(retention_s=6.0)
+
+
+@pytest_bdd.when('the record of v1 has expired')
+def wait_for_expiry(fleet):
+    def expired():
+        answer = processes.call(
+            'GET',
+            f'http://{fleet.platform_address}/log/config?from=0&wait=0',
+        )
+        return answer.status == 410
+
+    processes.wait_until(expired)
--- a/tests/helpers_fakes.py
+++ b/tests/helpers_fakes.py
@@ -23,7 +23,8 @@
     """Keep streams in memory; faults are set as attributes.
 
     ``down`` fails every call, ``lose_answers`` counts appends that take
-    effect without an answer, ``oldest`` is the lowest retained offset.
+    effect without an answer, ``oldest`` is the lowest retained offset and
+    ``delay`` holds every read up.
     """
 
     def __init__(self, retention: float = 3600.0):
@@ -32,6 +33,7 @@
         self.retention = retention
         self.down = False
         self.lose_answers = 0
+        self.delay = 0.0
         self.appended = asyncio.Event()
 
     async def append(self, stream: str, data: bytes) -> int:
@@ -47,6 +49,7 @@
         return len(records) - 1
 
     async def read(self, stream: str, start: int, wait: float):
+        await asyncio.sleep(self.delay)
         if self.down:
             raise errors.LogUnavailable(stream, 'down')
         oldest = self.oldest.get(stream, 0)
