--- a/arbutusvale/standins/fleet.py
+++ b/arbutusvale/standins/fleet.py
@@ -11,6 +11,7 @@
 import time
 
 from arbutusvale import compose
+from arbutusvale import errors
 from arbutusvale import settings
 from arbutusvale.protocol import messages
 from arbutusvale.protocol import signing
@@ -28,6 +29,7 @@
 GRACE_S = 10.0
 READY_BOUND_S = 30.0
 POLL_S = 0.02
+STOP_BOUND_S = 15.0
 
 
 @dataclasses.dataclass
@@ -116,10 +118,10 @@
     async def stop(self) -> None:
         """Stop everything, without waiting for requests."""
         for router in self.routers.values():
-            await router.stop(0)
+            await _stop(router, 0)
         guarded = [*self.engines.values(), *self.services.values()]
         running = [each for each in guarded if each.until == math.inf]
-        await asyncio.gather(*(each.sidecar.stop(0) for each in running))
+        await asyncio.gather(*(_stop(each.sidecar, 0) for each in running))
         for each in running:
             await each.server.stop()
         for proxy in self.proxies.values():
@@ -175,7 +177,7 @@
         guarded.until = time.monotonic()
         vm = self.platform.vm_lists[-1].vms[name]
         self.platform.put_vm({**vm, 'state': messages.VmState.LEAVING})
-        cut = await guarded.sidecar.stop(GRACE_S)
+        cut = await _stop(guarded.sidecar, GRACE_S)
         self.platform.remove_vm(name)
         await guarded.server.stop()
         return cut
@@ -254,3 +256,17 @@
             for name, guarded in self.engines.items()
         }
         return boundcheck.check(histories, self.shape.bound, live)
+
+
+async def _stop(
+    process: compose.Router | compose.Sidecar, grace_s: float
+) -> int:
+    """Stop a process; fails when it takes much longer than its grace."""
+    try:
+        async with asyncio.timeout(grace_s + STOP_BOUND_S):
+            return await process.stop(grace_s)
+    except TimeoutError as error:
+        raise errors.ArbutusvaleError(
+            f'{process.settings.vm} did not stop.',
+            'Look for the tasks that it left running.',
+        ) from error
--- /dev/null
+++ b/tests/ui/test_trial.py
@@ -0,0 +1,27 @@
+import asyncio
+
+from arbutusvale.coordination import rollout
+from arbutusvale.load import plan
+from arbutusvale.standins import engine
+from arbutusvale.standins import fleetshape
+from arbutusvale.ui import trial
+
+
+def test_a_short_day_with_churn_keeps_its_promises():
+    shape = fleetshape.FleetShape(
+        engines=3,
+        services=2,
+        vm_lag_s=0.2,
+        speed=engine.EngineSpeed(token_s=0.01),
+    )
+    day = plan.DayShape(
+        seconds=4.0, chats=8, turns=3.0, burst_chats=3, bookings=8, reads=8
+    )
+    played = asyncio.run(trial.play_day(shape, day))
+    result = played.result
+    assert isinstance(played.rollout, rollout.InForceEverywhere)
+    assert result.broken == []
+    assert result.answered == result.turns > 0
+    assert result.booked == result.bookings == 8
+    assert result.reuse > 0
+    assert result.control['router'].processes == 2
