Use every hop before a busy pool is given up

Seen in a trial with two engines of 32 slots: of 40 chats that began at once several got 503 busy with most slots free. Each of both sidecars had refused by a stale mean, and the router did not ask a VM twice, so that no submit was marked as the last hop, on which a sidecar refreshes its table and waits for room under the bound. A VM that a refusal names may now be asked again, as that refusal is newer, and with no VM left the home is asked; VMs that were unreachable, leaving or crashed are not.

--- a/arbutusvale/coordination/placement.py
+++ b/arbutusvale/coordination/placement.py
@@ -48,6 +48,7 @@
         self.home = home
         self.choices = choices
         self.tried: set[str] = set()
+        self.unusable: set[str] = set()
         self.weighed = len(choices)
 
     def take(self) -> Choice | None:
@@ -59,15 +60,30 @@
                 return choice
         return None
 
-    def prefer(self, loads: list[messages.Load]) -> None:
-        """Try the VMs that a refusal named before the others."""
+    def prefer(self, refuser: str, loads: list[messages.Load]) -> None:
+        """Try the VMs that a refusal named before the others.
+
+        The refusal is newer than an earlier one of a VM that it names.
+        """
         named = [
             Choice(load.vm, 'named', named=True)
             for load in loads
-            if load.vm not in self.tried
+            if load.vm != refuser and load.vm not in self.unusable
         ]
+        self.tried.difference_update(choice.vm for choice in named)
         self.choices[:0] = named
 
+    def return_home(self) -> None:
+        """Try the home again when no other VM is left."""
+        if not self.choices and self.home not in self.unusable:
+            self.tried.discard(self.home)
+            self.choices.append(Choice(self.home, 'home-again', named=True))
+
+    def exclude(self, vm: str) -> None:
+        """Never try a VM again for this request."""
+        self.unusable.add(vm)
+        self.tried.add(vm)
+
     def redirect(self, vm: str) -> None:
         """Try the VM that a redirect named before all others."""
         choice = Choice(vm, 'redirect', named=True, redirected=True)
--- a/arbutusvale/coordination/search.py
+++ b/arbutusvale/coordination/search.py
@@ -127,8 +127,10 @@
                 self.candidates.redirect(vm)
                 self.hops += 1
             case messages.Refused(alternatives=alternatives, reason=reason):
-                self.candidates.prefer(alternatives)
+                self.candidates.prefer(choice.vm, alternatives)
                 self.hops += reason not in _UNHOPPED
+                if reason == messages.Refusal.BUSY:
+                    self.candidates.return_home()
         match step:
             case refusals.CatchUp():
                 return await self._catch_up(choice)
@@ -245,13 +247,16 @@
         parts = self.parts
         match result:
             case refusals.Unsent() | attempts.Lost():
+                self.candidates.exclude(choice.vm)
                 parts.avoidance.note_unreachable(choice.vm)
             case messages.Refused(reason=reason):
                 parts.placement.note_loads(result.alternatives)
                 parts.placement.note_count(choice.vm, result.load)
                 if reason in _UNUSABLE:
+                    self.candidates.exclude(choice.vm)
                     parts.avoidance.note_unreachable(choice.vm)
             case messages.Failed() | attempts.Corrupt():
+                self.candidates.exclude(choice.vm)
                 parts.avoidance.note_failure(choice.vm)
             case messages.Redirect():
                 parts.measures.redirects += 1
--- a/tests/coordination/test_dispatch.py
+++ b/tests/coordination/test_dispatch.py
@@ -442,3 +442,41 @@
         links.scripts[vm] = fail_then_refuse
     (error,) = run(links, helpers_router.plain_request('GET'))
     assert (error.status, error.outcome) == (502, 'unknown')
+
+
+@pytest.mark.parametrize('count', [1, 2, 3])
+def test_a_busy_pool_is_always_asked_on_the_last_hop(count):
+    names = NAMES[:count]
+    links = helpers_router.FakeLinks()
+
+    def busy_before_last_hop(link, submit):
+        if submit.last_hop:
+            return helpers_router.answer_with_name(link, submit)
+        named = [vm for vm in names if vm != link.vm]
+        return helpers_router.refuse(REFUSAL.BUSY, *named)(link, submit)
+
+    for vm in names:
+        links.scripts[vm] = busy_before_last_hop
+    events = run(
+        links,
+        helpers_router.chat_request(),
+        known=helpers_router.make_fleet(count),
+    )
+    assert body_of(events)
+    assert [submit.hop for _, submit in links.submits()] == [0, 1, 2]
+
+
+def test_a_crashed_server_is_not_tried_again_when_named():
+    links = helpers_router.FakeLinks()
+    request = helpers_router.chat_request()
+    home = home_of(request)
+
+    def crash(link, submit):
+        return [messages.Failed(submit.attempt, 'unknown', 'crashed', 0.0)]
+
+    for vm in NAMES:
+        links.scripts[vm] = helpers_router.refuse(REFUSAL.FULL, home)
+    links.scripts[home] = crash
+    (error,) = run(links, request)
+    assert error.outcome == 'unknown'
+    assert [vm for vm, _ in links.submits()].count(home) == 1
