Rank a large pool without hashing every server for every chat

At 12,000 engines a router hashed each name with each chat and sorted the whole list, three times over. Ruled out: a cache of rankings by chat, as ten million chats rarely meet the same router again.

--- a/arbutusvale/coordination/avoidance.py
+++ b/arbutusvale/coordination/avoidance.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 import statistics
 import time
 
@@ -14,6 +15,8 @@
 _SLOW_FACTOR = 4.0
 _SLOW_FLOOR_S = 0.1
 _MIN_ANSWERS = 8
+_MIN_VMS = 3
+_USUAL_AGE_S = 1.0
 _SMOOTHING = 0.2
 
 
@@ -29,9 +32,18 @@
     failures: int = 0
     answers: int = 0
     latency: float = 0.0
+    pool: str = ''
     probation: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Usual:
+    """Hold a pool's median latency and when it was computed."""
+
+    latency: float
+    at: float
+
+
 class Avoidance:
     """Keep the back-off of every VM that gave reason for one."""
 
@@ -43,6 +55,7 @@
         self.generator = generator
         self.clock = clock
         self.records: dict[str, _Record] = {}
+        self.usual: dict[str, _Usual] = {}
 
     def is_avoided(self, vm: str) -> bool:
         """Tell whether the VM's back-off still runs."""
@@ -68,14 +81,15 @@
             record.back_offs = 0
             record.probation = False
 
-    def note_latency(self, vm: str, latency_s: float, pool: list[str]) -> None:
+    def note_latency(self, vm: str, latency_s: float, pool: str) -> None:
         """Count an answer's latency; avoid a VM far slower than its pool."""
         record = self._find(vm)
+        record.pool = pool
         record.answers += 1
         first = record.answers == 1 or record.probation
         weight = 1.0 if first else _SMOOTHING
         record.latency += weight * (latency_s - record.latency)
-        if self._is_slow(record, vm, pool):
+        if self._is_slow(record):
             self._back_off(record)
 
     def forget(self, known: set[str]) -> None:
@@ -99,16 +113,31 @@
         record.probation = True
         record.failures = 0
 
-    def _is_slow(self, record: _Record, vm: str, pool: list[str]) -> bool:
-        """Compare a VM's latency with the median of its pool mates."""
-        others = [
-            self.records[name].latency
-            for name in pool
-            if name != vm
-            and name in self.records
-            and self.records[name].answers >= _MIN_ANSWERS
-        ]
-        if len(others) < 2 or record.answers < _MIN_ANSWERS:
+    def _is_slow(self, record: _Record) -> bool:
+        """Compare a VM's latency with the usual one of its pool."""
+        if record.answers < _MIN_ANSWERS:
+            return False
+        if record.latency <= _SLOW_FACTOR * _SLOW_FLOOR_S:
             return False
-        usual = max(_SLOW_FLOOR_S, statistics.median(others))
-        return record.latency > _SLOW_FACTOR * usual
+        usual = self._find_usual(record.pool)
+        return record.latency > _SLOW_FACTOR * max(_SLOW_FLOOR_S, usual)
+
+    def _find_usual(self, pool: str) -> float:
+        """Return a pool's median latency, which is kept for a while.
+
+        It is infinite while fewer than three VMs are known well.
+        """
+        now = self.clock()
+        known = self.usual.get(pool)
+        if known is not None and now - known.at < _USUAL_AGE_S:
+            return known.latency
+        latencies = [
+            record.latency
+            for record in self.records.values()
+            if record.pool == pool and record.answers >= _MIN_ANSWERS
+        ]
+        if len(latencies) < _MIN_VMS:
+            return math.inf
+        median = statistics.median(latencies)
+        self.usual[pool] = _Usual(median, now)
+        return median
--- a/arbutusvale/coordination/locate.py
+++ b/arbutusvale/coordination/locate.py
@@ -13,7 +13,6 @@
 from arbutusvale.protocol import ports
 from arbutusvale.state import directory
 from arbutusvale.state import fleet
-from arbutusvale.state import rendezvous
 
 LOCATE_TIMEOUT_S = 0.05
 
@@ -53,7 +52,7 @@
         known = self.directory.find(submit.chat)
         if known or submit.first_turn or not self._may_have_missed(pool):
             return known
-        ranked = rendezvous.rank(submit.chat, self._list_live())
+        ranked = self.fleet.rank(self.pool, submit.chat, 2)
         if self.vm not in (submit.home, *ranked[:1]):
             return ''
         following = [name for name in ranked if name != self.vm][:1]
--- a/arbutusvale/coordination/placement.py
+++ b/arbutusvale/coordination/placement.py
@@ -12,9 +12,9 @@
 from arbutusvale.protocol import bundle
 from arbutusvale.protocol import messages
 from arbutusvale.state import fleet
-from arbutusvale.state import rendezvous
 
 _LRU_CHATS = 4096
+_MAX_CANDIDATES = 16
 _LOAD_AGE_S = 2.0
 _MAX_LOADS = 8
 
@@ -120,10 +120,9 @@
         self, work: callerrequest.Work, policy: bundle.Policy
     ) -> Candidates:
         """Order the live VMs of the work's pool; avoided ones go last."""
-        names = [vm.name for vm in self.fleet.list_live(work.pool)]
-        ranked = rendezvous.rank(work.spread, names)
+        ranked = self.fleet.rank(work.pool, work.spread, _MAX_CANDIDATES)
         home = ranked[0] if ranked else ''
-        choices = self._apply(policy, work, names, ranked)
+        choices = self._apply(policy, work, ranked)
         choices.sort(key=lambda choice: self.avoidance.is_avoided(choice.vm))
         return Candidates(policy=policy.kind, home=home, choices=choices)
 
@@ -131,27 +130,32 @@
         self,
         policy: bundle.Policy,
         work: callerrequest.Work,
-        names: list[str],
         ranked: list[str],
     ) -> list[Choice]:
         """Order the VMs as the policy wants."""
         match policy:
             case bundle.RandomPolicy():
-                shuffled = self.generator.permutation(names).tolist()
+                shuffled = self._shuffle(work.pool)[:_MAX_CANDIDATES]
                 return [Choice(name, 'random') for name in shuffled]
             case bundle.LeastLoadedPolicy():
-                shuffled = self.generator.permutation(names).tolist()
+                shuffled = self._shuffle(work.pool)
                 shuffled.sort(key=lambda name: self.counts.get(name, 0))
-                return [Choice(name, 'least-loaded') for name in shuffled]
+                least = shuffled[:_MAX_CANDIDATES]
+                return [Choice(name, 'least-loaded') for name in least]
             case bundle.RendezvousPolicy():
                 return [Choice(name, 'rank') for name in ranked]
             case bundle.DirectoryPolicy():
                 choices = [Choice(name, 'rank') for name in ranked]
                 holder = self.chats.get(work.chat, '')
-                if holder in names:
+                if self.fleet.is_live(holder, work.pool):
                     choices.insert(0, Choice(holder, 'holder'))
                 return choices
 
+    def _shuffle(self, pool: str) -> list[str]:
+        """Return the names of a pool's live VMs in random order."""
+        names = [vm.name for vm in self.fleet.list_live(pool)]
+        return self.generator.permutation(names).tolist()
+
     def note_ran(self, work: callerrequest.Work, home: str, vm: str) -> bool:
         """Remember where a chat ran; True when its home must be told."""
         if not work.chat:
@@ -179,11 +183,10 @@
     def recent_loads(self, pool: str) -> list[messages.Load]:
         """List the loads of a pool that were seen a moment ago."""
         oldest = self.clock() - _LOAD_AGE_S
-        names = {vm.name for vm in self.fleet.list_live(pool)}
         recent = [
             seen
             for vm, seen in self.loads.items()
-            if vm in names and seen.at >= oldest
+            if seen.at >= oldest and self.fleet.is_live(vm, pool)
         ]
         recent.sort(key=lambda seen: seen.at, reverse=True)
         return [seen.load for seen in recent[:_MAX_LOADS]]
--- a/arbutusvale/coordination/routerparts.py
+++ b/arbutusvale/coordination/routerparts.py
@@ -32,7 +32,3 @@
     limits: limits.OrganisationLimits
     retry_budget: retries.RetryBudget
     measures: measures.RouterMeasures
-
-    def list_pool(self, pool: str) -> list[str]:
-        """List the names of a pool's live VMs."""
-        return [vm.name for vm in self.placement.fleet.list_live(pool)]
--- a/arbutusvale/coordination/search.py
+++ b/arbutusvale/coordination/search.py
@@ -237,8 +237,7 @@
 
     def _note_latency(self, vm: str, seconds: float) -> None:
         """Compare a server's speed with that of its pool mates."""
-        pool = self.parts.list_pool(self.work.pool)
-        self.parts.avoidance.note_latency(vm, seconds, pool)
+        self.parts.avoidance.note_latency(vm, seconds, self.work.pool)
 
     def _note_failure(
         self, choice: placement.Choice, result: refusals.Failure
--- a/tests/coordination/test_placement.py
+++ b/tests/coordination/test_placement.py
@@ -145,10 +145,10 @@
     avoided = make_avoidance(clock)
     for _ in range(10):
         for vm in NAMES:
-            avoided.note_latency(vm, 3.0 if vm == 's-3' else 0.1, NAMES)
+            avoided.note_latency(vm, 3.0 if vm == 's-3' else 0.1, 'p')
     assert [avoided.is_avoided(vm) for vm in NAMES] == [False, False, True]
     clock.now += 1
-    avoided.note_latency('s-3', 0.1, NAMES)
+    avoided.note_latency('s-3', 0.1, 'p')
     assert not avoided.is_avoided('s-3')
 
 
