--- a/arbutusvale/coordination/admission.py
+++ b/arbutusvale/coordination/admission.py
@@ -16,8 +16,9 @@
 
 ALTERNATIVES = 2
 FIRST_PAUSE_S = 0.005
-MOST_PAUSE_S = 0.1
-MOST_WAIT_S = 1.0
+MOST_PAUSE_S = 0.2
+LAST_HOP_WAIT_S = 10.0
+HOLDER_WAIT_S = 0.1
 BUSY_RETRY_S = 1.0
 
 
@@ -64,11 +65,13 @@
         arrived_at = self.clock()
         self.table.merge(submit.loads)
         self.places.configure(pool.slots, pool.queue)
-        redirect = await self._redirect(submit, pool)
-        if redirect is not None:
-            return redirect
+        holder = await self._find_holder(submit, pool)
         bound = pool.policy.bound
-        await self._wait_for_room(submit, bound)
+        if self._may_redirect(submit, holder, bound):
+            self._log(submit, f'redirect:{holder}', bound)
+            return messages.Redirect(submit.attempt, holder, 'cache-holder')
+        patience_s = self._get_patience(submit, holder)
+        within = await self._wait_for_bound(bound, patience_s)
         # No await from here on: the count must not change before enter().
         ticket = slots.Ticket(
             submit.organisation,
@@ -78,7 +81,7 @@
         )
         if ticket.deadline <= self.clock():
             return self.refuse(submit, messages.Refusal.EXPIRED)
-        if self.places.has_room() and not self._within(bound):
+        if not within:
             return self.refuse(submit, messages.Refusal.BUSY, bound=bound)
         if not self.places.enter(ticket):
             return self.refuse(submit, messages.Refusal.FULL, bound=bound)
@@ -108,48 +111,65 @@
             self.table.name_alternatives(ALTERNATIVES),
         )
 
-    async def _wait_for_room(
-        self, submit: messages.Submit, bound: float
-    ) -> None:
+    def _get_patience(self, submit: messages.Submit, holder: str) -> float:
+        """Return how long an attempt may wait for the bound, in seconds.
+
+        A last hop waits, as others in the same burst raise the mean step
+        by step; so does a chat whose cache is here, for a moment.
+        """
+        if submit.last_hop or submit.hop + 1 >= self.table.count:
+            return min(LAST_HOP_WAIT_S, submit.time_left / 2)
+        if holder == self.table.own.vm:
+            return min(HOLDER_WAIT_S, submit.time_left / 2)
+        return 0.0
+
+    async def _wait_for_bound(self, bound: float, patience_s: float) -> bool:
         """Refresh the table until the bound lets one more request in.
 
-        A last hop waits a bounded time, as others in the same burst raise
-        the mean step by step; other hops do not wait.
+        A full server is within its bound: whoever enters takes the place
+        of another.  False when ``patience_s`` has passed in vain.
         """
-        deadline = self.clock() + min(MOST_WAIT_S, submit.time_left / 2)
+        deadline = self.clock() + patience_s
         pause_s = FIRST_PAUSE_S
-        while self.places.has_room() and not self._within(bound):
+        while not self._is_within(bound):
             await self.refresh()
-            if self._within(bound) or not submit.last_hop:
-                return
+            if self._is_within(bound):
+                return True
             if self.clock() >= deadline:
-                return
+                return False
             await asyncio.sleep(pause_s)
             pause_s = min(2 * pause_s, MOST_PAUSE_S)
+        return True
 
-    def _within(self, bound: float) -> bool:
+    def _is_within(self, bound: float) -> bool:
         """Tell whether one more request surely keeps the bound."""
+        if not self.places.has_room():
+            return True
         limit = self.table.safe_limit(bound, self.places.mean_hold_s)
         return self.places.load + 1 <= limit
 
-    async def _redirect(
+    async def _find_holder(
         self, submit: messages.Submit, pool: bundle.Pool
-    ) -> messages.Redirect | None:
-        """Send a chat to the server that holds its cache, given room."""
+    ) -> str:
+        """Return the VM that holds the chat's cache; empty if unknown."""
         match pool.policy:
-            case bundle.DirectoryPolicy(bound=bound):
-                if submit.redirected or submit.last_hop or not submit.chat:
-                    return None
+            case bundle.DirectoryPolicy() if submit.chat:
+                return await self.find_holder(submit, pool)
             case _:
-                return None
-        vm = await self.find_holder(submit, pool)
-        if vm in ('', self.table.own.vm):
-            return None
-        load = self.table.find(vm)
-        if load is None or load.load + 1 > self.table.bound_limit(bound):
-            return None
-        self._log(submit, f'redirect:{vm}', bound)
-        return messages.Redirect(submit.attempt, vm, 'cache-holder')
+                return ''
+
+    def _may_redirect(
+        self, submit: messages.Submit, holder: str, bound: float
+    ) -> bool:
+        """Tell whether the chat goes to the holder of its cache."""
+        if holder in ('', self.table.own.vm):
+            return False
+        if submit.redirected or submit.last_hop:
+            return False
+        load = self.table.find(holder)
+        if load is None:
+            return False
+        return load.load + 1 <= self.table.bound_limit(bound)
 
     def _log(self, submit: messages.Submit, choice: str, bound: float) -> None:
         """Log one admission decision."""
--- a/arbutusvale/coordination/drain.py
+++ b/arbutusvale/coordination/drain.py
@@ -14,6 +14,7 @@
 from arbutusvale.state import fleet
 
 POLL_S = 0.02
+LINGER_S = 2.0
 LEAVE_CACHES_S = 5.0
 GRACE_FOR_CACHES_SHARE = 0.5
 SHUTDOWN = 'shutdown'
@@ -24,7 +25,9 @@
     """Know whether the server leaves, and empty it.
 
     Several reasons may hold at once.  That of the VM list may pass again;
-    a shutdown never does.
+    a shutdown never does.  A drained sidecar goes on refusing until it has
+    been leaving for ``linger_s``, so that routers learn of it by refusals,
+    which cost them no retry, and not by failing connections.
     """
 
     def __init__(
@@ -36,6 +39,7 @@
         run_table: runs.RunTable,
         hand_over: handover.HandOver,
         clock: Callable[[], float] = time.monotonic,
+        linger_s: float = LINGER_S,
     ):
         self.vm = vm
         self.fleet = known
@@ -44,6 +48,8 @@
         self.run_table = run_table
         self.hand_over = hand_over
         self.clock = clock
+        self.linger_s = linger_s
+        self.left_at = 0.0
         self.reasons: set[str] = set()
         self.handing_over: asyncio.Task | None = None
 
@@ -71,6 +77,7 @@
         logging.info('event=leaving reason=%s', reason)
         self.gossip.state_changed(messages.VmState.LEAVING)
         if first:
+            self.left_at = self.clock()
             deadline = self.clock() + caches_s
             self.handing_over = asyncio.create_task(
                 self.hand_over.run(deadline)
@@ -98,6 +105,8 @@
         if self.handing_over is not None:
             time_left = max(0.0, deadline - self.clock())
             await asyncio.wait([self.handing_over], timeout=time_left)
+        lingering_until = min(deadline, self.left_at + self.linger_s)
+        await asyncio.sleep(max(0.0, lingering_until - self.clock()))
         logging.info('event=drained cut=%d', len(cut))
         for attempt in cut:
             logging.warning('event=attempt-cut attempt=%s', attempt)
--- a/tests/helpers_gate.py
+++ b/tests/helpers_gate.py
@@ -135,6 +135,7 @@
             self.run_table,
             hand_over,
             clock,
+            linger_s=0.05,
         )
         self.looks = 0
         self.freeze_guard = freeze.FreezeGuard(self.look, clock)
