Measure both deployments' shapes with delayed links

The measurement played one shape without delays. Platform bytes come from each process's own counts in place of a proxy's, so they split by kind.

--- a/arbutusvale/load/report.py
+++ b/arbutusvale/load/report.py
@@ -25,6 +25,7 @@
 class PolicyResult:
     """Hold what one policy's day showed; times in milliseconds."""
 
+    deployment: str
     policy: str
     seconds: float
     turns: int
@@ -65,10 +66,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Measurement:
-    """Hold a whole measurement with what is needed to repeat it."""
+    """Hold a whole measurement with what is needed to repeat it.
+
+    ``load_average`` is the machine's over the last minute, at the end.
+    """
 
     command: str
     seed: int
+    load_average: float
     results: list[PolicyResult]
     slope: list[SlopePoint]
 
@@ -193,23 +198,35 @@
 def text(measurement: Measurement) -> str:
     """Return the tables with the command and the seed."""
     parts = [
-        f'command: {measurement.command}',
-        f'seed: {measurement.seed}',
+        f'command: {measurement.command}\nseed: {measurement.seed}\n'
+        f'load average of the machine: {measurement.load_average:.1f}'
     ]
-    if measurement.results:
-        parts.append(policy_table(measurement.results))
-        last = measurement.results[-1]
-        parts.append(f'control bytes by kind, {last.policy}, under load')
-        parts.append(kind_table(last.control))
-        for result in measurement.results:
-            for broken in result.broken:
-                parts.append(f'BROKEN with {result.policy}: {broken}')
+    for name, results in by_deployment(measurement.results).items():
+        parts.append(f'{name}, {results[0].seconds:.0f} s')
+        parts.append(policy_table(results))
+        parts += [
+            f'BROKEN with {result.policy}: {broken}'
+            for result in results
+            for broken in result.broken
+        ]
+        parts.append(f'control bytes by kind, {results[-1].policy}')
+        parts.append(kind_table(results[-1].control))
     if measurement.slope:
         parts.append('control bytes by size of the fleet, idle')
         parts.append(slope_table(measurement.slope))
     return '\n\n'.join(parts) + '\n'
 
 
+def by_deployment(
+    results: list[PolicyResult],
+) -> dict[str, list[PolicyResult]]:
+    """Group results by the deployment that was measured."""
+    grouped: dict[str, list[PolicyResult]] = {}
+    for result in results:
+        grouped.setdefault(result.deployment, []).append(result)
+    return grouped
+
+
 def plot(measurement: Measurement, path: pathlib.Path) -> None:
     """Draw reuse, skew, first token and control bytes as one PNG."""
     import matplotlib
@@ -217,43 +234,52 @@
     matplotlib.use('Agg')
     from matplotlib import pyplot
 
-    figure, axes = pyplot.subplots(2, 2, figsize=(11, 8))
-    names = [result.policy for result in measurement.results]
+    grouped = by_deployment(measurement.results)
+    figure, axes = pyplot.subplots(
+        len(grouped) + 1, 3, figsize=(15, 4 * len(grouped) + 4), squeeze=False
+    )
+    for row, (name, results) in zip(axes, grouped.items(), strict=False):
+        _draw_results(row, name, results)
+    _draw_slope(axes[-1][0], measurement.slope)
+    axes[-1][1].axis('off')
+    axes[-1][2].axis('off')
+    figure.suptitle(f'seed {measurement.seed}')
+    figure.tight_layout()
+    figure.savefig(path, dpi=80)
+    pyplot.close(figure)
+
+
+def _draw_results(axes, name: str, results: list[PolicyResult]) -> None:
+    """Draw one deployment's reuse, skew and first token."""
+    policies = [result.policy for result in results]
     _draw_bars(
-        axes[0][0],
-        'cache reuse of returning turns',
-        names,
+        axes[0],
+        f'{name}: cache reuse of returning turns',
+        policies,
         {
-            'reused': [r.reuse for r in measurement.results],
-            'best possible': [r.best_reuse for r in measurement.results],
+            'reused': [r.reuse for r in results],
+            'best possible': [r.best_reuse for r in results],
         },
     )
     _draw_bars(
-        axes[0][1],
-        'skew: highest over mean load',
-        names,
+        axes[1],
+        f'{name}: highest over mean load',
+        policies,
         {
-            'p50': [r.skew_p50 for r in measurement.results],
-            'p99': [r.skew_p99 for r in measurement.results],
-            'max': [r.skew_max for r in measurement.results],
+            'p50': [r.skew_p50 for r in results],
+            'p99': [r.skew_p99 for r in results],
+            'max': [r.skew_max for r in results],
         },
     )
     _draw_bars(
-        axes[1][0],
-        'first token, ms',
-        names,
+        axes[2],
+        f'{name}: first token, ms',
+        policies,
         {
-            f'p{p:.0f}': [
-                r.first_token_ms[f'p{p:.0f}'] for r in measurement.results
-            ]
+            f'p{p:.0f}': [r.first_token_ms[f'p{p:.0f}'] for r in results]
             for p in measures.PERCENTILES
         },
     )
-    _draw_slope(axes[1][1], measurement.slope)
-    figure.suptitle(f'seed {measurement.seed}')
-    figure.tight_layout()
-    figure.savefig(path, dpi=90)
-    pyplot.close(figure)
 
 
 def _draw_bars(axes, title: str, names: list[str], series: dict) -> None:
--- a/arbutusvale/standins/fleet.py
+++ b/arbutusvale/standins/fleet.py
@@ -25,7 +25,6 @@
 ANY_PORT = '127.0.0.1:0'
 FLEET_KEY = 'fleet-key-of-the-trial'
 OPERATOR = 'trial'
-DATA_CENTRES = ('poa-1', 'poa-2', 'cxj-1')
 GRACE_S = 10.0
 READY_BOUND_S = 30.0
 POLL_S = 0.02
@@ -63,7 +62,7 @@
         self.platform = platform.PlatformStandin(
             ANY_PORT, vm_lag_s=shape.vm_lag_s
         )
-        self.proxies: dict[str, faults.FaultProxy] = {}
+        self.proxies: list[faults.FaultProxy] = []
         self.engines: dict[str, Guarded] = {}
         self.services: dict[str, Guarded] = {}
         self.routers: dict[str, compose.Router] = {}
@@ -71,10 +70,6 @@
     async def start(self) -> None:
         """Start everything; a bundle still has to be rolled out."""
         await self.platform.start()
-        for role in messages.Role:
-            proxy = faults.FaultProxy(ANY_PORT, self.platform.address)
-            await proxy.start()
-            self.proxies[role] = proxy
         for _ in range(self.shape.engines):
             await self.add_engine()
         for _ in range(self.shape.services):
@@ -124,7 +119,7 @@
         await asyncio.gather(*(_stop(each.sidecar, 0) for each in running))
         for each in running:
             await each.server.stop()
-        for proxy in self.proxies.values():
+        for proxy in self.proxies:
             await proxy.stop()
         await self.platform.stop()
 
@@ -162,9 +157,7 @@
         """Start a router and list its VM."""
         name = f'entry-{len(self.routers) + 1}'
         router = compose.Router(
-            settings.RouterSettings(
-                **self._settings(name, messages.Role.ROUTER)
-            )
+            settings.RouterSettings(**self._settings(name))
         )
         await router.start()
         self.routers[name] = router
@@ -192,25 +185,36 @@
         """Start a server with its sidecar and list its VM."""
         await server.start()
         held = settings.SidecarSettings(
-            **self._settings(name, messages.Role.SIDECAR),
+            **self._settings(name),
             pool=pool,
             server=server.address,
             kind=kind,
         )
         sidecar = compose.Sidecar(held)
         await sidecar.start()
-        self._list_vm(sidecar, pool, sidecar.link_server.port)
+        port = sidecar.link_server.port
+        if self.shape.link_delay_s:
+            port = await self._delay(port)
+        self._list_vm(sidecar, pool, port)
         return Guarded(name, pool, server, sidecar, time.monotonic())
 
-    def _settings(self, vm: str, role: messages.Role) -> dict:
+    async def _delay(self, port: int) -> int:
+        """Put a delay before a port; returns the port to use instead."""
+        proxy = faults.FaultProxy(ANY_PORT, f'127.0.0.1:{port}')
+        proxy.faults.delay_s = self.shape.link_delay_s
+        await proxy.start()
+        self.proxies.append(proxy)
+        return proxy.port
+
+    def _settings(self, vm: str) -> dict:
         """Return the settings that all processes have."""
         place = len(self.engines) + len(self.services) + len(self.routers)
         return {
             'vm': vm,
-            'data_centre': DATA_CENTRES[place % len(DATA_CENTRES)],
+            'data_centre': f'dc-{place % self.shape.data_centres + 1}',
             'listen': ANY_PORT,
             'admin': ANY_PORT,
-            'platform': f'http://{self.proxies[role].address}',
+            'platform': f'http://{self.platform.address}',
             'fleet_key': FLEET_KEY,
             'operators': self.operators,
         }
--- a/arbutusvale/standins/fleetshape.py
+++ b/arbutusvale/standins/fleetshape.py
@@ -19,8 +19,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class FleetShape:
-    """Hold the sizes of a trial fleet and the policy of its model pool."""
+    """Hold the sizes of a trial fleet and the policy of its model pool.
 
+    ``link_delay_s`` is the one-way delay between routers and sidecars.
+    """
+
+    name: str = 'trial'
     engines: int = 6
     services: int = 3
     routers: int = 2
@@ -34,6 +38,8 @@
     event_lag_s: float = 0.2
     event_drop_share: float = 0.02
     vm_lag_s: float = 1.0
+    link_delay_s: float = 0.0
+    data_centres: int = 3
     seed: int = 1
     speed: engine.EngineSpeed = dataclasses.field(
         default_factory=lambda: engine.EngineSpeed(
@@ -42,6 +48,22 @@
     )
 
 
+LEMBRETE_SUL = FleetShape(
+    name='lembrete-sul',
+    engines=6,
+    services=3,
+    link_delay_s=0.001,
+    data_centres=3,
+)
+LUMENWALL = FleetShape(
+    name='lumenwall',
+    engines=5,
+    services=4,
+    link_delay_s=0.0015,
+    data_centres=4,
+)
+
+
 @dataclasses.dataclass(frozen=True)
 class Account:
     """Hold an organisation of the trial, its API key and share of chats."""
--- a/arbutusvale/ui/commands/load_measure.py
+++ b/arbutusvale/ui/commands/load_measure.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import os
 import pathlib
 
 from arbutusvale import errors
@@ -15,6 +16,8 @@
 from arbutusvale.ui import trial
 
 POLICIES = ('random', 'least_loaded', 'rendezvous', 'directory')
+DEPLOYMENTS = (fleetshape.LEMBRETE_SUL, fleetshape.LUMENWALL)
+DAY = plan.DayShape(seconds=45.0, chats=160, bookings=90, reads=180)
 SIZES = (6, 12, 24, 48)
 IDLE_S = 12.0
 SETTLE_S = 3.0
@@ -48,13 +51,16 @@
 async def measure(seed: int, folder: str) -> report.Measurement:
     """Measure all policies in turn, then the slope of control bytes."""
     results = []
-    for policy in POLICIES:
-        shape = fleetshape.FleetShape(policy=policy, seed=seed)
-        played = await trial.play_day(shape, plan.DayShape(seed=seed))
-        results.append(played.result)
+    for deployment in DEPLOYMENTS:
+        for policy in POLICIES:
+            shape = dataclasses.replace(deployment, policy=policy, seed=seed)
+            day = dataclasses.replace(DAY, seed=seed)
+            played = await trial.play_day(shape, day)
+            results.append(played.result)
     points = [await measure_idle(size, seed) for size in SIZES]
     command = f'arbutusvale-load measure --seed={seed} --out={folder}'
-    return report.Measurement(command, seed, results, points)
+    load_average = os.getloadavg()[0]
+    return report.Measurement(command, seed, load_average, results, points)
 
 
 async def measure_idle(sidecars: int, seed: int) -> report.SlopePoint:
--- a/arbutusvale/ui/trial.py
+++ b/arbutusvale/ui/trial.py
@@ -8,6 +8,7 @@
 
 import yaml
 
+from arbutusvale import compose
 from arbutusvale import errors
 from arbutusvale.coordination import callerrequest
 from arbutusvale.coordination import rollout
@@ -84,33 +85,8 @@
         return work.chat
 
     async def usage(self) -> list[fleetview.ProcessUsage]:
-        """Return the byte counts of each router and sidecar.
-
-        What the processes of a role exchange with the platform is split
-        evenly among them.
-        """
-        processes = self.trial.processes()
-        return [self._usage(process, processes) for process in processes]
-
-    def _usage(self, process, processes: list) -> fleetview.ProcessUsage:
-        """Return one process's byte counts."""
-        role = process.role.value
-        same = sum(other.role == process.role for other in processes)
-        platform = self.trial.proxies[role].bytes
-        counters = process.counters
-        return fleetview.ProcessUsage(
-            process.settings.vm,
-            role,
-            {
-                **counters.sent.control_by_kind,
-                PLATFORM_KIND: platform['to_target'] // same,
-            },
-            {
-                **counters.received.control_by_kind,
-                PLATFORM_KIND: platform['to_client'] // same,
-            },
-            counters.sent.request_bytes + counters.received.request_bytes,
-        )
+        """Return the byte counts of each router and sidecar."""
+        return [_usage(process) for process in self.trial.processes()]
 
     async def leave(self) -> None:
         """Let the engine that joined first leave, while calls go on."""
@@ -131,6 +107,23 @@
         await self.trial.add_engine()
 
 
+def _usage(process: compose.Process) -> fleetview.ProcessUsage:
+    """Return one process's byte counts, links and platform together."""
+    counters, traffic = process.counters, process.traffic
+    return fleetview.ProcessUsage(
+        process.settings.vm,
+        process.role.value,
+        {**counters.sent.control_by_kind, **_named(traffic.sent)},
+        {**counters.received.control_by_kind, **_named(traffic.received)},
+        counters.sent.request_bytes + counters.received.request_bytes,
+    )
+
+
+def _named(calls: dict[str, int]) -> dict[str, int]:
+    """Tell calls of the platform from messages on links."""
+    return {f'{PLATFORM_KIND} {name}': count for name, count in calls.items()}
+
+
 @dataclasses.dataclass(frozen=True)
 class Trial:
     """Hold a played day's result and how its rollout ended."""
@@ -226,6 +219,7 @@
     requests = max(1, counts.outcomes.total())
     routers = trial.routers.values()
     return report.PolicyResult(
+        deployment=trial.shape.name,
         policy=trial.shape.policy,
         seconds=seconds,
         turns=counts.turns,
