--- a/arbutusvale/standins/engine.py
+++ b/arbutusvale/standins/engine.py
@@ -5,6 +5,7 @@
 import dataclasses
 import hashlib
 import json
+import time
 
 import numpy as np
 from tornado import web
@@ -36,6 +37,7 @@
     event_lag_s: float = 0.0
     event_drop_share: float = 0.0
     load_lag_s: float = 0.0
+    load_model_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -77,6 +79,8 @@
         self.cached_hits = 0
         self.cancels = 0
         self.crashes = 0
+        self.loading = 0
+        self.chats_while_loading = 0
         self.fence = -1
         self.orders: list[dict] = []
         self.model = 'model'
@@ -128,6 +132,13 @@
         self.active.discard(run)
         self.report_load()
 
+    async def load_model(self) -> None:
+        """Serve no chat while a model is loaded; count those that come."""
+        self.loading += 1
+        self.chats_while_loading += len(self.active)
+        await asyncio.sleep(self.speed.load_model_s + self.faults.load_model_s)
+        self.loading -= 1
+
     def report_load(self) -> None:
         """Note the load for later reports."""
         running = min(len(self.active), self.slot_count)
@@ -206,6 +217,10 @@
         if marker and marker in self.request.body:
             await standin.crash()
             return
+        if standin.loading:
+            standin.chats_while_loading += 1
+            self.answer({'error': 'a model is being loaded'}, 503)
+            return
         headers = self.request.headers
         self.request_id = headers.get(callerapi.REQUEST_ID, '')
         run = enginestate.Run(self.request_id)
@@ -460,15 +475,17 @@
             return
         standin.fence = max(standin.fence, order['fence'])
         standin.orders.append(order)
+        order['began'] = time.time()
         match order['kind']:
             case 'load_model':
-                await asyncio.sleep(standin.speed.load_model_s)
+                await standin.load_model()
                 standin.model = order['model']
                 standin.version = order['version']
             case 'set_role':
                 standin.role = order['role']
             case kind:
                 raise web.HTTPError(400, f'unknown order {kind}')
+        order['ended'] = time.time()
         self.answer({})
 
 
@@ -516,6 +533,7 @@
                 'cached_hits': standin.cached_hits,
                 'cancels': standin.cancels,
                 'crashes': standin.crashes,
+                'chats_while_loading': standin.chats_while_loading,
                 'fence': standin.fence,
                 'orders': standin.orders,
                 'chats': list(standin.cache.tokens),
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -36,6 +36,7 @@
     link_proxies: bool = False
     server_proxies: bool = False
     log_proxies: tuple[str, ...] = ()
+    fencing: bool = True
 
 
 @dataclasses.dataclass
@@ -86,7 +87,7 @@
         self.keys = signing.generate_keys()
         self.operators = {OPERATOR: self.keys.public}
         self.platform_address = self.ports.address()
-        self.platform = self._program(
+        self.platform = self.make_program(
             'platform',
             ['standin', 'platform', f'--listen={self.platform_address}'],
         )
@@ -97,7 +98,9 @@
 
     # Building
 
-    def _program(self, name: str, arguments: list[str]) -> processes.Program:
+    def make_program(
+        self, name: str, arguments: list[str]
+    ) -> processes.Program:
         """Make a process that is ended with the deployment."""
         program = processes.Program(name, arguments, self.folder)
         self.programs.append(program)
@@ -106,7 +109,7 @@
     def _proxy(self, name: str, target: str) -> tuple[str, str]:
         """Start a fault proxy; returns its address and control address."""
         address, control = self.ports.address(), self.ports.address()
-        self._program(
+        self.make_program(
             name,
             [
                 'standin',
@@ -131,7 +134,7 @@
             return f'http://{address}'
         raise AssertionError(f'{vm} has its proxy already')
 
-    def _settings(self, vm: str, **fields) -> str:
+    def write_settings(self, vm: str, **fields) -> str:
         """Write a settings file; returns its path."""
         path = self.folder / f'{vm}.yaml'
         fields = {
@@ -149,7 +152,7 @@
     def add_engine(self, name: str, pool: str = CHAT_POOL) -> Guarded:
         """Make an engine and its sidecar; starts neither."""
         address = self.ports.address()
-        server = self._program(
+        server = self.make_program(
             f'{name}-server',
             [
                 'standin',
@@ -157,6 +160,7 @@
                 f'--listen={address}',
                 f'--name={name}',
                 f'--slots={self.shape.slots}',
+                *([] if self.shape.fencing else ['--no-fencing']),
             ],
         )
         return self._guard(name, pool, address, server, 'engine')
@@ -164,7 +168,7 @@
     def add_service(self, name: str, pool: str = PLAIN_POOL) -> Guarded:
         """Make a plain service and its sidecar; starts neither."""
         address = self.ports.address()
-        server = self._program(
+        server = self.make_program(
             f'{name}-server',
             ['standin', 'service', f'--listen={address}', f'--name={name}'],
         )
@@ -190,7 +194,7 @@
             listed, link_control = self._proxy(
                 f'{name}-link-proxy', link_address
             )
-        path = self._settings(
+        path = self.write_settings(
             name,
             listen=link_address,
             admin=admin,
@@ -198,7 +202,7 @@
             kind=kind,
             server=server_seen,
         )
-        sidecar = self._program(name, ['sidecar', path])
+        sidecar = self.make_program(name, ['sidecar', path])
         made = Guarded(
             name=name,
             pool=pool,
@@ -217,8 +221,8 @@
     def add_router(self, name: str) -> Entry:
         """Make a router; does not start it."""
         address, admin = self.ports.address(), self.ports.address()
-        path = self._settings(name, listen=address, admin=admin)
-        program = self._program(name, ['router', path])
+        path = self.write_settings(name, listen=address, admin=admin)
+        program = self.make_program(name, ['router', path])
         self.routers[name] = Entry(name, address, admin, program)
         return self.routers[name]
 
