Pass headers on to plain services and close abandoned links

Plain services got only three headers; now they get all but the API key and those of one connection. A route that marks a call non-idempotent could be missed by percent-encoding its path: both spellings now have to allow a repeat. A listening side closes links that were silent for 150 s, as the other side may be gone without a word. Other methods than POST on the chat path are answered 405.

--- a/arbutusvale/coordination/callerrequest.py
+++ b/arbutusvale/coordination/callerrequest.py
@@ -6,6 +6,7 @@
 import hmac
 import json
 import math
+import urllib.parse
 import uuid
 
 from arbutusvale.protocol import bundle
@@ -14,7 +15,25 @@
 
 _DIGEST_LENGTH = 32
 _NOT_RUN = messages.Outcome.NOT_RUN.value
-_PASSED_ON = frozenset({'content-type', 'accept', 'accept-language'})
+_CHAT_HEADERS = frozenset({'content-type', 'accept', 'accept-language'})
+_KEPT_BACK = frozenset(
+    {
+        'authorization',
+        'connection',
+        'content-length',
+        'expect',
+        'host',
+        'keep-alive',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        callerapi.REQUEST_ID.lower(),
+        callerapi.REQUEST_TIMEOUT.lower(),
+    }
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -140,6 +159,13 @@
     current: bundle.Bundle,
 ) -> Work | callerapi.ErrorAnswer:
     """Describe a chat completion."""
+    if request.method != 'POST':
+        return callerapi.ErrorAnswer(
+            405,
+            'method_not_allowed',
+            f'{request.method} is not possible here. Use POST.',
+            _NOT_RUN,
+        )
     chat = _read_chat(request.body)
     if isinstance(chat, callerapi.ErrorAnswer):
         return chat
@@ -217,13 +243,16 @@
     )
 
 
-def passed_headers(request: CallerRequest) -> list:
-    """List the headers that a backend server gets, as name and value."""
-    return [
-        [name, value]
-        for name, value in request.headers
-        if name.lower() in _PASSED_ON
-    ]
+def passed_headers(work: Work) -> list:
+    """List the headers that a backend server gets, as name and value.
+
+    Engines get what describes the body; plain services get all but those
+    of one connection and the API key.
+    """
+    headers = work.request.headers
+    if work.chat:
+        return [p for p in headers if p[0].lower() in _CHAT_HEADERS]
+    return [p for p in headers if p[0].lower() not in _KEPT_BACK]
 
 
 def _is_idempotent(
@@ -233,7 +262,11 @@
     if request.idempotent.lower() == 'false':
         return False
     bare = path.partition('?')[0]
-    return bundle.is_idempotent(service, request.method, bare)
+    decoded = urllib.parse.unquote(bare)
+    return all(
+        bundle.is_idempotent(service, request.method, spelling)
+        for spelling in (bare, decoded)
+    )
 
 
 def _read_chat(body: bytes) -> _Chat | callerapi.ErrorAnswer:
--- a/arbutusvale/coordination/search.py
+++ b/arbutusvale/coordination/search.py
@@ -270,7 +270,7 @@
             service=work.service,
             method=work.request.method,
             path=work.path,
-            headers=callerrequest.passed_headers(work.request),
+            headers=callerrequest.passed_headers(work),
             body=work.request.body,
             chat=work.chat,
             home=self.candidates.home,
--- a/arbutusvale/transport/linkserver.py
+++ b/arbutusvale/transport/linkserver.py
@@ -1,6 +1,7 @@
 """Accept links from other VMs of the fleet."""
 
 import asyncio
+import time
 
 from absl import logging
 from websockets.asyncio import server
@@ -12,6 +13,9 @@
 from arbutusvale.transport import links
 from arbutusvale.transport import opening
 
+IDLE_S = 150.0
+_SWEEP_SHARE = 0.25
+
 
 class LinkServer:
     """Listen on one address and run a link per connection.
@@ -30,13 +34,16 @@
         fleet_key: str,
         handler: ports.LinkHandler,
         counters: linkcounters.LinkCounters | None = None,
+        idle_s: float = IDLE_S,
     ):
         self.address = settings.split_address(listen)
         self.identity = opening.Identity(vm, incarnation, role, fleet_key)
         self.handler = handler
         self.counters = counters or linkcounters.LinkCounters()
         self.links: dict[str, links.Link] = {}
+        self.idle_s = idle_s
         self.server: server.Server | None = None
+        self.sweeping: asyncio.Task | None = None
 
     async def start(self) -> None:
         """Start to listen."""
@@ -46,6 +53,7 @@
             self.address.port,
             **links.SOCKET_OPTIONS,
         )
+        self.sweeping = asyncio.create_task(self._sweep())
 
     @property
     def port(self) -> int:
@@ -56,11 +64,24 @@
         """Stop to listen, send what is queued and close every link."""
         if self.server is None:
             return
+        self.sweeping.cancel()
         self.server.close(close_connections=False)
         open_links = list(self.links.values())
         await asyncio.gather(*(link.finish() for link in open_links))
         await self.server.wait_closed()
 
+    async def _sweep(self) -> None:
+        """Close the links that were silent for the idle time.
+
+        Their other side closes idle links sooner, unless it is gone.
+        """
+        while True:
+            await asyncio.sleep(self.idle_s * _SWEEP_SHARE)
+            oldest = time.monotonic() - self.idle_s
+            for link in list(self.links.values()):
+                if link.used_at < oldest:
+                    link.close()
+
     async def _run_link(self, socket: server.ServerConnection) -> None:
         """Authenticate one connection and carry its messages."""
         try:
--- a/tests/coordination/test_dispatch.py
+++ b/tests/coordination/test_dispatch.py
@@ -5,6 +5,7 @@
 
 from arbutusvale.coordination import answerevents
 from arbutusvale.coordination import attempts
+from arbutusvale.protocol import bundle
 from arbutusvale.protocol import callerapi
 from arbutusvale.protocol import messages
 from arbutusvale.state import bundles
@@ -480,3 +481,34 @@
     (error,) = run(links, request)
     assert error.outcome == 'unknown'
     assert [vm for vm, _ in links.submits()].count(home) == 1
+
+
+def test_a_plain_service_gets_no_api_key():
+    links = helpers_router.FakeLinks()
+    request = dataclasses.replace(
+        helpers_router.plain_request(),
+        headers=[
+            ['Authorization', 'Bearer x'],
+            ['Connection', 'close'],
+            ['Content-Type', 'text/plain'],
+            ['X-Room', '7'],
+        ],
+    )
+    run(links, request)
+    (_, submit), *_ = links.submits()
+    assert submit.headers == [['Content-Type', 'text/plain'], ['X-Room', '7']]
+
+
+def test_an_encoded_path_does_not_make_a_call_idempotent():
+    current = helpers_router.make_bundle()
+    route = bundle.Route(path='/confirm', idempotent=False)
+    current.services['booking'] = dataclasses.replace(
+        current.services['booking'], routes=[route]
+    )
+    for path in ('/confirm', '/c%6Fnfirm'):
+        links = helpers_router.FakeLinks()
+        request = helpers_router.plain_request(
+            'GET', f'/services/booking{path}'
+        )
+        run(links, request, current=current)
+        assert not links.submits()[0][1].idempotent
