--- a/arbutusvale/ui/main.py
+++ b/arbutusvale/ui/main.py
@@ -9,6 +9,7 @@
 import importlib
 import sys
 
+from absl import flags
 from absl import logging
 import docopt
 
@@ -82,6 +83,7 @@
 
 def start_logging(level: str) -> None:
     """Send log lines of ``level`` and above to standard error."""
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(_LEVELS[level])
     logging.set_stderrthreshold('debug')
--- a/tests/ui/test_commands.py
+++ b/tests/ui/test_commands.py
@@ -21,6 +21,7 @@
     processes.wait_until(lambda: 'listening' in program.output())
     yield f'http://{address}'
     assert program.terminate() == 0
+    assert 'Logging before flag parsing' not in program.output()
 
 
 @pytest.fixture(scope='module')
