Prove that a crashing request fells at most two servers

A retry after a crash is free now, as a request's second crash ends it; hops count anew after a failed attempt; a server that is down is gossiped as such. Ruled out: a mark on the Submit, which reaches only the next server of one router. Tried and dropped: sending every suspect on whatever its hops; the load bound at the one server then left chats unanswered.

Side by side before the first crash is known, copies may still fell more than two.

--- a/arbutusvale/compose.py
+++ b/arbutusvale/compose.py
@@ -277,6 +277,7 @@
             self.generator,
         )
         self.quarantine.spread = self.gossip.spread
+        self.quarantine.list_vms = self._list_pool
         self.directory = directory.Directory(FIRST_DIRECTORY_ENTRIES)
         self.locator = locate.Locator(
             held.vm, held.pool, self.directory, self.fleet, self.links
@@ -296,7 +297,7 @@
             self.quarantine,
             stored_s=lambda: self.claims.window_s,
         )
-        self.health = health.HealthWatch(self.server)
+        self.health = health.HealthWatch(self.server, self._note_health)
         self.drain = self._make_drain()
         self.freeze_guard = freeze.FreezeGuard(self._look_around)
         self.gate = self._make_gate()
@@ -392,6 +393,17 @@
         """Tell the gate of the end of a link."""
         await self.gate.link_closed(link)
 
+    def _note_health(self, up: bool) -> None:
+        """Tell pool mates whether the server here takes work."""
+        if self.drain.leaving:
+            return
+        state = messages.VmState.LIVE if up else messages.VmState.DOWN
+        self.gossip.state_changed(state)
+
+    def _list_pool(self) -> list[str]:
+        """Name the live VMs of this sidecar's pool."""
+        return [vm.name for vm in self.fleet.list_live(self.settings.pool)]
+
     def _is_gone(self, vm: str, incarnation: int) -> bool:
         """Tell whether an incarnation of a pool mate is known to be over."""
         if self.fleet.find(vm) is None:
--- a/arbutusvale/coordination/crashes.py
+++ b/arbutusvale/coordination/crashes.py
@@ -45,6 +45,11 @@
         await asyncio.shield(self.judgement)
         return CRASHED if run.crashed else BROKEN
 
+    async def settled(self) -> None:
+        """Wait for the end of a judgement that is under way."""
+        if self.judgement is not None:
+            await asyncio.shield(self.judgement)
+
     async def _judge(self) -> None:
         """Look at the server and note a crash of it."""
         healthy = await self._is_healthy()
--- a/arbutusvale/coordination/gate.py
+++ b/arbutusvale/coordination/gate.py
@@ -7,6 +7,7 @@
 from absl import logging
 
 from arbutusvale.coordination import admission
+from arbutusvale.coordination import crashes
 from arbutusvale.coordination import drain
 from arbutusvale.coordination import freeze
 from arbutusvale.coordination import gossip
@@ -18,6 +19,7 @@
 from arbutusvale.coordination import runs
 from arbutusvale.coordination import slots
 from arbutusvale.coordination import streams
+from arbutusvale.coordination import suspectcheck
 from arbutusvale.protocol import messages
 from arbutusvale.protocol import ports
 from arbutusvale.state import bundles
@@ -65,7 +67,9 @@
         self.pool = pool
         self.follower = follower
         self.run_table = run_table
-        self.quarantine = quarantine
+        self.suspect_check = suspectcheck.SuspectCheck(
+            quarantine, run_table, closer
+        )
         self.admission = admission
         self.closer = closer
         self.keyed = keyed_requests
@@ -145,13 +149,12 @@
         """
         submit = waiting.submit
         await self.freeze_guard.check()
-        if self.quarantine.holds(submit.fingerprint):
-            self.closer.fail(
-                waiting, messages.Outcome.QUARANTINED, 'quarantined'
-            )
+        if self.suspect_check.answer_quarantined(waiting):
             return
         if self.keyed.answer_known_key(waiting):
             return
+        if await self.suspect_check.answer_suspect(waiting):
+            return
         refusal = await self._check_readiness(submit, waiting.link.vm)
         if refusal is not None:
             self.closer.close(waiting, refusal)
@@ -278,6 +281,8 @@
                 self.keyed.release(run)
                 if run.handed_over:
                     self.health.note_down()
+            case streams.Lost(reason=crashes.CRASHED):
+                self.health.note_down()
 
     def cancel(self, attempt: str) -> None:
         """Withdraw a waiting attempt or pass the wish on to its run."""
--- a/arbutusvale/coordination/quarantine.py
+++ b/arbutusvale/coordination/quarantine.py
@@ -5,7 +5,9 @@
 quarantined requests, as sets of crash ids: the sidecar that meets the
 second crash must know of the first, and a set may be merged twice or in
 any order.  A server runs its suspects one at a time, so that the second
-crash names one request and not all that shared the first.
+crash names one request and not all that shared the first.  All sidecars
+send a suspect to the same server first, as copies of it may arrive side by
+side.
 """
 
 import asyncio
@@ -13,11 +15,14 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import contextlib
+import time
 
 from absl import logging
 
+from arbutusvale.state import rendezvous
 from arbutusvale.state import suspects
 
+AVOIDED_S = 10.0
 SPREAD_TIMEOUT_S = 0.25
 SHOWN_DIGITS = 12
 
@@ -30,14 +35,23 @@
     """Count crashes per request and tell which requests may not run.
 
     ``spread`` sends the exported suspects to the pool mates at once and
-    returns when they have them.
+    returns when they have them; ``list_vms`` names the pool's live VMs.
     """
 
-    def __init__(self, vm: str, incarnation: int, table=None):
+    def __init__(
+        self,
+        vm: str,
+        incarnation: int,
+        table: suspects.SuspectTable | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.clock = clock
         self.vm = vm
         self.incarnation = incarnation
-        self.table = table or suspects.SuspectTable()
+        self.table = table or suspects.SuspectTable(clock)
         self.spread: Callable[[], Awaitable[None]] = _spread_to_nobody
+        self.list_vms: Callable[[], list[str]] = list
+        self.crashed_at: dict[str, float] = {}
         self.crashes = 0
         self.turn = asyncio.Lock()
 
@@ -71,7 +85,7 @@
         self.crashes += 1
         crash = f'{self.vm}/{self.incarnation}/{self.crashes}'
         for fingerprint in set(fingerprints):
-            self.table.merge(fingerprint, [crash])
+            self._merge(fingerprint, [crash], [])
             logging.warning(
                 'event=crash-suspect request=%s crash=%s quarantined=%s',
                 fingerprint.hex()[:SHOWN_DIGITS],
@@ -104,10 +118,40 @@
         for entry in entries:
             match entry:
                 case [bytes() as fingerprint, [*crashes], [*cleared]]:
-                    self.table.merge(
+                    self._merge(
                         fingerprint, _keep_text(crashes), _keep_text(cleared)
                     )
 
+    def choose_server(self, fingerprint: bytes) -> str:
+        """Return the VM where a suspect should run; empty for any.
+
+        It is none that the request has crashed, and none that crashed of
+        late, as that may still be down.
+        """
+        suspect = self.table.find(fingerprint)
+        if suspect is None or not suspect.suspected:
+            return ''
+        limit = self.clock() - AVOIDED_S
+        avoided = {vm for vm, at in self.crashed_at.items() if at > limit}
+        avoided.update(_name_vm(crash) for crash in suspect.crashes)
+        names = [vm for vm in self.list_vms() if vm not in avoided]
+        return rendezvous.first(fingerprint.hex(), names)
+
+    def _merge(
+        self, fingerprint: bytes, crashes: list[str], cleared: list[str]
+    ) -> None:
+        """Add to the table and note which VMs crashed of late."""
+        known = self.table.find(fingerprint)
+        seen = known.crashes if known is not None else set()
+        for crash in set(crashes) - seen:
+            self.crashed_at[_name_vm(crash)] = self.clock()
+        self.table.merge(fingerprint, crashes, cleared)
+
+
+def _name_vm(crash: str) -> str:
+    """Return the VM that a crash id names."""
+    return crash.rsplit('/', 2)[0]
+
 
 def _keep_text(values: list) -> list[str]:
     """Keep the strings of a list that came from outside."""
--- a/arbutusvale/coordination/refusals.py
+++ b/arbutusvale/coordination/refusals.py
@@ -4,6 +4,7 @@
 
 from arbutusvale.coordination import attempts
 from arbutusvale.coordination import callerrequest
+from arbutusvale.coordination import crashes
 from arbutusvale.protocol import callerapi
 from arbutusvale.protocol import messages
 
@@ -158,7 +159,12 @@
 
 
 def _judge_failed(failed: messages.Failed, work: callerrequest.Work) -> Step:
-    """Decide the next step after an accepted attempt failed."""
+    """Decide the next step after an accepted attempt failed.
+
+    A retry after a crash is free: the second crash of a request ends it,
+    so that crashes cannot multiply retries.
+    """
+    crashed = failed.reason == crashes.CRASHED
     match failed.outcome:
         case messages.Outcome.QUARANTINED:
             return Final(
@@ -181,18 +187,21 @@
                     _NOT_RUN,
                     failed.retry_after or _RETRY_AFTER_S,
                 ),
-                free=False,
+                free=crashed,
             )
         case _:
-            return _retry_if_idempotent(work, broken('server_failed'))
+            lost = broken('server_failed')
+            return _retry_if_idempotent(work, lost, free=crashed)
 
 
 def _retry_if_idempotent(
-    work: callerrequest.Work, error: callerapi.ErrorAnswer
+    work: callerrequest.Work,
+    error: callerapi.ErrorAnswer,
+    free: bool = False,
 ) -> Step:
     """Try an idempotent request elsewhere; for others this is final."""
     if work.idempotent:
-        return Elsewhere(error, free=False)
+        return Elsewhere(error, free)
     return Final(error)
 
 
--- a/arbutusvale/coordination/runs.py
+++ b/arbutusvale/coordination/runs.py
@@ -178,6 +178,18 @@
         while self.ended and self._is_past(self.ended[0], limit):
             self._drop_ended(self.ended.popleft())
 
+    async def wait_for_copies(
+        self, fingerprint: bytes, timeout_s: float
+    ) -> None:
+        """Wait until no run of this request is in flight."""
+        copies = [
+            run.task
+            for run in self.in_flight
+            if run.fingerprint == fingerprint and run.task is not None
+        ]
+        if copies:
+            await asyncio.wait(copies, timeout=timeout_s)
+
     async def drain(self) -> None:
         """Wait until no run is in flight."""
         while self.in_flight:
@@ -234,7 +246,7 @@
             logging.warning(
                 'event=server-unreachable cause="%s"', error.problem
             )
-            return streams.Lost(messages.Outcome.NOT_RUN, 'server-unreachable')
+            return await self._judge_unreachable(run)
         except errors.ServerBroken as error:
             logging.warning('event=server-broken cause="%s"', error.problem)
             return await self._judge_break(run)
@@ -268,6 +280,19 @@
                     case bytes():
                         await run.add_piece(piece)
 
+    async def _judge_unreachable(self, run: streams.Run) -> streams.Ending:
+        """End a run that the server never got.
+
+        A suspect may have waited while a copy of it crashed the server.
+        """
+        not_run = messages.Outcome.NOT_RUN
+        if not self.quarantine.suspects(run.fingerprint):
+            return streams.Lost(not_run, 'server-unreachable')
+        await self.crashes.settled()
+        if self.quarantine.holds(run.fingerprint):
+            return streams.Lost(messages.Outcome.QUARANTINED, 'quarantined')
+        return streams.Lost(not_run, crashes.CRASHED)
+
     async def _judge_break(self, run: streams.Run) -> streams.Ending:
         """End a run whose answer broke off.
 
--- a/arbutusvale/coordination/search.py
+++ b/arbutusvale/coordination/search.py
@@ -131,6 +131,8 @@
                 self.hops += reason not in _UNHOPPED
                 if reason == messages.Refusal.BUSY:
                     self.candidates.return_home()
+            case messages.Failed():
+                self.hops = 0
         match step:
             case refusals.CatchUp():
                 return await self._catch_up(choice)
--- a/arbutusvale/protocol/messages.py
+++ b/arbutusvale/protocol/messages.py
@@ -21,6 +21,7 @@
 
     LIVE = 'live'
     LEAVING = 'leaving'
+    DOWN = 'down'
 
 
 class Outcome(enum.StrEnum):
--- /dev/null
+++ b/tests/coordination/test_quarantine.py
@@ -0,0 +1,73 @@
+import asyncio
+
+import pytest
+
+from arbutusvale.coordination import quarantine
+from arbutusvale.state import suspects
+from tests import helpers_log
+
+KILLER = b'killer'
+OTHER = b'other'
+VMS = ['vm-1', 'vm-2', 'vm-3']
+
+
+def make_quarantine(vm='vm-1', clock=None):
+    made = quarantine.Quarantine(vm, 1, clock=clock or helpers_log.FakeClock())
+    made.list_vms = lambda: list(VMS)
+    return made
+
+
+def note_crash(held, *fingerprints):
+    asyncio.run(held.note_crash(fingerprints))
+
+
+def test_second_crash_quarantines_whichever_sidecar_hears_of_it():
+    one, two = make_quarantine('vm-1'), make_quarantine('vm-2')
+    note_crash(one, KILLER, OTHER)
+    two.merge(one.export())
+    two.merge(one.export())
+    assert two.suspects(KILLER)
+    assert not two.holds(KILLER)
+    note_crash(two, KILLER)
+    one.merge(two.export())
+    assert one.digests() == two.digests() == [KILLER]
+
+
+def test_request_that_ran_to_its_end_is_trusted_everywhere():
+    one, two = make_quarantine('vm-1'), make_quarantine('vm-2')
+    note_crash(one, KILLER)
+    two.merge(one.export())
+    two.clear(KILLER)
+    one.merge(two.export())
+    note_crash(one, KILLER)
+    assert not one.holds(KILLER)
+
+
+def test_all_sidecars_choose_the_same_server_for_a_suspect():
+    one, two = make_quarantine('vm-1'), make_quarantine('vm-2')
+    note_crash(one, KILLER)
+    two.merge(one.export())
+    chosen = one.choose_server(KILLER)
+    assert chosen == two.choose_server(KILLER)
+    assert chosen in ('vm-2', 'vm-3')
+    assert one.choose_server(OTHER) == ''
+
+
+def test_suspects_expire():
+    clock = helpers_log.FakeClock()
+    held = make_quarantine(clock=clock)
+    note_crash(held, KILLER)
+    note_crash(held, KILLER)
+    assert held.holds(KILLER)
+    clock.now += suspects.KEPT_S
+    assert not held.holds(KILLER)
+    assert held.export() == []
+
+
+@pytest.mark.parametrize(
+    'entry', [1, [], [KILLER], ['text', [], []], [KILLER, 'x', []]]
+)
+def test_odd_gossip_changes_nothing(entry):
+    held = make_quarantine()
+    held.merge([entry])
+    assert held.export() == []
