--- a/arbutusvale/ui/trial.py
+++ b/arbutusvale/ui/trial.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import logging
 import math
 import pathlib
 import tempfile
@@ -27,6 +28,7 @@
 
 ROLLOUT_TIMEOUT_S = 20.0
 PLATFORM_KIND = 'platform'
+LATE_EXCEPTION = 'Exception after Future was cancelled'
 
 
 class TrialView:
@@ -156,10 +158,16 @@
         return await publisher.publish(record, ROLLOUT_TIMEOUT_S)
 
 
+def _is_wanted(record: logging.LogRecord) -> bool:
+    """Drop what tornado logs of a long poll that a stopping process ends."""
+    return not record.getMessage().startswith(LATE_EXCEPTION)
+
+
 async def play_day(
     shape: fleetshape.FleetShape, day_shape: plan.DayShape
 ) -> Trial:
     """Start a fleet, roll out its bundle, play a day and stop all."""
+    logging.getLogger('tornado.application').addFilter(_is_wanted)
     trial = fleet.TrialFleet(shape)
     await trial.start()
     try:
--- /dev/null
+++ b/tests/standins/test_engine.py
@@ -0,0 +1,131 @@
+import asyncio
+import json
+
+import pytest
+
+from arbutusvale import errors
+from arbutusvale.protocol import engine
+from arbutusvale.protocol import plainservice
+from arbutusvale.standins import engine as engine_standin
+from arbutusvale.standins import enginestate
+from arbutusvale.standins import service as service_standin
+from tests import helpers_standins as helpers
+
+LOCAL = '127.0.0.1:0'
+
+
+def test_waiting_requests_run_by_priority():
+    async def check():
+        slots = enginestate.Slots(1)
+        await slots.acquire(0)
+        order = []
+
+        async def work(name, priority):
+            await slots.acquire(priority)
+            order.append(name)
+            slots.release()
+
+        tasks = [
+            asyncio.create_task(work(name, priority))
+            for name, priority in (('low', 0), ('late', 0), ('high', 5))
+        ]
+        await asyncio.sleep(0)
+        slots.release()
+        await asyncio.gather(*tasks)
+        assert order == ['high', 'low', 'late']
+        assert slots.running == 0
+
+    asyncio.run(check())
+
+
+def test_a_cancelled_request_gives_its_slot_back():
+    async def check():
+        slots = enginestate.Slots(1)
+        await slots.acquire(0)
+        waiting = asyncio.create_task(slots.acquire(0))
+        await asyncio.sleep(0)
+        slots.release()
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        assert slots.running == 0
+
+    asyncio.run(check())
+
+
+def test_the_chat_used_least_lately_is_evicted():
+    cache = enginestate.PrefixCache(2)
+    assert cache.store('a', 1) == []
+    assert cache.store('b', 1) == []
+    assert cache.find('a') == 1
+    assert cache.store('c', 1) == ['b']
+
+
+def test_events_come_late():
+    standin = engine_standin.EngineStandin(LOCAL, cache_entries=1)
+    standin.store('a', 1)
+    standin.store('b', 1)
+    kinds = [event.kind for event in standin.events.visible(0, 0.0)]
+    assert kinds == ['stored', 'stored', 'evicted']
+    assert standin.events.visible(0, 60.0) == []
+
+
+def test_no_more_than_the_slots_run_at_once():
+    async def check():
+        speed = engine_standin.EngineSpeed(token_s=0.005)
+        standin = engine_standin.EngineStandin(LOCAL, slots=2, speed=speed)
+        async with helpers.running(standin) as client:
+            server = engine.HttpEngine(standin.address, client)
+            runs = [
+                asyncio.create_task(
+                    helpers.collect(
+                        server, helpers.chat_request('hi', f'r{number}')
+                    )
+                )
+                for number in range(5)
+            ]
+            await helpers.until(lambda: len(standin.active) == 5)
+            assert standin.slots.running == 2
+            await asyncio.gather(*runs)
+            assert standin.peak == 5
+            assert standin.slots.running == 0
+
+    asyncio.run(check())
+
+
+def test_a_crashed_engine_comes_back_without_its_cache():
+    async def check():
+        standin = engine_standin.EngineStandin(
+            LOCAL, crash_marker='crash', restart_s=0.05
+        )
+        async with helpers.running(standin) as client:
+            server = engine.HttpEngine(standin.address, client)
+            await helpers.collect(server, helpers.chat_request('hi'))
+            with pytest.raises(errors.ServerBroken):
+                await helpers.collect(server, helpers.chat_request('crash'))
+            assert standin.crashes == 1
+            await helpers.until(lambda: standin.server is not None)
+            assert await server.healthy()
+            _, body = await helpers.collect(server, helpers.chat_request('hi'))
+            details = json.loads(body)['usage']['prompt_tokens_details']
+            assert details == {'cached_tokens': 0}
+
+    asyncio.run(check())
+
+
+def test_a_crashed_service_keeps_its_bookings():
+    async def check():
+        standin = service_standin.ServiceStandin(
+            LOCAL, crash_marker='crash', restart_s=0.05
+        )
+        async with helpers.running(standin) as client:
+            server = plainservice.HttpService(standin.address, client)
+            await helpers.collect(server, helpers.booking_request('b'))
+            with pytest.raises(errors.ServerBroken):
+                request = helpers.booking_request('crash')
+                await helpers.collect(server, request)
+            await helpers.until(lambda: standin.server is not None)
+            shown = await helpers.stats(client, standin)
+            assert shown['bookings'] == {'b': 1}
+            assert shown['crashes'] == 1
+
+    asyncio.run(check())
