--- a/arbutusvale/ui/commands/load_measure.py
+++ b/arbutusvale/ui/commands/load_measure.py
@@ -7,6 +7,7 @@
 
 from arbutusvale import errors
 from arbutusvale.load import plan
+from arbutusvale.load import plots
 from arbutusvale.load import rates
 from arbutusvale.load import report
 from arbutusvale.standins import fleet
@@ -31,7 +32,7 @@
     measured = asyncio.run(measure(main_seed, str(folder)))
     report.write_json(measured, folder / 'measure.json')
     report.write_text(measured, folder / 'measure.txt')
-    report.plot(measured, folder / 'measure.png')
+    plots.draw(measured, folder / 'measure.png')
     if options['--json']:
         output.print_json(dataclasses.asdict(measured))
     else:
--- a/tests/load/test_report.py
+++ b/tests/load/test_report.py
@@ -1,5 +1,6 @@
 import json
 
+from arbutusvale.load import plots
 from arbutusvale.load import report
 
 
@@ -62,5 +63,5 @@
     report.write_json(measurement, tmp_path / 'm.json')
     document = json.loads((tmp_path / 'm.json').read_text())
     assert document['results'][1]['policy'] == 'directory'
-    report.plot(measurement, tmp_path / 'm.png')
+    plots.draw(measurement, tmp_path / 'm.png')
     assert (tmp_path / 'm.png').read_bytes().startswith(b'\x89PNG')
