Let gossip carry every mate of a large pool

A mate now counts as silent after 0.3 s per mate in the table, at least 5 s, as bounded messages take longer in a larger pool.

--- a/arbutusvale/coordination/gossip.py
+++ b/arbutusvale/coordination/gossip.py
@@ -209,12 +209,12 @@
         """Send back the own load and what the mate does not know."""
         self.table.touch()
         known = {load.vm: load for load in update.loads}
-        newest = self.table.list_newest(MOST_LOADS)
-        news = [load for load in newest if load != known.get(load.vm)]
+        most = max(1, min(MOST_LOADS, len(update.loads)))
+        chosen = self.table.choose_to_pass(most, self.random)
         reply = messages.PoolUpdate(
             update.query,
             False,
-            news[: max(1, len(update.loads))],
+            [load for load in chosen if load != known.get(load.vm)],
             self.quarantine.export() if len(update.loads) > 1 else [],
         )
         self.budget.spend(len(codec.encode_frame([reply])))
@@ -247,7 +247,7 @@
         return messages.PoolUpdate(
             next(self.queries),
             True,
-            self.table.list_newest(MOST_LOADS),
+            self.table.choose_to_pass(MOST_LOADS, self.random),
             self.quarantine.export(),
         )
 
--- a/arbutusvale/state/pooltable.py
+++ b/arbutusvale/state/pooltable.py
@@ -6,13 +6,16 @@
 import math
 import time
 
+import numpy
+
 from arbutusvale.protocol import messages
 
 SILENCE_S = 5.0
+SILENCE_PER_MATE_S = 0.3
 SAFE_DEVIATIONS = 2.0
 NAMED_S = 0.03
 TRANSIT_S = 0.005
-RELAY_AGE_S = 0.5
+RELAY_AGE_S = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -23,7 +26,8 @@
     counted, as the report was under way or passed on.  ``listed`` says
     that the VM list named the mate once; ``counted`` turns false when the
     list drops it.  ``named`` holds the times at which requests were sent
-    there that a report may not show yet.
+    there that a report may not show yet; ``passed_on`` counts how often
+    the report was gossiped on.
     """
 
     load: messages.Load
@@ -31,6 +35,7 @@
     stated_at: float
     listed: bool = False
     counted: bool = True
+    passed_on: int = 0
     named: list[float] = dataclasses.field(default_factory=list)
 
 
@@ -38,7 +43,7 @@
     """Hold the newest load of every server of a pool, its own included.
 
     A listed mate counts with load 0 until it is heard.  Mates that are
-    leaving, no longer listed or silent for ``SILENCE_S`` do not count.
+    leaving, no longer listed or silent for long do not count.
     """
 
     def __init__(
@@ -95,6 +100,7 @@
         if _age_key(load) <= _age_key(entry.load):
             return False
         entry.load = load
+        entry.passed_on = 0
         entry.heard_at = now
         entry.stated_at = now - age_s
         return True
@@ -121,21 +127,29 @@
     def _forget_silent(self) -> None:
         """Drop mates that were dropped from the list and are silent."""
         now = self.clock()
+        silence_s = self._get_silence()
         for name, entry in list(self.entries.items()):
-            if not entry.counted and now - entry.heard_at > 2 * SILENCE_S:
+            if not entry.counted and now - entry.heard_at > 2 * silence_s:
                 del self.entries[name]
 
     def list_counted(self) -> list[Entry]:
         """List the mates that count towards the mean."""
-        now = self.clock()
+        oldest = self.clock() - self._get_silence()
         return [
             entry
             for entry in self.entries.values()
             if entry.counted
             and entry.load.state == messages.VmState.LIVE
-            and now - entry.heard_at <= SILENCE_S
+            and entry.heard_at >= oldest
         ]
 
+    def _get_silence(self) -> float:
+        """Return the seconds after which a mate counts as silent.
+
+        Messages of bounded size take longer to carry a larger pool.
+        """
+        return max(SILENCE_S, SILENCE_PER_MATE_S * len(self.entries))
+
     @property
     def count(self) -> int:
         """Number of servers that share the pool's load, own included."""
@@ -207,13 +221,21 @@
                 return entry.load
         return None
 
-    def list_newest(self, most: int) -> list[messages.Load]:
-        """List the own load and those heard last, at most ``most``."""
-        heard = sorted(
-            (e for e in self.entries.values() if e.load.version > 0),
-            key=lambda entry: -entry.heard_at,
-        )
-        return [self.own, *[entry.load for entry in heard[: most - 1]]]
+    def choose_to_pass(
+        self, most: int, random: numpy.random.Generator
+    ) -> list[messages.Load]:
+        """List the own load and others to pass on, at most ``most``.
+
+        The reports that were passed on least come first, else those of a
+        large pool that are heard seldom would never travel.
+        """
+        heard = [e for e in self.entries.values() if e.load.version > 0]
+        heard = [heard[index] for index in random.permutation(len(heard))]
+        heard.sort(key=lambda entry: entry.passed_on)
+        chosen = heard[: most - 1]
+        for entry in chosen:
+            entry.passed_on += 1
+        return [self.own, *[entry.load for entry in chosen]]
 
 
 def _age_key(load: messages.Load) -> tuple[int, int]:
--- a/tests/coordination/test_gossip.py
+++ b/tests/coordination/test_gossip.py
@@ -72,6 +72,19 @@
     assert all(mate.quarantine.held == {b'bad'} for mate in mates.values())
 
 
+def test_every_mate_of_a_large_pool_stays_known():
+    async def work():
+        clock, mates = make_pool(60)
+        for _ in range(40):
+            clock.now += 1.0
+            for mate in mates.values():
+                await mate.exchange()
+        return mates
+
+    mates = asyncio.run(work())
+    assert {mate.table.count for mate in mates.values()} == {60}
+
+
 def test_refresh_asks_every_mate_of_a_small_pool():
     async def work():
         _, mates = make_pool(6)
