Split the restating of the head off, serve only a certain head

Cause: a reader that cannot see the beginning of the stream showed its head before it had settled, and compose would have called it ready. The follower's head is the last certain one now; a unit test covers it.

--- a/arbutusvale/coordination/bundlefollower.py
+++ b/arbutusvale/coordination/bundlefollower.py
@@ -13,13 +13,13 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
-import math
 import time
 
 from absl import logging
 import numpy as np
 
 from arbutusvale import errors
+from arbutusvale.coordination import restating
 from arbutusvale.protocol import messages
 from arbutusvale.protocol import ports
 from arbutusvale.protocol import signing
@@ -33,15 +33,14 @@
 RETRY_MAX_S = 2.0
 ANNOUNCE_INTERVAL_S = 10.0
 CATCH_UP_S = 2.0
-RESTATE_WAIT_S = 2.0
-SETTLE_S = 3 * RESTATE_WAIT_S
-REFRESH_SHARE = 0.6
-REFRESH_WAIT_SHARE = 0.1
+SETTLE_S = 3 * restating.REJECTED_WAIT_S
+SHOWN_DIGITS = 12
 
 
 class BundleFollower:
     """Apply the stream's records to a chain and serve copies to peers.
 
+    ``head`` is the bundle in force, None before the first one is certain.
     ``peers`` lists the VMs that accept links.  ``listeners`` are called
     with the head after each change of it, also of its offset alone.
     ``wall_clock`` is compared with the times of log records.
@@ -63,21 +62,21 @@
         self.peers = peers
         self.generator = generator or np.random.default_rng()
         self.clock = clock
-        self.wall_clock = wall_clock
         self.listeners: list[Callable[[bundles.InForce], None]] = []
         self.first_loaded = asyncio.Event()
         self.changed = asyncio.Event()
-        self.head_time: float | None = None
         self.last_change = clock()
-        self.retention = 0.0
         self.margin = POLL_MARGIN_S
         self.queries = 0
-        self.restating: asyncio.Task | None = None
-
-    @property
-    def head(self) -> bundles.InForce | None:
-        """Return the bundle in force."""
-        return self.chain.head
+        self.head: bundles.InForce | None = None
+        self.restater = restating.Restater(
+            log,
+            lambda: self.head,
+            lambda: self._read(0.0),
+            peers,
+            self.generator,
+            wall_clock,
+        )
 
     async def run(self) -> None:
         """Follow the log until cancelled."""
@@ -86,8 +85,7 @@
             await self._follow()
         finally:
             announcing.cancel()
-            if self.restating is not None:
-                self.restating.cancel()
+            self.restater.stop()
 
     async def catch_up(self, offset: int, peer_vm: str) -> bool:
         """Come up to ``offset``, that of the head of ``peer_vm``.
@@ -169,11 +167,11 @@
         except errors.LogExpired as error:
             await self._skip_expired(error.oldest)
             return
-        self.retention = page.retention
         for record in page.records:
             self._apply(record)
         self._settle(page)
-        await self._look_after_retention()
+        if self.chain.anchored:
+            await self.restater.look_after(page.retention)
 
     async def _skip_expired(self, oldest: int) -> None:
         """Read on from the oldest retained record; ask a peer as well."""
@@ -190,14 +188,11 @@
         outcome = self.chain.apply(record.offset, record.data)
         self._take(outcome, record.time)
         if isinstance(outcome, bundles.Rejected) and outcome.version:
-            if self.head is not None:
-                self._restate(RESTATE_WAIT_S, outcome.offset)
+            self.restater.note_rejected(outcome.offset)
 
     def _take(self, outcome: bundles.Outcome, time_s: float | None) -> None:
-        """Note an outcome and tell the listeners of a change."""
+        """Note an outcome; ``time_s`` is when the log took the record."""
         match outcome:
-            case bundles.Passed():
-                return
             case bundles.Rejected(offset=offset, reason=reason):
                 logging.warning(
                     'event=bundle-rejected offset=%d operator=%s '
@@ -207,30 +202,32 @@
                     outcome.version or '-',
                     reason,
                 )
-                return
-            case bundles.Accepted(offset=offset, version=version):
-                logging.info(
-                    'event=bundle-in-force offset=%d version=%s operator=%s '
-                    'digest=%s',
-                    offset,
-                    version,
-                    outcome.operator,
-                    self.head.digest.hex()[:12],
-                )
-            case bundles.Refresh(offset=offset):
-                logging.info('event=bundle-refreshed offset=%d', offset)
-        self.head_time = time_s
-        self.last_change = self.clock()
-        self._tell()
-
-    def _tell(self) -> None:
-        """Tell waiting tasks and listeners, once the head is certain."""
-        if not self.chain.anchored and not self.first_loaded.is_set():
+            case bundles.Accepted() | bundles.Refresh():
+                self.restater.head_time = time_s
+                self.last_change = self.clock()
+                self._put_in_force()
+
+    def _put_in_force(self) -> None:
+        """Take over the chain's head, once that is certain."""
+        head = self.chain.head
+        if head is None or head is self.head or not self.chain.anchored:
             return
+        if self.head is None or self.head.digest != head.digest:
+            logging.info(
+                'event=bundle-in-force offset=%d version=%s operator=%s '
+                'digest=%s',
+                head.offset,
+                head.version,
+                head.operator,
+                head.digest.hex()[:SHOWN_DIGITS],
+            )
+        else:
+            logging.info('event=bundle-refreshed offset=%d', head.offset)
+        self.head = head
         self.first_loaded.set()
         self.changed.set()
         for listener in self.listeners:
-            listener(self.head)
+            listener(head)
 
     def _settle(self, page: ports.LogPage) -> None:
         """Anchor an unanchored chain that has read all of the log."""
@@ -242,55 +239,7 @@
         if chain.contested and self.clock() - self.last_change < SETTLE_S:
             return
         chain.settle()
-        self._tell()
-
-    async def _look_after_retention(self) -> None:
-        """Append the head again when it nears its expiry."""
-        if self.head is None or self.retention <= 0:
-            return
-        if not self.chain.anchored:
-            return
-        if self.head_time is None:
-            self.head_time = await self._find_head_time()
-        age = self.wall_clock() - self.head_time
-        if age > REFRESH_SHARE * self.retention:
-            wait = REFRESH_WAIT_SHARE * self.retention
-            self._restate(wait, self.head.offset)
-
-    async def _find_head_time(self) -> float:
-        """Look up when the head was appended; 0 when it has expired."""
-        try:
-            page = await self.log.read(signing.STREAM, self.head.offset, 0.0)
-        except errors.LogExpired:
-            return 0.0
-        return page.records[0].time if page.records else 0.0
-
-    def _restate(self, longest_wait: float, offset: int) -> None:
-        """Append the head again later, unless somebody else does."""
-        if self.restating is None or self.restating.done():
-            self.restating = asyncio.create_task(
-                self._append_head(longest_wait, offset)
-            )
-
-    async def _append_head(self, longest_wait: float, offset: int) -> None:
-        """Wait, look once more and append the head after ``offset``."""
-        await asyncio.sleep(self._draw_wait(longest_wait))
-        with contextlib.suppress(errors.LogUnavailable):
-            await self._read(0.0)
-            if self.head.offset > offset:
-                return
-            await self.log.append(signing.STREAM, self.head.record)
-            logging.info('event=bundle-restated after=%d', offset)
-
-    def _draw_wait(self, longest: float) -> float:
-        """Draw a wait so that few of many processes draw a short one.
-
-        Truncated exponential timer as in feedback suppression of reliable
-        multicast.
-        """
-        slope = math.log(len(self.peers()) + 1) + 1
-        share = self.generator.uniform()
-        return longest / slope * math.log1p(math.expm1(slope) * share)
+        self._put_in_force()
 
     async def _announce(self) -> None:
         """Tell a random peer now and then which head this process has."""
@@ -306,7 +255,7 @@
         """Fetch a higher head from its sender, or tell it of a higher one."""
         if self.head is None or offset > self.head.offset:
             self._send_on(link, self._make_fetch())
-        elif offset < self.head.offset and self.chain.anchored:
+        elif offset < self.head.offset:
             self._send_on(link, messages.BundleHead(self.head.offset))
 
     def _send_copy(
@@ -314,8 +263,7 @@
     ) -> None:
         """Answer a peer that asks for the head."""
         head = self.head
-        known = head is not None and self.chain.anchored
-        if known and head.offset > fetch.above_offset:
+        if head is not None and head.offset > fetch.above_offset:
             copy = messages.BundleCopy(fetch.query, head.offset, head.record)
         else:
             copy = messages.BundleCopy(fetch.query, -1, b'')
--- a/tests/coordination/test_bundlefollower.py
+++ b/tests/coordination/test_bundlefollower.py
@@ -5,6 +5,7 @@
 import pytest
 
 from arbutusvale.coordination import bundlefollower
+from arbutusvale.coordination import restating
 from arbutusvale.protocol import messages
 from arbutusvale.protocol import signing
 from arbutusvale.state import bundles
@@ -30,6 +31,13 @@
     return follower
 
 
+def load(follower, *records):
+    """Put records in force without a log."""
+    for offset, record in enumerate(records):
+        follower.chain.apply(offset, record)
+        follower._put_in_force()
+
+
 @contextlib.asynccontextmanager
 async def running(*followers):
     tasks = [asyncio.create_task(each.run()) for each in followers]
@@ -58,7 +66,7 @@
 
 @fakes.asynchronous
 async def test_head_is_restated_after_a_rejected_signed_record(monkeypatch):
-    monkeypatch.setattr(bundlefollower, 'RESTATE_WAIT_S', 0.05)
+    monkeypatch.setattr(restating, 'REJECTED_WAIT_S', 0.05)
     log = fakes.FakeLog()
     followers = [make_follower(log, name=n) for n in 'ab']
     async with running(*followers):
@@ -102,9 +110,8 @@
     net = fakes.FakeNet()
     ahead = make_follower(log, net, 'ahead')
     behind = make_follower(log, net, 'behind')
-    for offset, record in enumerate((FIRST, SECOND)):
-        ahead.chain.apply(offset, record)
-    behind.chain.apply(0, FIRST)
+    load(ahead, FIRST, SECOND)
+    load(behind, FIRST)
     log.down = True
     assert await behind.catch_up(1, 'ahead')
     assert behind.head.version == 'v2'
@@ -116,9 +123,8 @@
     net = fakes.FakeNet()
     ahead = make_follower(log, net, 'ahead')
     behind = make_follower(log, net, 'behind')
-    for offset, record in enumerate((FIRST, SECOND)):
-        ahead.chain.apply(offset, record)
-    behind.chain.apply(0, FIRST)
+    load(ahead, FIRST, SECOND)
+    load(behind, FIRST)
     link = fakes.FakeLink(net, 'behind', 'ahead')
     link.send(messages.BundleHead(0))
     await fakes.wait_for(lambda: behind.head.version == 'v2')
@@ -172,7 +178,7 @@
 async def test_reader_behind_the_retention_reads_on_from_the_oldest():
     log = fakes.FakeLog()
     follower = make_follower(log)
-    follower.chain.apply(0, FIRST)
+    load(follower, FIRST)
     for record in (FIRST, SECOND, SECOND):
         await log.append('config', record)
     log.oldest['config'] = 2
@@ -192,3 +198,20 @@
         await log.append('config', FIRST)
         await fakes.wait_for(lambda: follower.head is not None)
     assert follower.margin > 0.2
+
+
+@fakes.asynchronous
+async def test_uncertain_head_is_not_in_force(monkeypatch):
+    monkeypatch.setattr(bundlefollower, 'POLL_WAIT_S', 0.05)
+    log = fakes.FakeLog()
+    for record in (FIRST, SECOND, RIVAL):
+        await log.append('config', record)
+    log.oldest['config'] = 1
+    follower = make_follower(log)
+    async with running(follower):
+        await fakes.wait_for(lambda: follower.chain.contested)
+        assert follower.head is None
+        await log.append('config', SECOND)
+        monkeypatch.setattr(bundlefollower, 'SETTLE_S', 0.1)
+        await asyncio.wait_for(follower.first_loaded.wait(), 5)
+    assert follower.head.version == 'v2'
--- /dev/null
+++ b/tests/state/test_bundles_agree.py
@@ -0,0 +1,71 @@
+"""Check on many logs that readers who start at any point agree."""
+
+import functools
+
+import hypothesis
+from hypothesis import strategies
+
+from arbutusvale.protocol import signing
+from arbutusvale.state import bundles
+from tests import helpers_bundle as made
+
+RECORDS = 8
+KEYS = {'ana': made.ANA, 'bia': made.BIA}
+
+
+@functools.cache
+def sign(version, parent, operator):
+    return made.make_record(version, parent, operator, KEYS[operator])
+
+
+@strategies.composite
+def draw_log(draw):
+    """Draw a log in which records follow any record or repeat one."""
+    log = [sign('v0', b'', 'ana')]
+    for number in range(1, draw(strategies.integers(1, RECORDS))):
+        parent = draw(strategies.sampled_from(log))
+        if draw(strategies.booleans()):
+            log.append(parent)
+            continue
+        operator = draw(strategies.sampled_from(sorted(KEYS)))
+        log.append(sign(f'v{number}', signing.digest(parent), operator))
+    return log
+
+
+def read(chain, log, start=0):
+    for offset, record in enumerate(log[start:], start):
+        chain.apply(offset, record)
+    return chain
+
+
+def make_chain():
+    return bundles.BundleChain(made.OPERATORS)
+
+
+@hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
+@hypothesis.given(draw_log(), strategies.data())
+def test_readers_agree_and_never_move_back(log, data):
+    whole = make_chain()
+    offsets = []
+    for offset, record in enumerate(log):
+        whole.apply(offset, record)
+        offsets.append(whole.head.offset)
+    assert offsets == sorted(offsets)
+    accepted = [o for o in whole.history if isinstance(o, bundles.Accepted)]
+    versions = [outcome.version for outcome in accepted]
+    assert len(versions) == len(set(versions))
+
+    cut = data.draw(strategies.integers(1, len(log)))
+    peer = read(make_chain(), log[:cut])
+    helped = make_chain()
+    helped.lose_place(cut)
+    helped.adopt(peer.head.offset, peer.head.record)
+    assert read(helped, log, cut).head.digest == whole.head.digest
+
+    restated = [*log, whole.head.record]
+    start = data.draw(strategies.integers(1, len(restated) - 1))
+    alone = make_chain()
+    alone.lose_place(start)
+    read(alone, restated, start)
+    alone.settle()
+    assert alone.head.digest == whole.head.digest
