Let the operator's tools wait for a certain head too

Cause: a tool that reads a log whose beginning has expired took the last signed record at once, also a loser's that nobody had answered yet; it would then call its own record accepted.

--- a/arbutusvale/coordination/bundlefollower.py
+++ b/arbutusvale/coordination/bundlefollower.py
@@ -33,7 +33,6 @@
 RETRY_MAX_S = 2.0
 ANNOUNCE_INTERVAL_S = 10.0
 CATCH_UP_S = 2.0
-SETTLE_S = 3 * restating.REJECTED_WAIT_S
 SHOWN_DIGITS = 12
 
 
@@ -236,7 +235,10 @@
             return
         if chain.position < page.head:
             return
-        if chain.contested and self.clock() - self.last_change < SETTLE_S:
+        if (
+            chain.contested
+            and self.clock() - self.last_change < restating.SETTLE_S
+        ):
             return
         chain.settle()
         self._put_in_force()
--- a/arbutusvale/coordination/configreader.py
+++ b/arbutusvale/coordination/configreader.py
@@ -4,11 +4,13 @@
 import time
 
 from arbutusvale import errors
+from arbutusvale.coordination import restating
 from arbutusvale.protocol import ports
 from arbutusvale.protocol import signing
 from arbutusvale.state import bundles
 
 READ_TIMEOUT_S = 5.0
+SETTLE_POLL_S = 0.2
 
 
 class ConfigReader:
@@ -18,19 +20,37 @@
     by offset; ``retention`` is how long the log keeps one, in seconds.
     """
 
-    def __init__(self, log: ports.LogService, chain: bundles.BundleChain):
+    def __init__(
+        self,
+        log: ports.LogService,
+        chain: bundles.BundleChain,
+        settle_s: float = restating.SETTLE_S,
+    ):
         self.log = log
         self.chain = chain
+        self.settle_s = settle_s
         self.records: dict[int, ports.LogRecord] = {}
         self.outcomes: list[bundles.Outcome] = []
         self.retention = 0.0
 
     async def read_to_end(self) -> None:
-        """Read up to the log's head; raises :class:`LogUnavailable`."""
+        """Read up to the log's head; raises :class:`LogUnavailable`.
+
+        Records that contradict each other, without the beginning of the
+        stream to judge them by, are read on until nothing new comes.
+        """
         while not await self.read_page(0.0):
             pass
+        while self.chain.contested and self._find_quiet() < self.settle_s:
+            await asyncio.sleep(SETTLE_POLL_S)
+            await self.read_page(0.0)
         self.chain.settle()
 
+    def _find_quiet(self) -> float:
+        """Return the seconds since the log's last record."""
+        last = max(record.time for record in self.records.values())
+        return time.time() - last
+
     async def read_page(self, wait: float) -> bool:
         """Read one page; tell whether it reached the log's head."""
         try:
--- a/arbutusvale/coordination/restating.py
+++ b/arbutusvale/coordination/restating.py
@@ -19,6 +19,7 @@
 from arbutusvale.state import bundles
 
 REJECTED_WAIT_S = 2.0
+SETTLE_S = 3 * REJECTED_WAIT_S
 REFRESH_SHARE = 0.6
 REFRESH_WAIT_SHARE = 0.1
 
--- a/tests/coordination/test_bundlefollower.py
+++ b/tests/coordination/test_bundlefollower.py
@@ -161,7 +161,7 @@
 
 @fakes.asynchronous
 async def test_reader_of_a_cut_log_settles_on_the_restated_head(monkeypatch):
-    monkeypatch.setattr(bundlefollower, 'SETTLE_S', 0.2)
+    monkeypatch.setattr(restating, 'SETTLE_S', 0.2)
     monkeypatch.setattr(bundlefollower, 'POLL_WAIT_S', 0.05)
     log = fakes.FakeLog()
     for record in (FIRST, SECOND, RIVAL, SECOND):
@@ -212,6 +212,6 @@
         await fakes.wait_for(lambda: follower.chain.contested)
         assert follower.head is None
         await log.append('config', SECOND)
-        monkeypatch.setattr(bundlefollower, 'SETTLE_S', 0.1)
+        monkeypatch.setattr(restating, 'SETTLE_S', 0.1)
         await asyncio.wait_for(follower.first_loaded.wait(), 5)
     assert follower.head.version == 'v2'
--- a/tests/coordination/test_rollout.py
+++ b/tests/coordination/test_rollout.py
@@ -1,3 +1,5 @@
+import asyncio
+
 from arbutusvale import errors
 from arbutusvale.coordination import configreader
 from arbutusvale.coordination import rollout
@@ -121,3 +123,22 @@
     outcome = await publisher.publish(FIRST, 1.0)
     assert isinstance(outcome, rollout.InForceEverywhere)
     assert len(log.streams['config']) == 1
+
+
+@fakes.asynchronous
+async def test_reader_of_a_cut_log_waits_for_the_restated_head():
+    log = fakes.FakeLog()
+    head = made.make_record('v2', PARENT)
+    rival = made.make_record('v2b', PARENT)
+    for record in (FIRST, rival, head):
+        await log.append('config', record)
+    log.oldest['config'] = 1
+    chain = bundles.BundleChain({'ana': made.ANA.public})
+    reader = configreader.ConfigReader(log, chain, 0.5)
+    reading = asyncio.create_task(reader.read_to_end())
+    await fakes.wait_for(lambda: chain.contested)
+    assert not reading.done()
+    await log.append('config', head)
+    await reading
+    assert chain.head.version == 'v2'
+    assert chain.head.offset == 3
