Ping only links that are quiet, and send no heartbeats

With streams to hundreds of sidecars at once a ping of each link every 0.4 s and a heartbeat each second would alone take several kilobytes a second of a router's control budget. A link that carries chunks shows by them that it lives, so only quiet links and those with a submit that is not accepted are pinged now.

--- a/arbutusvale/coordination/attempts.py
+++ b/arbutusvale/coordination/attempts.py
@@ -1,8 +1,9 @@
 """Run attempts over links and survive links that go silent.
 
-One monitor task pings the links that have attempts in flight.  A link that
-returns no pong is closed; its attempts go on over a new link, from the
-first chunk that they lack.
+One monitor task pings the links with attempts in flight on which nothing
+arrived for a while or an attempt is not accepted.  A link that returns no
+pong is closed; its attempts go on over a new link, from the first chunk
+that they lack.
 """
 
 import asyncio
@@ -16,9 +17,11 @@
 from arbutusvale.protocol import messages
 from arbutusvale.protocol import ports
 
-PING_INTERVAL_S = 0.4
+WATCH_INTERVAL_S = 0.2
 SILENCE_S = 1.0
 _QUIET_S = 0.4
+_PING_PAUSE_S = 0.6
+_PING_NUMBERS = 24
 _CREDIT_CHUNKS = 8
 _MAX_GAPS = 8
 _HASTY_DELAYS_S = (0.0, 0.1)
@@ -82,6 +85,7 @@
         self.incarnation = link.incarnation
         self.name = name
         self.inbox: asyncio.Queue = asyncio.Queue()
+        self.accepted = False
         self.head_seen = False
         self.next_chunk = 0
         self.received_bytes = 0
@@ -224,6 +228,11 @@
     heard_at: float
     attempts: set[Attempt] = dataclasses.field(default_factory=set)
     pinged_at: float = 0.0
+    last_ping: float = 0.0
+
+    def all_accepted(self) -> bool:
+        """Tell whether the sidecar has confirmed every attempt."""
+        return all(attempt.accepted for attempt in self.attempts)
 
 
 class Attempts:
@@ -236,13 +245,13 @@
         incarnation: int,
         links: ports.Links | None = None,
         clock: Callable[[], float] = time.monotonic,
-        ping_interval_s: float = PING_INTERVAL_S,
+        watch_interval_s: float = WATCH_INTERVAL_S,
         silence_s: float = SILENCE_S,
     ):
         self.prefix = f'{vm}.{incarnation:x}'
         self.links = links
         self.clock = clock
-        self.ping_interval_s = ping_interval_s
+        self.watch_interval_s = watch_interval_s
         self.silence_s = silence_s
         self.count = 0
         self.dropped_frames = 0
@@ -317,12 +326,11 @@
                 if watched is not None:
                     watched.pinged_at = 0.0
                 return
-            case messages.Heartbeat():
-                return
         attempt = self.by_name.get(getattr(message, 'attempt', ''))
         if attempt is None or attempt.link is not link:
             self.dropped_frames += 1
             return
+        attempt.accepted = True
         attempt.inbox.put_nowait(message)
 
     async def link_closed(self, link: ports.Link) -> None:
@@ -337,7 +345,7 @@
         """Watch the links with attempts in flight, until cancelled."""
         last = self.clock()
         while True:
-            await asyncio.sleep(self.ping_interval_s)
+            await asyncio.sleep(self.watch_interval_s)
             now = self.clock()
             if now - last > self.silence_s:
                 self._excuse_silence(now)
@@ -353,12 +361,12 @@
 
     def _check(self, link: ports.Link, watched: _Watched, now: float) -> None:
         """Ping a link, or close one that did not answer the last ping."""
+        quiet = now - watched.heard_at >= _QUIET_S
         if not watched.pinged_at:
-            watched.pinged_at = now
-            self._ping(link)
+            if quiet or not watched.all_accepted():
+                self._ping(link, watched, now)
             return
         waited = now - watched.pinged_at
-        quiet = now - watched.heard_at >= _QUIET_S
         if waited < self.silence_s or not (
             quiet or waited >= 2 * self.silence_s
         ):
@@ -372,10 +380,13 @@
         )
         link.close()
 
-    def _ping(self, link: ports.Link) -> None:
+    def _ping(self, link: ports.Link, watched: _Watched, now: float) -> None:
         """Send a ping; a closed link wakes its attempts anyway."""
+        if now - watched.last_ping < _PING_PAUSE_S:
+            return
+        watched.last_ping = watched.pinged_at = now
         self.pings += 1
         try:
-            link.send(messages.Ping(self.pings))
+            link.send(messages.Ping(self.pings % _PING_NUMBERS))
         except errors.LinkClosed as error:
             logging.debug('event=unsent cause="%s"', error.problem)
--- a/arbutusvale/coordination/gate.py
+++ b/arbutusvale/coordination/gate.py
@@ -106,8 +106,6 @@
                 self.locator.receive_hand_over(message)
             case messages.CacheCopy():
                 self._spawn(self.drain.hand_over.receive_copy(message))
-            case messages.Heartbeat():
-                pass
             case _:
                 self._spawn(self._receive_other(link, message))
 
--- a/arbutusvale/coordination/runs.py
+++ b/arbutusvale/coordination/runs.py
@@ -17,7 +17,7 @@
 from arbutusvale.state import answers
 from arbutusvale.state import attempts
 
-HEARTBEAT_INTERVAL_S = 1.0
+EXPIRY_INTERVAL_S = 1.0
 REATTACH_S = 20.0
 MOST_ENDED_RUNS = 512
 MOST_ENDED_BYTES = 32 * 1024 * 1024
@@ -149,23 +149,11 @@
             run.detach(link)
 
     async def run(self) -> None:
-        """Send heartbeats and drop what is past its time."""
+        """Drop what is past its time, until cancelled."""
         while True:
-            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
-            self.send_heartbeats()
+            await asyncio.sleep(EXPIRY_INTERVAL_S)
             self.expire()
 
-    def send_heartbeats(self) -> None:
-        """Show every link with active streams that it is alive."""
-        active: collections.Counter[ports.Link] = collections.Counter()
-        for attempt, run in self.runs.items():
-            stream = run.streams[attempt]
-            if stream.link is not None and not stream.end_sent:
-                active[stream.link] += 1
-        for link, count in active.items():
-            with contextlib.suppress(errors.LinkClosed):
-                link.send(messages.Heartbeat(count))
-
     def expire(self) -> None:
         """Drop lost attempts and ended runs that are past their time."""
         limit = self.clock() - REATTACH_S
--- a/arbutusvale/protocol/messages.py
+++ b/arbutusvale/protocol/messages.py
@@ -229,13 +229,6 @@
     next_chunk: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Heartbeat:
-    """Show that a link with active streams still carries bytes."""
-
-    active: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placed:
     """Tell a chat's home which VM ran it."""
@@ -338,7 +331,6 @@
     | Credit
     | Cancel
     | Reattach
-    | Heartbeat
     | Placed
     | Locate
     | Located
--- a/arbutusvale/transport/linkcounters.py
+++ b/arbutusvale/transport/linkcounters.py
@@ -11,7 +11,6 @@
         messages.Challenge,
         messages.Hello,
         messages.Welcome,
-        messages.Heartbeat,
         messages.Ping,
         messages.Pong,
         messages.Placed,
