--- a/tests/helpers_bookings.py
+++ b/tests/helpers_bookings.py
@@ -27,13 +27,17 @@
 
 @dataclasses.dataclass
 class Sent:
-    """Hold one send of a booking and what its caller was told."""
+    """Hold one send of a booking and what its caller was told.
+
+    ``ran_before`` says that the booking had run before it was sent.
+    """
 
     booking: str
     token: str
     answer: processes.Answer | None
     outcome: str
     seconds: float
+    ran_before: bool
 
 
 class Bench:
@@ -42,6 +46,7 @@
     def __init__(self, built: deployment.Deployment):
         self.built = built
         self.window_s = 3600.0
+        self.headers: dict[str, str] = {}
         self.callers = concurrent.futures.ThreadPoolExecutor(MOST_CALLERS)
         self.futures: list[concurrent.futures.Future] = []
         self.sends: list[Sent] = []
@@ -66,6 +71,7 @@
 
     def _send(self, router: str, booking: str, token: str) -> Sent:
         """Send a booking and read what its caller is told."""
+        ran_before = self.count(booking) > 0
         began = time.monotonic()
         try:
             answer = self.built.book(
@@ -73,13 +79,14 @@
                 router,
                 idempotency_key=f'key-of-{booking}',
                 token=token,
+                headers=self.headers,
                 timeout_s=CALL_TIMEOUT_S,
             )
             outcome = answer.header('Arbutusvale-Outcome')
         except OSError:
             answer, outcome = None, UNANSWERED
         seconds = time.monotonic() - began
-        sent = Sent(booking, token, answer, outcome, seconds)
+        sent = Sent(booking, token, answer, outcome, seconds, ran_before)
         self.sends.append(sent)
         return sent
 
@@ -108,6 +115,8 @@
             if all(sent.outcome == 'not-run' for sent in told):
                 assert runs == 0, (booking, 'told not-run')
             for sent in told:
+                if sent.ran_before:
+                    assert sent.outcome != 'not-run', sent
                 if sent.outcome == 'answered':
                     assert runs == 1, booking
                     assert sent.answer.json()['token'] == sent.token
