--- a/tests/features/connections.feature
+++ b/tests/features/connections.feature
@@ -50,6 +50,27 @@
     Then the booking is answered within 3 s of that
     And the booking ran 1 time
 
+  Scenario: Links and those opened in their place go silent
+    Given an engine and two routers that link to it through a proxy
+    And the engine takes 0.1 s for each token
+    When a chat streams 20 tokens and 3 of them arrived
+    And the open links go silent, and new ones too for 2 s
+    Then the stream is whole, with no gap above 6 s
+    And the engine ran the chat 1 time
+
+  Scenario Outline: A process is frozen in the middle of a stream and wakes
+    Given an engine and two routers that link to it through a proxy
+    And the engine takes 0.1 s for each token
+    When a chat streams 20 tokens and 3 of them arrived
+    And <process> is frozen for 3 s
+    Then the stream is whole, with no gap above 6 s
+    And the engine ran the chat 1 time
+
+    Examples:
+      | process  |
+      | entry-1  |
+      | engine-1 |
+
   Scenario Outline: The link to an engine goes silent for good in a stream
     Given an engine that its sidecar reaches through a proxy
     And the engine takes 0.1 s for each token
--- a/tests/features/test_connections.py
+++ b/tests/features/test_connections.py
@@ -124,6 +124,30 @@
     bench.built.set_faults(bench.guarded.server_control, freeze=direction)
 
 
+@when(
+    parsers.parse(
+        'the open links go silent, and new ones too for {seconds:g} s'
+    )
+)
+def _(bench, seconds):
+    control = bench.guarded.link_control
+    bench.built.set_faults(control, freeze='both', freeze_new='both')
+    time.sleep(seconds)
+    bench.built.set_faults(control, freeze_new='')
+
+
+@when(parsers.parse('{process} is frozen for {seconds:g} s'))
+def _(bench, process, seconds):
+    built = bench.built
+    if process in built.routers:
+        program = built.routers[process].program
+    else:
+        program = built.guarded[process].sidecar
+    program.freeze()
+    time.sleep(seconds)
+    program.thaw()
+
+
 @when('a booking is sent and has run')
 def _(bench):
     bench.booking = bench.pool.submit(bench.built.book, 'bay-1')
