--- a/arbutusvale/load/plots.py
+++ b/arbutusvale/load/plots.py
@@ -70,7 +70,7 @@
     middle = 0.4 - width / 2
     axes.set_xticks([place + middle for place in range(len(names))], names)
     axes.set_title(title)
-    axes.legend()
+    axes.legend(loc='lower right')
 
 
 def _draw_slope(axes, points: list[report.SlopePoint]) -> None:
