Split the router's modules that had grown large

The watch over silent links, the reading of chat bodies and the handlers that reach no sidecar are modules of their own now.

--- a/arbutusvale/coordination/attempts.py
+++ b/arbutusvale/coordination/attempts.py
@@ -1,9 +1,6 @@
-"""Run attempts over links and survive links that go silent.
+"""Run attempts over links; they go on when a link ends.
 
-One monitor task pings the links with attempts in flight on which nothing
-arrived for a while or an attempt is not accepted.  A link that returns no
-pong is closed; its attempts go on over a new link, from the first chunk
-that they lack.
+An attempt goes on over a new link from the first chunk that it lacks.
 """
 
 import asyncio
@@ -14,14 +11,10 @@
 from absl import logging
 
 from arbutusvale import errors
+from arbutusvale.coordination import linkwatch
 from arbutusvale.protocol import messages
 from arbutusvale.protocol import ports
 
-WATCH_INTERVAL_S = 0.2
-SILENCE_S = 1.0
-_QUIET_S = 0.4
-_PING_PAUSE_S = 0.6
-_PING_NUMBERS = 24
 _CREDIT_CHUNKS = 8
 _MAX_GAPS = 8
 _HASTY_DELAYS_S = (0.0, 0.1)
@@ -205,7 +198,7 @@
                 if link.incarnation != self.incarnation:
                     return Lost('the sidecar was restarted')
                 self.link = link
-                self.table.watch(self)
+                self.table.watch.add(link, self)
                 link.send(messages.Reattach(self.name, self.next_chunk))
             except errors.LinkClosed as error:
                 cause = error.problem
@@ -221,20 +214,6 @@
         return Lost(cause)
 
 
-@dataclasses.dataclass(slots=True)
-class _Watched:
-    """Hold the attempts on one link and when it was last heard."""
-
-    heard_at: float
-    attempts: set[Attempt] = dataclasses.field(default_factory=set)
-    pinged_at: float = 0.0
-    last_ping: float = 0.0
-
-    def all_accepted(self) -> bool:
-        """Tell whether the sidecar has confirmed every attempt."""
-        return all(attempt.accepted for attempt in self.attempts)
-
-
 class Attempts:
     """Hold the attempts in flight; implements :class:`ports.LinkHandler`."""
 
@@ -245,21 +224,14 @@
         incarnation: int,
         links: ports.Links | None = None,
         clock: Callable[[], float] = time.monotonic,
-        watch_interval_s: float = WATCH_INTERVAL_S,
-        silence_s: float = SILENCE_S,
     ):
         self.prefix = f'{vm}.{incarnation:x}'
         self.links = links
-        self.clock = clock
-        self.watch_interval_s = watch_interval_s
-        self.silence_s = silence_s
         self.count = 0
         self.dropped_frames = 0
-        self.silent_links = 0
-        self.pings = 0
         self.tasks: set[asyncio.Task] = set()
         self.by_name: dict[str, Attempt] = {}
-        self.watched: dict[ports.Link, _Watched] = {}
+        self.watch = linkwatch.LinkWatch(clock)
 
     def next_name(self) -> str:
         """Return an attempt id that no other attempt has."""
@@ -271,7 +243,7 @@
         link = await self.links.get(vm)
         attempt = Attempt(self, vm, link, submit.attempt)
         self.by_name[attempt.name] = attempt
-        self.watch(attempt)
+        self.watch.add(link, attempt)
         try:
             link.send(submit)
         except errors.LinkClosed:
@@ -297,35 +269,18 @@
                 error.problem,
             )
 
-    def watch(self, attempt: Attempt) -> None:
-        """Expect signs of life on the attempt's present link."""
-        watched = self.watched.get(attempt.link)
-        if watched is None:
-            watched = _Watched(self.clock())
-            self.watched[attempt.link] = watched
-        watched.attempts.add(attempt)
-
     def forget(self, attempt: Attempt) -> None:
         """Stop to expect anything for an attempt."""
         self.by_name.pop(attempt.name, None)
-        watched = self.watched.get(attempt.link)
-        if watched is not None:
-            watched.attempts.discard(attempt)
-            if not watched.attempts:
-                del self.watched[attempt.link]
+        self.watch.remove(attempt.link, attempt)
 
     async def receive(
         self, link: ports.Link, message: messages.Message
     ) -> None:
         """Hand a message to its attempt; others are dropped and counted."""
-        watched = self.watched.get(link)
-        if watched is not None:
-            watched.heard_at = self.clock()
-        match message:
-            case messages.Pong():
-                if watched is not None:
-                    watched.pinged_at = 0.0
-                return
+        self.watch.hear(link, message)
+        if isinstance(message, messages.Pong):
+            return
         attempt = self.by_name.get(getattr(message, 'attempt', ''))
         if attempt is None or attempt.link is not link:
             self.dropped_frames += 1
@@ -335,58 +290,9 @@
 
     async def link_closed(self, link: ports.Link) -> None:
         """Wake the attempts on a link that ended."""
-        watched = self.watched.pop(link, None)
-        if watched is None:
-            return
-        for attempt in watched.attempts:
+        for attempt in self.watch.take_ended(link):
             attempt.inbox.put_nowait(_LinkEnded(link))
 
     async def run(self) -> None:
         """Watch the links with attempts in flight, until cancelled."""
-        last = self.clock()
-        while True:
-            await asyncio.sleep(self.watch_interval_s)
-            now = self.clock()
-            if now - last > self.silence_s:
-                self._excuse_silence(now)
-            last = now
-            for link, watched in list(self.watched.items()):
-                self._check(link, watched, now)
-
-    def _excuse_silence(self, now: float) -> None:
-        """Restart the waits, as this process itself stood still."""
-        for watched in self.watched.values():
-            watched.heard_at = now
-            watched.pinged_at = 0.0
-
-    def _check(self, link: ports.Link, watched: _Watched, now: float) -> None:
-        """Ping a link, or close one that did not answer the last ping."""
-        quiet = now - watched.heard_at >= _QUIET_S
-        if not watched.pinged_at:
-            if quiet or not watched.all_accepted():
-                self._ping(link, watched, now)
-            return
-        waited = now - watched.pinged_at
-        if waited < self.silence_s or not (
-            quiet or waited >= 2 * self.silence_s
-        ):
-            return
-        self.silent_links += 1
-        logging.warning(
-            'event=link-silent vm=%s waited_s=%.1f attempts=%d',
-            link.vm,
-            waited,
-            len(watched.attempts),
-        )
-        link.close()
-
-    def _ping(self, link: ports.Link, watched: _Watched, now: float) -> None:
-        """Send a ping; a closed link wakes its attempts anyway."""
-        if now - watched.last_ping < _PING_PAUSE_S:
-            return
-        watched.last_ping = watched.pinged_at = now
-        self.pings += 1
-        try:
-            link.send(messages.Ping(self.pings % _PING_NUMBERS))
-        except errors.LinkClosed as error:
-            logging.debug('event=unsent cause="%s"', error.problem)
+        await self.watch.run()
--- a/arbutusvale/coordination/callerrequest.py
+++ b/arbutusvale/coordination/callerrequest.py
@@ -4,16 +4,15 @@
 import dataclasses
 import hashlib
 import hmac
-import json
 import math
 import urllib.parse
 import uuid
 
+from arbutusvale.coordination import chatbody
 from arbutusvale.protocol import bundle
 from arbutusvale.protocol import callerapi
 from arbutusvale.protocol import messages
 
-_DIGEST_LENGTH = 32
 _NOT_RUN = messages.Outcome.NOT_RUN.value
 _CHAT_HEADERS = frozenset({'content-type', 'accept', 'accept-language'})
 _KEPT_BACK = frozenset(
@@ -87,15 +86,6 @@
         return self.deadline - asyncio.get_running_loop().time()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Chat:
-    """Hold what routing has to know of a chat completion's body."""
-
-    model: str
-    messages: list
-    streams: bool
-
-
 def find_organisation(
     api_key: str, current: bundle.Bundle
 ) -> str | callerapi.ErrorAnswer:
@@ -144,7 +134,7 @@
         )
     timeout = _read_timeout(request.timeout)
     if timeout is None:
-        return _malformed(
+        return chatbody.malformed(
             f'{callerapi.REQUEST_TIMEOUT} is not a number of seconds.'
         )
     if request.path.partition('?')[0] == callerapi.CHAT_PATH:
@@ -166,7 +156,7 @@
             f'{request.method} is not possible here. Use POST.',
             _NOT_RUN,
         )
-    chat = _read_chat(request.body)
+    chat = chatbody.read_chat(request.body)
     if isinstance(chat, callerapi.ErrorAnswer):
         return chat
     grant = current.organisations[organisation]
@@ -181,7 +171,7 @@
         return _no_service('model', chat.model, bool(names))
     name = granted[0]
     service = current.services[name]
-    digest = _digest_chat(request.chat_id, organisation, chat)
+    digest = chatbody.digest_chat(request.chat_id, organisation, chat)
     return Work(
         request=request,
         organisation=organisation,
@@ -191,7 +181,7 @@
         path=callerapi.CHAT_PATH,
         chat=digest,
         spread=digest,
-        first_turn=_is_first_turn(chat),
+        first_turn=chatbody.is_first_turn(chat),
         streams=chat.streams,
         key=request.key,
         caller_key=bool(request.key),
@@ -269,46 +259,6 @@
     )
 
 
-def _read_chat(body: bytes) -> _Chat | callerapi.ErrorAnswer:
-    """Read the body of a chat completion."""
-    try:
-        document = json.loads(body)
-    except ValueError:
-        return _malformed('The body is not JSON.')
-    if not isinstance(document, dict):
-        return _malformed('The body is not a JSON object.')
-    model = document.get('model')
-    turns = document.get('messages')
-    if not isinstance(model, str):
-        return _malformed('The field "model" is not a text.')
-    if not isinstance(turns, list) or not turns:
-        return _malformed('The field "messages" is not a filled list.')
-    if not all(isinstance(turn, dict) for turn in turns):
-        return _malformed('The field "messages" holds more than objects.')
-    return _Chat(model, turns, document.get('stream') is True)
-
-
-def _digest_chat(chat_id: str, organisation: str, chat: _Chat) -> str:
-    """Digest a chat's id, or without one its first messages."""
-    named: list = [organisation, 'id', chat_id]
-    if not chat_id:
-        system = [m for m in chat.messages if _role(m) == 'system'][:1]
-        user = [m for m in chat.messages if _role(m) == 'user'][:1]
-        named = [organisation, 'text', chat.model, system, user]
-    text = json.dumps(named, sort_keys=True)
-    return hashlib.sha256(text.encode()).hexdigest()[:_DIGEST_LENGTH]
-
-
-def _is_first_turn(chat: _Chat) -> bool:
-    """Tell whether no engine has answered in this chat yet."""
-    return not any(_role(item) == 'assistant' for item in chat.messages)
-
-
-def _role(message: dict) -> str:
-    """Return the role of a message."""
-    return str(message.get('role', ''))
-
-
 def _fingerprint(
     request: CallerRequest, organisation: str, service: str, path: str
 ) -> bytes:
@@ -334,13 +284,6 @@
     return asyncio.get_running_loop().time() + min(wanted, allowed)
 
 
-def _malformed(problem: str) -> callerapi.ErrorAnswer:
-    """Answer a request that cannot be understood."""
-    return callerapi.ErrorAnswer(
-        400, 'malformed', f'{problem} Correct it and send again.', _NOT_RUN
-    )
-
-
 def _no_service(kind: str, name: str, known: bool) -> callerapi.ErrorAnswer:
     """Answer a request for a service that the organisation cannot use."""
     if known:
--- a/arbutusvale/transport/callerserver.py
+++ b/arbutusvale/transport/callerserver.py
@@ -2,10 +2,7 @@
 
 import asyncio
 import contextlib
-import http
 import json
-import math
-import uuid
 
 from absl import logging
 from tornado import httpserver
@@ -20,13 +17,13 @@
 from arbutusvale.coordination import dispatch
 from arbutusvale.protocol import callerapi
 from arbutusvale.protocol import messages
+from arbutusvale.transport import callerhandlers
 
 _MAX_DRAINED_BYTES = 64 * 1024 * 1024
 _DEFAULT_BODY_BYTES = 4 * 1024 * 1024
 _HELD_BYTES = 64 * 1024
 _EVENT_STREAM = 'text/event-stream'
 _NOT_RUN = messages.Outcome.NOT_RUN.value
-_UNKNOWN = messages.Outcome.UNKNOWN.value
 _OWN_HEADERS = frozenset(
     {
         'connection',
@@ -40,107 +37,8 @@
 )
 
 
-class _BaseHandler(web.RequestHandler):
-    """Answer errors in the one shape that every error has."""
-
-    def initialize(self, dispatcher: dispatch.Dispatcher) -> None:
-        """Take the dispatcher of this router."""
-        self.dispatcher = dispatcher
-        self.request_id = uuid.uuid4().hex
-
-    def set_default_headers(self) -> None:
-        """Say nothing of the server's software."""
-        self.clear_header('Server')
-
-    def compute_etag(self) -> str | None:
-        """Leave entity tags to the backend servers."""
-        return None
-
-    def api_key(self) -> str:
-        """Return the bearer key; empty when there is none."""
-        scheme, _, key = self.request.headers.get(
-            'Authorization', ''
-        ).partition(' ')
-        return key.strip() if scheme.lower() == 'bearer' else ''
-
-    def write_error_answer(self, error: callerapi.ErrorAnswer) -> None:
-        """Put an error answer in place of what was written so far."""
-        self.clear()
-        self.set_status(error.status)
-        self.set_header(callerapi.OUTCOME, error.outcome)
-        self.set_header(callerapi.REQUEST_ID, self.request_id)
-        if error.retry_after > 0:
-            wait = str(math.ceil(error.retry_after))
-            self.set_header(callerapi.RETRY_AFTER, wait)
-        self.close_when_draining()
-        self.write(error.body(self.request_id))
-
-    def close_when_draining(self) -> None:
-        """Send the caller to another router for its next request."""
-        if self.dispatcher.draining:
-            self.set_header('Connection', 'close')
-
-    def write_error(self, status_code: int, **kwargs) -> None:
-        """Answer what tornado itself rejects and what went wrong here."""
-        ours = status_code >= 500
-        self.write_error_answer(
-            callerapi.ErrorAnswer(
-                status_code,
-                'internal' if ours else 'rejected',
-                f'{http.HTTPStatus(status_code).phrase}. '
-                'Check the method and path of the request.',
-                _UNKNOWN if ours else _NOT_RUN,
-            )
-        )
-
-
-class _UnknownPathHandler(_BaseHandler):
-    """Answer requests for paths that the API does not have."""
-
-    def prepare(self) -> None:
-        """Name the paths that there are."""
-        self.write_error_answer(
-            callerapi.ErrorAnswer(
-                404,
-                'unknown_path',
-                f'There is no {self.request.path}. Use '
-                f'{callerapi.CHAT_PATH}, {callerapi.MODELS_PATH} or '
-                f'{callerapi.SERVICES_PREFIX}NAME/.',
-                _NOT_RUN,
-            )
-        )
-        self.finish()
-
-
-class _ModelsHandler(_BaseHandler):
-    """List the models that the caller's organisation may use."""
-
-    def get(self) -> None:
-        """Answer ``GET /v1/models``."""
-        head = self.dispatcher.get_head()
-        if head is None:
-            self.write_error_answer(calls.not_ready())
-            return
-        found = callerrequest.find_organisation(self.api_key(), head.bundle)
-        if isinstance(found, callerapi.ErrorAnswer):
-            self.write_error_answer(found)
-            return
-        models = [
-            {
-                'id': name,
-                'object': 'model',
-                'created': 0,
-                'owned_by': 'arbutusvale',
-            }
-            for name in callerrequest.list_models(found, head.bundle)
-        ]
-        self.set_header(callerapi.REQUEST_ID, self.request_id)
-        self.set_header(callerapi.OUTCOME, messages.Outcome.ANSWERED.value)
-        self.write({'object': 'list', 'data': models})
-
-
 @web.stream_request_body
-class _CallHandler(_BaseHandler):
+class _CallHandler(callerhandlers.BaseHandler):
     """Relay one request to the fleet and its answer back."""
 
     def prepare(self) -> None:
@@ -294,14 +192,14 @@
         application = web.Application(
             [
                 (callerapi.CHAT_PATH, _CallHandler, options),
-                (callerapi.MODELS_PATH, _ModelsHandler, options),
+                (callerapi.MODELS_PATH, callerhandlers.ModelsHandler, options),
                 (
                     f'{callerapi.SERVICES_PREFIX}([^/]+)(/.*)?',
                     _CallHandler,
                     options,
                 ),
             ],
-            default_handler_class=_UnknownPathHandler,
+            default_handler_class=callerhandlers.UnknownPathHandler,
             default_handler_args=options,
             log_function=_log_nothing,
         )
--- a/tests/coordination/test_dispatch.py
+++ b/tests/coordination/test_dispatch.py
@@ -19,8 +19,8 @@
 def run(links, request, **options):
     async def scenario():
         dispatcher = helpers_router.make_dispatcher(links, **options)
-        dispatcher.attempts.watch_interval_s = 0.02
-        dispatcher.attempts.silence_s = 0.05
+        dispatcher.attempts.watch.interval_s = 0.02
+        dispatcher.attempts.watch.silence_s = 0.05
         monitor = asyncio.create_task(dispatcher.run())
         try:
             async with asyncio.timeout(20):
