Test that malformed answers of a server break at once

Fourteen malformed answers (truncated, wrong lengths, bad chunks, huge heads) each end as a broken server within the test's 5 s; none was mistaken for a whole answer, so the adapter needed no change.

--- a/tests/protocol/test_servers.py
+++ b/tests/protocol/test_servers.py
@@ -198,3 +198,43 @@
 def test_hop_by_hop_headers_are_dropped():
     pairs = [['Connection', 'close, X-Own'], ['x-own', '1'], ['Accept', 'a']]
     assert httpanswer.end_to_end(pairs) == [['Accept', 'a']]
+
+
+MALFORMED = [
+    b'',
+    b'nonsense\r\n\r\n',
+    b'HTTP/1.1 abc OK\r\n\r\n',
+    b'HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\nabc',
+    b'HTTP/1.1 200 OK\r\nContent-Length: 3, 4\r\n\r\nabcd',
+    b'HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc',
+    b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc',
+    b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcde',
+    b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n',
+    b'HTTP/1.1 200 OK\r\nTransfer-Encoding: odd\r\n\r\nabc',
+    b'HTTP/1.1 204 No\r\nContent-Length: 3\r\n\r\nabc',
+    b'HTTP/1.1 100 Go\r\n\r\n' * 50,
+    b'HTTP/1.1 200 OK\r\nX: ' + b'y' * 100_000 + b'\r\n\r\n',
+    b'HTTP/1.1 200 OK\r\n\xff\xfe: \x00\r\nno colon\r\n\r\n',
+]
+
+
+@pytest.mark.parametrize('answer', MALFORMED)
+def test_malformed_answers_break_at_once(answer):
+    async def reply(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(answer)
+        writer.close()
+
+    async def check():
+        server = await asyncio.start_server(reply, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        parts = httpanswer.stream(
+            f'127.0.0.1:{port}', 'GET', '/', [], b'', 30.0
+        )
+        async with asyncio.timeout(5):
+            with pytest.raises(errors.ServerBroken):
+                async for _ in parts:
+                    pass
+        server.close()
+
+    asyncio.run(check())
