Blame only requests that were at the server when it crashed

A run of the crash scenarios failed once: a chat in flight beside the crashing one got 422 instead of 200. A suspect that waits for its turn is let go when the crash ends the one before it and connects at once; when another answer of the same crash broke a moment later, all runs handed over by then were blamed, this one too, for its second time. A unit test showed it: '[b'f1', b'f2'] == [b'f1']'. Now the first broken answer of a crash fixes who was in flight, and a run that found no server is left out. Mates also have 0.2 s instead of 0.1 to confirm suspects, as a late one would run a suspect beside others.

--- a/arbutusvale/coordination/claims.py
+++ b/arbutusvale/coordination/claims.py
@@ -20,6 +20,7 @@
 SHARDS = 1
 CLAIM_TIMEOUT_S = 4.0
 RETRY_AFTER_S = 2.0
+SHOWN_DIGITS = 12
 
 
 def read_clock() -> float:
@@ -157,7 +158,7 @@
             async with asyncio.timeout(timeout_s):
                 await shard.claim(key, fingerprint)
         except (TimeoutError, errors.LogUnavailable):
-            logging.info('event=claim-failed key=%s', key.hex())
+            logging.info('event=claim-failed key=%s', key.hex()[:SHOWN_DIGITS])
         known = self.lookup(key, fingerprint)
         if known is None:
             return LogDown(RETRY_AFTER_S)
--- a/arbutusvale/coordination/crashes.py
+++ b/arbutusvale/coordination/crashes.py
@@ -38,9 +38,9 @@
         if run.crashed:
             return CRASHED
         self.broken.add(run)
-        self.suspects.update(r for r in in_flight if r.handed_over)
         self.suspects.add(run)
         if self.judgement is None:
+            self.suspects.update(r for r in in_flight if r.handed_over)
             self.judgement = asyncio.create_task(self._judge())
         await asyncio.shield(self.judgement)
         return CRASHED if run.crashed else BROKEN
@@ -55,7 +55,7 @@
         healthy = await self._is_healthy()
         await asyncio.sleep(GATHER_S)
         crashed = not healthy or len(self.broken) >= CRASH_BREAKS
-        suspects = self.suspects
+        suspects = {run for run in self.suspects if not run.unreached}
         self.broken = set()
         self.suspects = set()
         self.judgement = None
--- a/arbutusvale/coordination/gossip.py
+++ b/arbutusvale/coordination/gossip.py
@@ -24,6 +24,7 @@
 MOST_LOADS = 32
 REFRESH_MATES = 8
 REFRESH_TIMEOUT_S = 0.1
+SPREAD_TIMEOUT_S = 0.2
 REFRESH_AGE_S = 0.004
 BUDGET_BYTES_PER_S = 3000.0
 BUDGET_BURST_BYTES = 9000.0
@@ -167,7 +168,7 @@
                 self._ask(
                     mate,
                     dataclasses.replace(message, query=next(self.queries)),
-                    REFRESH_TIMEOUT_S,
+                    SPREAD_TIMEOUT_S,
                 )
                 for mate in self._choose_mates()
             ]
--- a/arbutusvale/coordination/runs.py
+++ b/arbutusvale/coordination/runs.py
@@ -9,8 +9,8 @@
 from absl import logging
 
 from arbutusvale import errors
-from arbutusvale.coordination import crashes
 from arbutusvale.coordination import quarantine
+from arbutusvale.coordination import servercall
 from arbutusvale.coordination import streams
 from arbutusvale.protocol import messages
 from arbutusvale.protocol import ports
@@ -21,7 +21,6 @@
 REATTACH_S = 20.0
 MOST_ENDED_RUNS = 512
 MOST_ENDED_BYTES = 32 * 1024 * 1024
-LEAST_UNREPEATABLE_S = 60.0
 DEFAULT_STORED_S = 3600.0
 
 OnFinished = Callable[[streams.Run], None]
@@ -43,12 +42,10 @@
         stored_s: Callable[[], float] = lambda: DEFAULT_STORED_S,
         clock: Callable[[], float] = time.monotonic,
     ):
-        self.server = server
-        self.quarantine = quarantined
+        self.caller = servercall.ServerCaller(server, quarantined)
         self.store = store or answers.AnswerStore(clock=clock)
         self.stored_s = stored_s
         self.clock = clock
-        self.crashes = crashes.CrashDetector(server, quarantined)
         self.runs: dict[str, streams.Run] = {}
         self.in_flight: set[streams.Run] = set()
         self.keys: dict[bytes, streams.Run] = {}
@@ -212,99 +209,13 @@
             messages.Outcome.UNKNOWN, 'cancelled'
         )
         try:
-            ending = await self._call_server(run)
+            ending = await self.caller.call(run, self.in_flight)
         finally:
             self.in_flight.discard(run)
             run.finish(ending)
             self._settle(run)
             on_finished(run)
 
-    async def _call_server(self, run: streams.Run) -> streams.Ending:
-        """Relay the server's answer; returns how it ended."""
-        fingerprint = run.fingerprint
-        try:
-            async with asyncio.timeout(self._allow_time(run)):
-                async with self.quarantine.take_turn(fingerprint):
-                    if self.quarantine.holds(fingerprint):
-                        return streams.Lost(
-                            messages.Outcome.QUARANTINED, 'quarantined'
-                        )
-                    await self._relay(run)
-        except errors.ServerUnreachable as error:
-            logging.warning(
-                'event=server-unreachable cause="%s"', error.problem
-            )
-            return await self._judge_unreachable(run)
-        except errors.ServerBroken as error:
-            logging.warning('event=server-broken cause="%s"', error.problem)
-            return await self._judge_break(run)
-        except TimeoutError:
-            return await self._time_out(run)
-        except asyncio.CancelledError:
-            await self.server.cancel(run.submit.request_id)
-            raise
-        self.quarantine.clear(fingerprint)
-        return streams.Complete()
-
-    async def _relay(self, run: streams.Run) -> None:
-        """Hand the request over and pass the answer's pieces on."""
-        submit = run.submit
-        request = ports.ServerRequest(
-            submit.request_id,
-            submit.method,
-            submit.path,
-            submit.headers,
-            submit.body,
-            submit.chat,
-            submit.priority,
-            self._allow_time(run),
-        )
-        run.handed_over = True
-        async with contextlib.aclosing(self.server.run(request)) as pieces:
-            async for piece in pieces:
-                match piece:
-                    case ports.ServerHead():
-                        run.set_head(piece)
-                    case bytes():
-                        await run.add_piece(piece)
-
-    async def _judge_unreachable(self, run: streams.Run) -> streams.Ending:
-        """End a run that the server never got.
-
-        A suspect may have waited while a copy of it crashed the server.
-        """
-        not_run = messages.Outcome.NOT_RUN
-        if not self.quarantine.suspects(run.fingerprint):
-            return streams.Lost(not_run, 'server-unreachable')
-        await self.crashes.settled()
-        if self.quarantine.holds(run.fingerprint):
-            return streams.Lost(messages.Outcome.QUARANTINED, 'quarantined')
-        return streams.Lost(not_run, crashes.CRASHED)
-
-    async def _judge_break(self, run: streams.Run) -> streams.Ending:
-        """End a run whose answer broke off.
-
-        A second crash ends an idempotent request for good, so that no
-        router tries it again.
-        """
-        reason = await self.crashes.judge(run, self.in_flight)
-        if run.submit.idempotent and self.quarantine.holds(run.fingerprint):
-            return streams.Lost(messages.Outcome.QUARANTINED, reason)
-        return streams.Lost(messages.Outcome.UNKNOWN, reason)
-
-    async def _time_out(self, run: streams.Run) -> streams.Ending:
-        """End a run that took too long."""
-        if not run.handed_over:
-            return streams.Lost(messages.Outcome.NOT_RUN, 'expired')
-        await self.server.cancel(run.submit.request_id)
-        return streams.Lost(messages.Outcome.UNKNOWN, 'timeout')
-
-    def _allow_time(self, run: streams.Run) -> float:
-        """Return the seconds that the server may take."""
-        if run.submit.idempotent:
-            return run.submit.time_left
-        return max(run.submit.time_left, LEAST_UNREPEATABLE_S)
-
     def _settle(self, run: streams.Run) -> None:
         """Keep an ended run's answer for those who may ask again."""
         answer = run.make_answer()
--- /dev/null
+++ b/arbutusvale/coordination/servercall.py
@@ -0,0 +1,123 @@
+"""Call the backend server for one run and judge how the call ended."""
+
+import asyncio
+import contextlib
+
+from absl import logging
+
+from arbutusvale import errors
+from arbutusvale.coordination import crashes
+from arbutusvale.coordination import quarantine
+from arbutusvale.coordination import streams
+from arbutusvale.protocol import messages
+from arbutusvale.protocol import ports
+
+LEAST_UNREPEATABLE_S = 60.0
+
+
+class ServerCaller:
+    """Hand runs to the one backend server and relay its answers."""
+
+    def __init__(
+        self,
+        server: ports.BackendServer,
+        quarantined: quarantine.Quarantine,
+    ):
+        self.server = server
+        self.quarantine = quarantined
+        self.crashes = crashes.CrashDetector(server, quarantined)
+
+    async def call(
+        self, run: streams.Run, in_flight: set[streams.Run]
+    ) -> streams.Ending:
+        """Relay the server's answer; returns how it ended.
+
+        ``in_flight`` are the runs at the server, kept up to date.
+        """
+        fingerprint = run.fingerprint
+        try:
+            async with asyncio.timeout(_allow_time(run)):
+                async with self.quarantine.take_turn(fingerprint):
+                    if self.quarantine.holds(fingerprint):
+                        return streams.Lost(
+                            messages.Outcome.QUARANTINED, 'quarantined'
+                        )
+                    await self._relay(run)
+        except errors.ServerUnreachable as error:
+            logging.warning(
+                'event=server-unreachable cause="%s"', error.problem
+            )
+            run.unreached = True
+            return await self._judge_unreachable(run)
+        except errors.ServerBroken as error:
+            logging.warning('event=server-broken cause="%s"', error.problem)
+            return await self._judge_break(run, in_flight)
+        except TimeoutError:
+            return await self._time_out(run)
+        except asyncio.CancelledError:
+            await self.server.cancel(run.submit.request_id)
+            raise
+        self.quarantine.clear(fingerprint)
+        return streams.Complete()
+
+    async def _relay(self, run: streams.Run) -> None:
+        """Hand the request over and pass the answer's pieces on."""
+        submit = run.submit
+        request = ports.ServerRequest(
+            submit.request_id,
+            submit.method,
+            submit.path,
+            submit.headers,
+            submit.body,
+            submit.chat,
+            submit.priority,
+            _allow_time(run),
+        )
+        run.handed_over = True
+        async with contextlib.aclosing(self.server.run(request)) as pieces:
+            async for piece in pieces:
+                match piece:
+                    case ports.ServerHead():
+                        run.set_head(piece)
+                    case bytes():
+                        await run.add_piece(piece)
+
+    async def _judge_unreachable(self, run: streams.Run) -> streams.Ending:
+        """End a run that the server never got.
+
+        A suspect may have waited while a copy of it crashed the server.
+        """
+        not_run = messages.Outcome.NOT_RUN
+        if not self.quarantine.suspects(run.fingerprint):
+            return streams.Lost(not_run, 'server-unreachable')
+        await self.crashes.settled()
+        if self.quarantine.holds(run.fingerprint):
+            return streams.Lost(messages.Outcome.QUARANTINED, 'quarantined')
+        return streams.Lost(not_run, crashes.CRASHED)
+
+    async def _judge_break(
+        self, run: streams.Run, in_flight: set[streams.Run]
+    ) -> streams.Ending:
+        """End a run whose answer broke off.
+
+        A second crash ends an idempotent request for good, so that no
+        router tries it again.
+        """
+        reason = await self.crashes.judge(run, in_flight)
+        if run.submit.idempotent and self.quarantine.holds(run.fingerprint):
+            return streams.Lost(messages.Outcome.QUARANTINED, reason)
+        return streams.Lost(messages.Outcome.UNKNOWN, reason)
+
+    async def _time_out(self, run: streams.Run) -> streams.Ending:
+        """End a run that took too long."""
+        if not run.handed_over:
+            return streams.Lost(messages.Outcome.NOT_RUN, 'expired')
+        await self.server.cancel(run.submit.request_id)
+        return streams.Lost(messages.Outcome.UNKNOWN, 'timeout')
+
+
+def _allow_time(run: streams.Run) -> float:
+    """Return the seconds that the server may take."""
+    if run.submit.idempotent:
+        return run.submit.time_left
+    return max(run.submit.time_left, LEAST_UNREPEATABLE_S)
--- a/arbutusvale/coordination/streams.py
+++ b/arbutusvale/coordination/streams.py
@@ -67,6 +67,7 @@
         self.ended_at = 0.0
         self.kept_bytes = 0
         self.handed_over = False
+        self.unreached = False
         self.crashed = False
         self.streams: dict[str, Stream] = {}
         self.room = asyncio.Event()
--- a/tests/coordination/test_runs.py
+++ b/tests/coordination/test_runs.py
@@ -170,6 +170,29 @@
     run_case(case)
 
 
+def test_suspect_that_never_reached_the_crashed_server_is_not_blamed():
+    async def case(bench):
+        entries = [[b'f1', ['vm-2/1/1'], []], [b'f2', ['vm-2/1/1'], []]]
+        bench.quarantine.merge(entries)
+        bench.start()
+        waiting = bench.start(
+            attempt='r1-2', request_id='q2', fingerprint=b'f2'
+        )
+        bench.start(attempt='r1-3', request_id='q3', fingerprint=b'f3')
+        await helpers_runs.until(lambda: len(bench.server.runs) == 2)
+        bench.server.up = False
+        bench.server.refusing.clear()
+        bench.server.feed('q1', BROKEN)
+        await helpers_runs.until(lambda: waiting.handed_over)
+        bench.server.feed('q3', BROKEN)
+        await helpers_runs.until(lambda: len(bench.finished) == 2)
+        bench.server.refusing.set()
+        await helpers_runs.until(lambda: len(bench.finished) == 3)
+        assert bench.quarantine.digests() == [b'f1']
+
+    run_case(case)
+
+
 def test_second_crash_elsewhere_quarantines_the_one_suspect_that_ran():
     async def case(bench):
         entries = [[b'f1', ['vm-2/1/1'], []], [b'f2', ['vm-2/1/1'], []]]
--- a/tests/helpers_runs.py
+++ b/tests/helpers_runs.py
@@ -71,6 +71,8 @@
         self.queues: dict[str, asyncio.Queue] = {}
         self.cancelled: list[str] = []
         self.up = True
+        self.refusing = asyncio.Event()
+        self.refusing.set()
 
     def feed(self, request_id: str, *pieces) -> None:
         queue = self.queues.setdefault(request_id, asyncio.Queue())
@@ -79,6 +81,7 @@
 
     async def run(self, request: ports.ServerRequest):
         if not self.up:
+            await self.refusing.wait()
             raise errors.ServerUnreachable('fake', 'down')
         self.runs.append(request)
         queue = self.queues.setdefault(request.request_id, asyncio.Queue())
