--- /dev/null
+++ b/tests/test_pages.py
@@ -0,0 +1,52 @@
+"""Keep the pages true to the programs and the tests."""
+
+import pathlib
+import re
+import shlex
+
+import docopt
+import pytest
+
+from arbutusvale.ui import usage
+
+ROOT = pathlib.Path(__file__).parent.parent
+PAGES = [ROOT / 'README.md', *sorted((ROOT / 'docs').glob('*.md'))]
+FEATURES = ROOT / 'tests' / 'features'
+USAGES = {
+    'arbutusvale': usage.OPERATOR,
+    'arbutusvale-router': usage.ROUTER,
+    'arbutusvale-sidecar': usage.SIDECAR,
+    'arbutusvale-standin': usage.STANDIN,
+    'arbutusvale-load': usage.LOAD,
+}
+
+
+def list_commands():
+    """List the command lines of the pages' code blocks."""
+    for page in PAGES:
+        for block in re.findall(
+            r'```(?:sh)?\n(.*?)```', page.read_text(), re.S
+        ):
+            for line in block.splitlines():
+                if line.split(' ')[0] in USAGES:
+                    words = shlex.split(line, comments=True)
+                    yield pytest.param(words, id=f'{page.name}: {line}'[:80])
+
+
+@pytest.mark.parametrize('words', list(list_commands()))
+def test_command_of_a_page_is_understood(words):
+    docopt.docopt(USAGES[words[0]], words[1:])
+
+
+def test_links_of_the_pages_lead_somewhere():
+    for page in PAGES:
+        for target in re.findall(r'\]\(([^)#:]+)\)', page.read_text()):
+            assert (page.parent / target).exists(), (page.name, target)
+
+
+def test_proofs_name_tests_that_exist():
+    text = (ROOT / 'docs' / 'PROOFS.md').read_text()
+    for name in re.findall(r'`(\w+\.feature)`', text):
+        assert (FEATURES / name).exists(), name
+    for name in re.findall(r'`(tests/[\w/]+\.py)`', text):
+        assert (ROOT / name).exists(), name
