Compute the percentile that a second try waits for once a histogram

A profile of 300 status calls through router and sidecar showed the histogram's percentile as the largest single cost: it was computed anew for each idempotent call of a plain service, from a full histogram that no longer changes. Measured alone, smallest of seven: 129 us before, 0.24 us after, of about 1.63 ms that a router spends on such a call.

--- a/arbutusvale/state/measures.py
+++ b/arbutusvale/state/measures.py
@@ -39,11 +39,15 @@
 
 
 class RecentLatency:
-    """Hold the latencies of the last calls, a bounded number of them."""
+    """Hold the latencies of the last calls, a bounded number of them.
+
+    Percentiles of a full histogram are computed once.
+    """
 
     def __init__(self):
         self.current = Latency()
         self.previous: Latency | None = None
+        self.known: dict[float, float] = {}
 
     def add(self, seconds: float) -> None:
         """Record one value; a full histogram makes room for the next."""
@@ -51,6 +55,7 @@
         if self.current.count >= _RECENT_VALUES:
             self.previous = self.current
             self.current = Latency()
+            self.known.clear()
 
     @property
     def count(self) -> int:
@@ -59,7 +64,11 @@
 
     def percentile(self, percent: float) -> float:
         """Return a percentile in seconds."""
-        return self._shown().percentile(percent)
+        if self.previous is None:
+            return self.current.percentile(percent)
+        if percent not in self.known:
+            self.known[percent] = self.previous.percentile(percent)
+        return self.known[percent]
 
     def _shown(self) -> Latency:
         """Return the last full histogram, or the first one."""
