Follow the claims only in sidecars that claim

Change: an engine's sidecar follows the claims from its first claim on, and reads the retained ones before that claim. Ruled out: longer polls, as the cost is per record.

--- a/arbutusvale/compose.py
+++ b/arbutusvale/compose.py
@@ -290,12 +290,16 @@
             self.locator.find_holder,
         )
         self.claims = claims.ClaimKeeper(
-            self.log, held.vm, self.incarnation, self._is_gone
+            self.log,
+            held.vm,
+            self.incarnation,
+            self._is_gone,
+            lazy=held.kind == settings.ServerKind.ENGINE,
         )
         self.run_table = runs.RunTable(
             self.server,
             self.quarantine,
-            stored_s=lambda: self.claims.window_s,
+            stored_s=lambda: self.claims.window_s or runs.DEFAULT_STORED_S,
         )
         self.health = health.HealthWatch(self.server, self._note_health)
         self.drain = self._make_drain()
--- a/arbutusvale/coordination/claims.py
+++ b/arbutusvale/coordination/claims.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 import dataclasses
 import time
 
@@ -78,7 +79,8 @@
     """Claim keys in the log and know who holds which.
 
     ``is_gone`` tells whether an incarnation of another VM is known to have
-    ended.
+    ended.  A ``lazy`` keeper follows the streams from the first claim on,
+    as most sidecars of engines never claim a key.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         is_gone: Callable[[str, int], bool] = lambda vm, incarnation: False,
         clock: Callable[[], float] = read_clock,
         shards: int = SHARDS,
+        lazy: bool = False,
     ):
         self.shards = [
             claimstream.ClaimStream(
@@ -100,9 +103,13 @@
         self.incarnation = incarnation
         self.is_gone = is_gone
         self.clock = clock
+        self.needed = asyncio.Event()
+        if not lazy:
+            self.needed.set()
 
     async def run(self) -> None:
-        """Follow and append to all streams, until cancelled."""
+        """Follow and append to all streams once needed, until cancelled."""
+        await self.needed.wait()
         async with asyncio.TaskGroup() as tasks:
             for shard in self.shards:
                 tasks.create_task(shard.follow())
@@ -110,7 +117,9 @@
 
     @property
     def ready(self) -> bool:
-        """Tell whether all retained claims have been read."""
+        """Tell whether all claims that are needed have been read."""
+        if not self.needed.is_set():
+            return True
         return all(shard.find_hindrance() is None for shard in self.shards)
 
     async def caught_up(self) -> None:
@@ -147,6 +156,8 @@
     ) -> Outcome:
         """Claim a key and wait, at most ``time_left`` s, who holds it."""
         shard = self._find_shard(key)
+        if not self.needed.is_set():
+            await self._begin(shard, time_left)
         known = self.lookup(key, fingerprint)
         if known is not None:
             return known
@@ -164,6 +175,15 @@
             return LogDown(RETRY_AFTER_S)
         return known
 
+    async def _begin(
+        self, shard: claimstream.ClaimStream, time_left: float
+    ) -> None:
+        """Read the retained claims at the first need of them."""
+        self.needed.set()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(min(time_left, CLAIM_TIMEOUT_S)):
+                await shard.first_caught_up.wait()
+
     def use(self, key: bytes) -> bool:
         """Mark a won key as run here; False when it may not run."""
         claim = self._find_shard(key).index.find(key)
--- a/tests/coordination/test_claims.py
+++ b/tests/coordination/test_claims.py
@@ -15,7 +15,7 @@
 
 
 @contextlib.asynccontextmanager
-async def keeper_at(log, vm='vm-1', incarnation=1, gone=()):
+async def keeper_at(log, vm='vm-1', incarnation=1, gone=(), lazy=False):
     """Run a claim keeper until it has read the log."""
     keeper = claims.ClaimKeeper(
         log,
@@ -23,6 +23,7 @@
         incarnation,
         is_gone=lambda name, number: name in gone,
         clock=helpers_log.read_loop_time,
+        lazy=lazy,
     )
     task = asyncio.create_task(keeper.run())
     await helpers_runs.until(lambda: keeper.ready or log.down)
@@ -56,6 +57,19 @@
     run_case(case)
 
 
+def test_lazy_keeper_reads_earlier_claims_before_its_first():
+    async def case(log):
+        async with keeper_at(log) as keeper:
+            assert await keeper.claim(KEY, BODY, 5) == claims.Won()
+        async with keeper_at(log, 'vm-2', lazy=True) as late:
+            assert late.shards[0].next_offset == 0
+            outcome = await late.claim(KEY, BODY, 5)
+            assert outcome == claims.HeldBy('vm-1', 1)
+            assert await late.claim(b'n' * 16, BODY, 5) == claims.Won()
+
+    run_case(case)
+
+
 def test_one_of_two_racing_sidecars_wins():
     async def case(log):
         async with keeper_at(log) as one, keeper_at(log, 'vm-2') as two:
