Prove caches with poor events and routers with different lists

A router cut off from the platform, so that it misses the join and the stop, loses no request.

The scenarios give each chat one turn after an event, not three, as the later ones hide what the first one shows.

--- a/tests/features/load.feature
+++ b/tests/features/load.feature
@@ -35,6 +35,23 @@
     Then every request was answered
     And returning chats found their prefix in 95 of 100 cases
 
+  Scenario: Caches are found though cache events come late and with gaps
+    Given a deployment with 3 engines and 2 routers
+    And cache events come 1 s late and 3 of 10 are lost
+    And 30 chats had their first turn
+    When a fourth engine joins while the chats go on
+    And an engine stops for good while the chats go on
+    Then every request was answered
+    And returning chats found their prefix in 95 of 100 cases
+
+  Scenario: Routers with different VM lists lose no request
+    Given a deployment with 3 engines and 2 routers, of which entry-2 can be cut off
+    And 30 chats had their first turn
+    When entry-2 no longer reaches the platform
+    And a fourth engine joins while the chats go on
+    And an engine stops for good while the chats go on
+    Then every request was answered
+
   Scenario: Overload is shed at once
     Given a deployment with 1 engines and 2 routers
     And every answer takes about 2 s
