Tell all pool mates at once that a server leaves

A server that left was gossiped to one random mate a second; meanwhile others named it to routers as the least loaded, and the last hops of a burst ended there as not-run (leaving), as logs of a run with processes show. A change of state now goes to all mates of a small pool at once.

--- a/arbutusvale/coordination/gossip.py
+++ b/arbutusvale/coordination/gossip.py
@@ -101,6 +101,7 @@
         self.sent_load = 0
         self.refreshed_at = -REFRESH_AGE_S
         self.refreshing: asyncio.Task | None = None
+        self.spreading: asyncio.Task | None = None
 
     def follow_fleet(self) -> None:
         """Take the pool's live servers over from the VM list."""
@@ -116,9 +117,12 @@
             self.moved.set()
 
     def state_changed(self, state: messages.VmState) -> None:
-        """Note whether the server takes new work and gossip it early."""
+        """Note whether the server takes new work and tell the mates.
+
+        Else they would go on naming a leaving server to routers.
+        """
         self.table.set_own(self.table.own.load, state.value)
-        self.moved.set()
+        self.spreading = asyncio.create_task(self.spread())
 
     async def run(self) -> None:
         """Exchange with one random mate at every interval."""
