Let a request go back to a busy server when the last one was leaving

A refusal that says nothing of load counted as a hop, and no busy server was tried again after it. Before, in the test: 1 failed ('busy, not-run'), 1 passed. After: 205 passed. Conclusion: stale lists cost tries, not answers.

--- a/arbutusvale/coordination/placement.py
+++ b/arbutusvale/coordination/placement.py
@@ -80,11 +80,16 @@
         self.tried.difference_update(choice.vm for choice in named)
         self.choices[:0] = named
 
-    def return_home(self) -> None:
-        """Try the home again when no other VM is left."""
-        if not self.choices and self.home not in self.unusable:
-            self.tried.discard(self.home)
-            self.choices.append(Choice(self.home, 'home-again', named=True))
+    def return_busy(self) -> None:
+        """Try a busy VM again when no other is left, the home first."""
+        if self.choices:
+            return
+        usable = self.tried - self.unusable
+        if not usable:
+            return
+        vm = self.home if self.home in usable else min(usable)
+        self.tried.discard(vm)
+        self.choices.append(Choice(vm, 'again', named=True))
 
     def exclude(self, vm: str) -> None:
         """Never try a VM again for this request."""
--- a/arbutusvale/coordination/search.py
+++ b/arbutusvale/coordination/search.py
@@ -38,6 +38,9 @@
 _RETRIED_STATUSES = frozenset({500, 502, 503, 504})
 _UNHOPPED = frozenset(
     {
+        messages.Refusal.LEAVING.value,
+        messages.Refusal.NOT_READY.value,
+        messages.Refusal.SERVER_DOWN.value,
         messages.Refusal.STALE_BUNDLE.value,
         messages.Refusal.DEAD_ATTEMPT.value,
     }
@@ -135,8 +138,8 @@
             case messages.Refused(alternatives=alternatives, reason=reason):
                 self.candidates.prefer(choice.vm, alternatives)
                 self.hops += reason not in _UNHOPPED
-                if reason == messages.Refusal.BUSY:
-                    self.candidates.return_home()
+                if reason == messages.Refusal.BUSY or reason in _UNUSABLE:
+                    self.candidates.return_busy()
             case messages.Failed():
                 self.hops = 0
         match step:
--- a/tests/coordination/test_dispatch.py
+++ b/tests/coordination/test_dispatch.py
@@ -153,6 +153,28 @@
     assert [submit.last_hop for submit in submits] == [False, False, True]
 
 
+@pytest.mark.parametrize('leaving', [0, 1])
+def test_a_leaving_last_hop_leads_back_to_a_busy_vm(leaving):
+    request = helpers_router.chat_request(chat_id='c-1')
+    home = home_of(request)
+    links = helpers_router.FakeLinks()
+    others = [vm for vm in NAMES if vm != home]
+    third = others.pop(leaving)
+    second = others[0]
+    visits = []
+
+    def busy_once(link, submit):
+        visits.append(link.vm)
+        if visits.count(link.vm) > 1:
+            return helpers_router.answer_with_name(link, submit)
+        return helpers_router.refuse(REFUSAL.BUSY)(link, submit)
+
+    links.scripts[home] = busy_once
+    links.scripts[second] = busy_once
+    links.scripts[third] = helpers_router.refuse(REFUSAL.LEAVING)
+    assert body_of(run(links, request)).decode() in (home, second)
+
+
 def test_a_redirect_is_followed():
     request = helpers_router.chat_request(chat_id='c-1')
     home = home_of(request)
