--- a/arbutusvale/compose.py
+++ b/arbutusvale/compose.py
@@ -1,17 +1,13 @@
 """Wire the parts of the two programs: the one composition root."""
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
 import signal
-import time
 
 from absl import logging
-import numpy
 
+from arbutusvale import commonparts
 from arbutusvale import settings
 from arbutusvale.coordination import admission
-from arbutusvale.coordination import bundlefollower
 from arbutusvale.coordination import cachewatch
 from arbutusvale.coordination import claims
 from arbutusvale.coordination import dispatch
@@ -23,7 +19,6 @@
 from arbutusvale.coordination import health
 from arbutusvale.coordination import keyed
 from arbutusvale.coordination import locate
-from arbutusvale.coordination import membership
 from arbutusvale.coordination import orderpause
 from arbutusvale.coordination import orders
 from arbutusvale.coordination import pending
@@ -37,145 +32,22 @@
 from arbutusvale.protocol import platform
 from arbutusvale.state import bundles
 from arbutusvale.state import directory
-from arbutusvale.state import fleet
 from arbutusvale.state import pooltable
 from arbutusvale.state import status
 from arbutusvale.transport import adminserver
 from arbutusvale.transport import callerserver
-from arbutusvale.transport import httpclient
-from arbutusvale.transport import linkcounters
 from arbutusvale.transport import linkpool
 from arbutusvale.transport import linkserver
 from arbutusvale.transport import metrics
 
-TASK_RESTART_S = 1.0
 FIRST_DIRECTORY_ENTRIES = 4096
 
 
-class Process:
-    """Hold what routers and sidecars have in common.
-
-    A background task that fails is logged and started again, so that one
-    faulty loop does not stop the rest.
-    """
-
-    def __init__(self, held: settings.ProcessSettings, role: messages.Role):
-        self.settings = held
-        self.role = role
-        self.incarnation = time.time_ns() // 1_000_000
-        self.generator = numpy.random.default_rng()
-        self.client = httpclient.make_client()
-        self.counters = linkcounters.LinkCounters()
-        self.traffic = platform.PlatformTraffic()
-        self.fleet = fleet.Fleet()
-        self.membership = membership.Membership(
-            platform.HttpVmList(held.platform, self.client, self.traffic),
-            self.fleet,
-        )
-        self.log = platform.HttpLogService(
-            held.platform, self.client, self.traffic
-        )
-        self.chain = bundles.BundleChain(held.operators)
-        self.follower = bundlefollower.BundleFollower(
-            self.log,
-            self.chain,
-            peers=self._list_peers,
-            generator=self.generator,
-        )
-        self.tasks: list[asyncio.Task] = []
-
-    def make_links(self, handler, idle_s: float) -> linkpool.LinkPool:
-        """Make the pool of links to sidecars."""
-        made = linkpool.LinkPool(
-            fleet=self.fleet,
-            vm=self.settings.vm,
-            incarnation=self.incarnation,
-            role=self.role,
-            fleet_key=self.settings.fleet_key,
-            handler=handler,
-            counters=self.counters,
-            idle_s=idle_s,
-        )
-        self.follower.links = made
-        return made
-
-    def make_admin(
-        self, get_readiness, get_status, collectors
-    ) -> adminserver.AdminServer:
-        """Make the server for operators, balancers and collectors."""
-        return adminserver.AdminServer(
-            listen=self.settings.admin,
-            get_readiness=get_readiness,
-            get_status=get_status,
-            collectors=[metrics.LinkCollector(self.counters), *collectors],
-        )
-
-    def spawn(self, loop: Callable[[], Awaitable[None]]) -> None:
-        """Run a background loop until the process stops."""
-        self.tasks.append(asyncio.create_task(self._keep_running(loop)))
-
-    async def cancel_tasks(self) -> None:
-        """End the background loops."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-        self.tasks.clear()
-
-    async def refresh_views(self) -> None:
-        """Look at the VM list and at the log after this process stood."""
-        await self.membership.refresh()
-        await self.follower.look()
-
-    def describe_bundle(self) -> status.BundleStatus | None:
-        """Describe the bundle in force for the status page."""
-        head = self.follower.head
-        if head is None:
-            return None
-        return status.BundleStatus(
-            head.offset, head.version, head.digest.hex()
-        )
-
-    def describe_links(self) -> status.LinkStatus:
-        """Describe the bytes on links for the status page."""
-        return status.LinkStatus(
-            control_bytes_sent=self.counters.sent.control_bytes,
-            control_bytes_received=self.counters.received.control_bytes,
-            control_by_kind=dict(self.counters.sent.control_by_kind),
-            request_bytes_sent=self.counters.sent.request_bytes,
-            request_bytes_received=self.counters.received.request_bytes,
-        )
-
-    def describe_platform(self) -> status.PlatformStatus:
-        """Describe the bytes exchanged with the platform."""
-        return status.PlatformStatus(
-            sent=dict(self.traffic.sent), received=dict(self.traffic.received)
-        )
-
-    def _list_peers(self) -> list[str]:
-        """List the VMs that accept links: all sidecars but this one."""
-        return [
-            vm.name
-            for vm in self.fleet.vms.values()
-            if vm.role == messages.Role.SIDECAR and vm.name != self.settings.vm
-        ]
-
-    async def _keep_running(self, loop: Callable[[], Awaitable[None]]) -> None:
-        """Run a loop again after it failed."""
-        while True:
-            try:
-                await loop()
-                return
-            except Exception:
-                logging.exception('event=task-failed task=%s', loop)
-            await asyncio.sleep(TASK_RESTART_S)
-
-
-class Router(Process):
+class Router(commonparts.Process):
     """Hold the parts of one router."""
 
     def __init__(self, held: settings.RouterSettings):
         super().__init__(held, messages.Role.ROUTER)
-        self.freeze_guard = freeze.FreezeGuard(self.refresh_views)
         self.dispatcher = dispatch.Dispatcher(
             vm=held.vm,
             incarnation=self.incarnation,
@@ -210,11 +82,8 @@
         """Tell whether this router takes callers' requests."""
         if self.dispatcher.draining:
             return adminserver.Readiness(False, 'draining')
-        if self.follower.head is None:
-            return adminserver.Readiness(False, 'no bundle')
-        if not self.membership.first_read.is_set():
-            return adminserver.Readiness(False, 'no VM list')
-        return adminserver.Readiness(True)
+        hindrance = self.find_hindrance()
+        return adminserver.Readiness(not hindrance, hindrance)
 
     def get_status(self) -> status.RouterStatus:
         """Describe this router."""
@@ -237,10 +106,7 @@
     async def start(self) -> None:
         """Start every part; readiness follows when a bundle is known."""
         self.admin.start()
-        self.spawn(self.membership.run)
-        self.spawn(self.follower.run)
-        self.spawn(self.freeze_guard.run)
-        self.spawn(self.links.run)
+        self.spawn_common(self.links)
         self.spawn(self.dispatcher.run)
         self.caller_server.start()
         logging.info(
@@ -252,14 +118,11 @@
     async def stop(self, grace_s: float) -> int:
         """Drain and stop; returns how many requests were cut."""
         cut = await self.caller_server.drain(grace_s)
-        await self.links.stop()
-        await self.cancel_tasks()
-        await self.admin.stop()
-        self.client.close()
+        await self.stop_common(self.links)
         return cut
 
 
-class Sidecar(Process):
+class Sidecar(commonparts.Process):
     """Hold the parts of one sidecar."""
 
     def __init__(self, held: settings.SidecarSettings):
@@ -431,10 +294,9 @@
         """Tell whether this sidecar takes new work."""
         if self.drain.leaving:
             return adminserver.Readiness(False, 'leaving')
-        if self.follower.head is None:
-            return adminserver.Readiness(False, 'no bundle')
-        if not self.membership.first_read.is_set():
-            return adminserver.Readiness(False, 'no VM list')
+        hindrance = self.find_hindrance()
+        if hindrance:
+            return adminserver.Readiness(False, hindrance)
         if not self.health.up:
             return adminserver.Readiness(False, 'server is down')
         return adminserver.Readiness(True)
@@ -462,10 +324,7 @@
     async def start(self) -> None:
         """Start every part; readiness follows when all is known."""
         self.admin.start()
-        self.spawn(self.membership.run)
-        self.spawn(self.follower.run)
-        self.spawn(self.freeze_guard.run)
-        self.spawn(self.links.run)
+        self.spawn_common(self.links)
         self.spawn(self.health.run)
         self.spawn(self.gossip.run)
         self.spawn(self.claims.run)
@@ -487,10 +346,7 @@
         """Drain and stop; returns how many attempts were cut."""
         cut = await self.drain.drain(grace_s)
         await self.link_server.stop()
-        await self.links.stop()
-        await self.cancel_tasks()
-        await self.admin.stop()
-        self.client.close()
+        await self.stop_common(self.links)
         return len(cut)
 
 
--- a/arbutusvale/ui/trial.py
+++ b/arbutusvale/ui/trial.py
@@ -9,7 +9,7 @@
 
 import yaml
 
-from arbutusvale import compose
+from arbutusvale import commonparts
 from arbutusvale import errors
 from arbutusvale.coordination import callerrequest
 from arbutusvale.coordination import rollout
@@ -109,7 +109,7 @@
         await self.trial.add_engine()
 
 
-def _usage(process: compose.Process) -> fleetview.ProcessUsage:
+def _usage(process: commonparts.Process) -> fleetview.ProcessUsage:
     """Return one process's byte counts, links and platform together."""
     counters, traffic = process.counters, process.traffic
     return fleetview.ProcessUsage(
