Tell callers the claim window that the log really keeps

Cause: Arbutusvale-Claim-Window came from the bundle alone; with a log that keeps records for less it promised too much. Change: the sidecar tells the window it knows from the log, the router the lesser of that and the bundle's. Before, in the test: '3600' for a log that keeps 60 s. Conclusion: callers are told no longer window than both keep.

--- a/arbutusvale/coordination/calls.py
+++ b/arbutusvale/coordination/calls.py
@@ -150,8 +150,8 @@
         callerapi.SERVED_BY: opened.attempt.vm,
     }
     if not work.idempotent:
-        window = str(int(current.limits.claim_window_s))
-        own[callerapi.CLAIM_WINDOW] = window
+        window = _find_window(opened.head, current)
+        own[callerapi.CLAIM_WINDOW] = str(window)
     taken = {name.lower() for name in own}
     kept = [
         list(pair)
@@ -161,6 +161,19 @@
     return kept + [list(pair) for pair in own.items()]
 
 
+def _find_window(head: messages.Head, current: bundle.Bundle) -> int:
+    """Return the seconds for which the answer's key is protected.
+
+    The bundle promises no more than the log service keeps, which the
+    sidecar tells.
+    """
+    window = int(current.limits.claim_window_s)
+    for name, value in head.headers:
+        if name.lower() == callerapi.CLAIM_WINDOW.lower() and value.isdigit():
+            window = min(window, int(value))
+    return window
+
+
 def not_ready() -> callerapi.ErrorAnswer:
     """Answer when this router has no bundle yet."""
     return callerapi.ErrorAnswer(
--- a/arbutusvale/coordination/runs.py
+++ b/arbutusvale/coordination/runs.py
@@ -42,7 +42,7 @@
         stored_s: Callable[[], float] = lambda: DEFAULT_STORED_S,
         clock: Callable[[], float] = time.monotonic,
     ):
-        self.caller = servercall.ServerCaller(server, quarantined)
+        self.caller = servercall.ServerCaller(server, quarantined, stored_s)
         self.store = store or answers.AnswerStore(clock=clock)
         self.stored_s = stored_s
         self.clock = clock
--- a/arbutusvale/coordination/servercall.py
+++ b/arbutusvale/coordination/servercall.py
@@ -1,6 +1,7 @@
 """Call the backend server for one run and judge how the call ended."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 
 from absl import logging
@@ -9,6 +10,7 @@
 from arbutusvale.coordination import crashes
 from arbutusvale.coordination import quarantine
 from arbutusvale.coordination import streams
+from arbutusvale.protocol import callerapi
 from arbutusvale.protocol import messages
 from arbutusvale.protocol import ports
 
@@ -16,14 +18,19 @@
 
 
 class ServerCaller:
-    """Hand runs to the one backend server and relay its answers."""
+    """Hand runs to the one backend server and relay its answers.
+
+    ``window_s`` tells for how long a claim protects its key.
+    """
 
     def __init__(
         self,
         server: ports.BackendServer,
         quarantined: quarantine.Quarantine,
+        window_s: Callable[[], float],
     ):
         self.server = server
+        self.window_s = window_s
         self.quarantine = quarantined
         self.crashes = crashes.CrashDetector(server, quarantined)
 
@@ -78,10 +85,19 @@
             async for piece in pieces:
                 match piece:
                     case ports.ServerHead():
-                        run.set_head(piece)
+                        run.set_head(self._add_window(run, piece))
                     case bytes():
                         await run.add_piece(piece)
 
+    def _add_window(
+        self, run: streams.Run, head: ports.ServerHead
+    ) -> ports.ServerHead:
+        """Tell on an answer for how long its key is protected."""
+        if run.submit.idempotent:
+            return head
+        window = [callerapi.CLAIM_WINDOW, str(int(self.window_s()))]
+        return ports.ServerHead(head.status, [*head.headers, window])
+
     async def _judge_unreachable(self, run: streams.Run) -> streams.Ending:
         """End a run that the server never got.
 
--- a/tests/coordination/test_dispatch.py
+++ b/tests/coordination/test_dispatch.py
@@ -153,6 +153,22 @@
     assert [submit.last_hop for submit in submits] == [False, False, True]
 
 
+@pytest.mark.parametrize(('kept', 'told'), [('60', '60'), ('9999', '3600')])
+def test_the_claim_window_is_what_bundle_and_log_both_keep(kept, told):
+    window = [callerapi.CLAIM_WINDOW, kept]
+
+    def script(link, submit):
+        replies = helpers_router.answer(submit.attempt, b'booked')
+        head = replies[1]
+        replies[1] = dataclasses.replace(head, headers=[*head.headers, window])
+        return replies
+
+    links = helpers_router.FakeLinks()
+    links.scripts.update(dict.fromkeys(NAMES, script))
+    head = run(links, helpers_router.plain_request(key='k'))[0]
+    assert [callerapi.CLAIM_WINDOW, told] in head.headers
+
+
 @pytest.mark.parametrize('leaving', [0, 1])
 def test_a_leaving_last_hop_leads_back_to_a_busy_vm(leaving):
     request = helpers_router.chat_request(chat_id='c-1')
