Let routers forget VMs that leave the list

Cause: Dispatcher.list_changed was written to drop loads and back-offs of unlisted VMs, but compose.py never called it, so a router kept a record of every VM it had ever met. Before, in the test: {'engine-1': 3} == {} failed. After: 1 passed. Conclusion: it is called at each change of the VM list.

--- a/arbutusvale/compose.py
+++ b/arbutusvale/compose.py
@@ -60,6 +60,7 @@
         )
         self.links = self.make_links(self, held.link_idle_s)
         self.dispatcher.attempts.links = self.links
+        self.membership.listeners.append(self.dispatcher.list_changed)
         self.caller_server = callerserver.CallerServer(
             listen=held.listen, dispatcher=self.dispatcher
         )
--- /dev/null
+++ b/tests/test_compose.py
@@ -0,0 +1,34 @@
+import asyncio
+
+from arbutusvale import compose
+from arbutusvale import settings
+
+
+class EmptyList:
+    """List no VM."""
+
+    async def read(self):
+        return []
+
+
+def test_a_router_forgets_vms_that_leave_the_list():
+    async def run():
+        router = compose.Router(
+            settings.RouterSettings(
+                vm='entry-1',
+                data_centre='poa-1',
+                listen='127.0.0.1:0',
+                admin='127.0.0.1:0',
+                platform='127.0.0.1:0',
+                fleet_key='fleet-key-of-the-tests',
+            )
+        )
+        placement = router.dispatcher.parts.placement
+        placement.note_count('engine-1', 3)
+        router.fleet.vms = {'engine-1': None}
+        router.membership.vm_list = EmptyList()
+        await router.membership.refresh()
+        router.client.close()
+        assert placement.counts == {}
+
+    asyncio.run(run())
