Follow a redirect that is met on the last hop

Two busy refusals and then a redirect to the claim's holder used up the three hops, and the router gave up with first_run_unreachable. Change: the first redirect does not end the search; later ones count. Before, in the test: 503 first_run_unreachable. Conclusion: a redirect is always tried once.

--- a/arbutusvale/coordination/search.py
+++ b/arbutusvale/coordination/search.py
@@ -84,6 +84,7 @@
         self.tries = 0
         self.catch_ups = 0
         self.repeats = 0
+        self.redirected = False
 
     async def run(self) -> Opened | callerapi.ErrorAnswer:
         """Try servers until one answers or none may be tried."""
@@ -134,7 +135,10 @@
         match result:
             case messages.Redirect(vm=vm):
                 self.candidates.redirect(vm)
-                self.hops += 1
+                # Only the last hop's redirect may add one more hop.
+                if self.redirected or self.hops + 1 < MAX_HOPS:
+                    self.hops += 1
+                self.redirected = True
             case messages.Refused(alternatives=alternatives, reason=reason):
                 self.candidates.prefer(choice.vm, alternatives)
                 self.hops += reason not in _UNHOPPED
--- a/tests/coordination/test_dispatch.py
+++ b/tests/coordination/test_dispatch.py
@@ -191,6 +191,23 @@
     assert body_of(run(links, request)).decode() in (home, second)
 
 
+def test_a_redirect_of_the_last_hop_is_followed():
+    request = helpers_router.plain_request(key='k')
+    links = helpers_router.FakeLinks()
+    seen = []
+
+    def script(link, submit):
+        seen.append(link.vm)
+        if len(seen) < 3:
+            return helpers_router.refuse(REFUSAL.BUSY)(link, submit)
+        if len(seen) == 3:
+            return [messages.Redirect(submit.attempt, seen[0], 'holder')]
+        return helpers_router.answer_with_name(link, submit)
+
+    links.scripts.update(dict.fromkeys(NAMES, script))
+    assert body_of(run(links, request)).decode() == seen[0]
+
+
 def test_a_redirect_is_followed():
     request = helpers_router.chat_request(chat_id='c-1')
     home = home_of(request)
