--- /dev/null
+++ b/arbutusvale/composeedge.py
@@ -0,0 +1,248 @@
+"""Wire the edge router: the program that speaks to servers itself.
+
+This is the composition root of the lean program; it imports nothing of the
+fleet with sidecars, as memory and start are charged on an edge VM.
+"""
+
+import asyncio
+import os
+import random
+import signal
+import sys
+import time
+
+from arbutusvale.coordination import avoidance
+from arbutusvale.coordination import configview
+from arbutusvale.coordination import edgedrain
+from arbutusvale.coordination import edgeparts
+from arbutusvale.coordination import edgerouter
+from arbutusvale.coordination import logfollower
+from arbutusvale.coordination import serverview
+from arbutusvale.platform import bootfile
+from arbutusvale.platform import headers
+from arbutusvale.platform import records
+from arbutusvale.platform import store
+from arbutusvale.protocol import routing
+from arbutusvale.protocol import vmsettings
+from arbutusvale.state import edgemeasures
+from arbutusvale.state import eventlog
+from arbutusvale.state import promptmap
+from arbutusvale.state import serverlist
+from arbutusvale.state import serverloads
+from arbutusvale.state import suspects
+from arbutusvale.transport import edgeserver
+from arbutusvale.transport import plainpages
+from arbutusvale.transport import serverpool
+
+# A router's own tables take some 25 MB; bodies may take a quarter.
+BODY_SHARE = 0.25
+LISTEN_BACKLOG = 512
+TICK_S = 0.1
+
+
+class EdgeProgram:
+    """Run one edge router until it is told to stop."""
+
+    def __init__(self, path: str, settings: vmsettings.EdgeSettings):
+        self.path = path
+        self.settings = settings
+        self.clock = time.monotonic
+        self.events = eventlog.EventLog(sys.stdout.fileno(), self.clock)
+        self.measures = edgemeasures.EdgeMeasures()
+        self.pool = serverpool.ServerPool()
+        self.stop_at: float | None = None
+        self.stopped = asyncio.Event()
+        self._wire_lists()
+        self._wire_router()
+
+    def _wire_lists(self) -> None:
+        """Make the configuration, the server list and their followers."""
+        self.config = configview.ConfigView(
+            configview.Source(records.CONFIG_KEY, records.read_configuration),
+            self.events,
+            self.clock,
+        )
+        self.servers = serverlist.ServerList(self.clock)
+        self.server_view = serverview.ServerView(
+            self.servers, records.read_server, self.events, self._forget
+        )
+        self.config_follower = self._follow(records.CONFIG_TOPIC, self.config)
+        self.server_follower = self._follow(
+            records.SERVERS_TOPIC, self.server_view
+        )
+
+    def _follow(
+        self, topic: str, sink: logfollower.Sink
+    ) -> logfollower.LogFollower:
+        """Make the follower of one topic."""
+        log = store.StoreTopic(self.settings.store, topic)
+        return logfollower.LogFollower(
+            topic, log, sink, self.events, self.clock
+        )
+
+    def _wire_router(self) -> None:
+        """Make what serves requests."""
+        generator = random.Random()
+        self.parts = edgeparts.EdgeParts(
+            settings=self.settings,
+            wire=headers,
+            connector=self.pool,
+            config=self.config,
+            servers=self.servers,
+            loads=serverloads.ServerLoads(self.clock),
+            prompts=promptmap.PromptMap(self.clock),
+            avoidance=avoidance.Avoidance(generator, self.clock),
+            suspects=suspects.SuspectTable(self.clock),
+            measures=self.measures,
+            events=self.events,
+            generator=generator,
+            clock=self.clock,
+            count_routers=self._count_routers,
+            store_age_s=self._store_age,
+        )
+        self.router = edgerouter.EdgeRouter(self.parts)
+        self.edge = edgeserver.EdgeServer(
+            self.router.serve,
+            self._limits,
+            int(self.settings.memory_bytes * BODY_SHARE),
+            self.events.write,
+        )
+
+    async def run(self) -> int:
+        """Serve until stopped; return the exit code."""
+        self.events.write(
+            'start',
+            vm=self.settings.name,
+            data_centre=self.settings.data_centre,
+            callers=self.settings.callers.port,
+            store=self.settings.store.host,
+        )
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._begin_stop)
+        loop.add_signal_handler(signal.SIGINT, self._begin_stop)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        listening = await self._listen()
+        runners = [
+            asyncio.create_task(one)
+            for one in (
+                self.config_follower.run(),
+                self.server_follower.run(),
+                self.pool.run(),
+                self.edge.run(),
+                self.events.run(),
+                self._tick(),
+            )
+        ]
+        await self.stopped.wait()
+        for server in listening:
+            server.close()
+        for runner in runners:
+            runner.cancel()
+        self.events.write('stop', cut=self.router.active)
+        self.events.flush()
+        return 0
+
+    async def _listen(self) -> list[asyncio.Server]:
+        """Open the listening sockets."""
+        loop = asyncio.get_running_loop()
+        callers = self.settings.callers
+        readiness = self.settings.readiness
+        pages = {'/-/readyz': self._show_readiness}
+        metrics = {'/metrics': self._show_metrics}
+        return [
+            await loop.create_server(
+                self.edge.connect,
+                callers.host,
+                callers.port,
+                backlog=LISTEN_BACKLOG,
+            ),
+            await loop.create_server(
+                lambda: plainpages.PageConnection(pages),
+                readiness.host,
+                readiness.port,
+            ),
+            await loop.create_server(
+                lambda: plainpages.PageConnection(metrics),
+                self.settings.host,
+                self.settings.metrics_port,
+            ),
+        ]
+
+    async def _tick(self) -> None:
+        """Watch the stop plan and entries that didn't return."""
+        plan = edgedrain.StopPlan(self.settings.bounds.grace_s)
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.server_view.expire()
+            if self.stop_at is None:
+                continue
+            elapsed = self.clock() - self.stop_at
+            match plan.find_phase(elapsed, self.router.active):
+                case edgedrain.Phase.REFUSING:
+                    self.router.refuse_new = True
+                    self.edge.close_idle()
+                case edgedrain.Phase.ENDED:
+                    self.stopped.set()
+
+    def _begin_stop(self) -> None:
+        """Leave the rotation; repeated signals change nothing."""
+        if self.stop_at is not None:
+            return
+        self.stop_at = self.clock()
+        self.edge.closing = True
+        self.events.write('stopping', active=self.router.active)
+
+    def _reload(self) -> None:
+        """Read the settings again; addresses stay until a restart."""
+        try:
+            settings = bootfile.read(self.path)
+        except Exception as error:
+            self.events.write('reload-failed', error=str(error))
+            return
+        self.settings = settings
+        self.parts.settings = settings
+        self.events.write('reload', vm=settings.name)
+
+    def _forget(self, server_id: str) -> None:
+        """Drop what is remembered of a server that is gone."""
+        self.parts.forget_server(server_id)
+
+    def _limits(self) -> routing.CallerLimits:
+        """Return the limits of callers in force."""
+        if self.config.table is None:
+            return routing.CallerLimits()
+        return self.config.table.configuration.limits
+
+    def _store_age(self) -> float:
+        """Return for how long the configuration wasn't confirmed."""
+        return self.clock() - self.config_follower.contact.heard_at
+
+    def _count_routers(self) -> int:
+        """Return the number of live routers."""
+        return 8
+
+    def _is_ready(self) -> bool:
+        """Tell whether callers are served."""
+        return (
+            self.stop_at is None
+            and self.config.table is not None
+            and self.server_follower.offset is not None
+        )
+
+    def _show_readiness(self) -> tuple[int, str]:
+        """Return the readiness page."""
+        return (200, 'ready\n') if self._is_ready() else (503, 'not ready\n')
+
+    def _show_metrics(self) -> tuple[int, str]:
+        """Return the metrics page."""
+        counters = self.measures.counters
+        counters['server_connections', ''] = self.pool.opened
+        counters['config_version', ''] = self.config.version
+        return 200, self.measures.render()
+
+
+async def run() -> int:
+    """Read the settings and run an edge router."""
+    path = os.environ.get(bootfile.VARIABLE, '')
+    program = EdgeProgram(path, bootfile.read(path))
+    return await program.run()
--- a/arbutusvale/coordination/avoidance.py
+++ b/arbutusvale/coordination/avoidance.py
@@ -3,10 +3,9 @@
 from collections.abc import Callable
 import dataclasses
 import math
-import statistics
 import time
 
-import numpy
+from arbutusvale.coordination import retries
 
 _BASE_S = 0.25
 _MAX_S = 30.0
@@ -49,7 +48,7 @@
 
     def __init__(
         self,
-        generator: numpy.random.Generator,
+        generator: retries.UniformSource,
         clock: Callable[[], float] = time.monotonic,
     ):
         self.generator = generator
@@ -138,6 +137,15 @@
         ]
         if len(latencies) < _MIN_VMS:
             return math.inf
-        median = statistics.median(latencies)
+        median = _median(latencies)
         self.usual[pool] = _Usual(median, now)
         return median
+
+
+def _median(values: list[float]) -> float:
+    """Return the median; the statistics module would cost 0.6 MB."""
+    ordered = sorted(values)
+    middle = len(ordered) // 2
+    if len(ordered) % 2:
+        return ordered[middle]
+    return (ordered[middle - 1] + ordered[middle]) / 2
--- /dev/null
+++ b/arbutusvale/coordination/configview.py
@@ -0,0 +1,83 @@
+"""Take over configurations; only higher versions, only valid ones."""
+
+from collections.abc import Callable
+import dataclasses
+import time
+
+from arbutusvale import errors
+from arbutusvale.protocol import keyedlog
+from arbutusvale.protocol import routing
+from arbutusvale.state import eventlog
+from arbutusvale.state import routetable
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Source:
+    """Name the record that holds the configuration and its decoder."""
+
+    key: str
+    decode: Callable[[bytes], routing.Configuration]
+
+
+class ConfigView:
+    """Hold the newest configuration; ``table`` is None before the first."""
+
+    def __init__(
+        self,
+        source: Source,
+        events: eventlog.EventLog,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.source = source
+        self.events = events
+        self.clock = clock
+        self.table: routetable.RouteTable | None = None
+        self.newest = b''
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 before the first."""
+        if self.table is None:
+            return 0
+        return self.table.configuration.version
+
+    def replace(
+        self, records: list[keyedlog.Record], after_outage: bool
+    ) -> None:
+        """Take over all newest records."""
+        self.update(records, after_outage)
+
+    def update(
+        self, records: list[keyedlog.Record], after_outage: bool
+    ) -> None:
+        """Take over the last configuration among the records."""
+        for record in reversed(records):
+            if record.key == self.source.key and record.value:
+                if self.take(record.value, 'store'):
+                    return
+
+    def take(self, data: bytes, origin: str) -> bool:
+        """Take a configuration over if it is valid and newer."""
+        try:
+            configuration = self.source.decode(data)
+        except errors.RecordError as error:
+            self.events.write(
+                'config-malformed',
+                field=error.field,
+                remedy=error.remedy,
+                version=self.version,
+                origin=origin,
+            )
+            return False
+        if configuration.version <= self.version:
+            return True
+        self.events.write(
+            'config-applied',
+            version=configuration.version,
+            before=self.version,
+            routes=len(configuration.routes),
+            origin=origin,
+        )
+        self.table = routetable.RouteTable(configuration, self.clock())
+        self.newest = data
+        return True
--- /dev/null
+++ b/arbutusvale/coordination/edgeparts.py
@@ -0,0 +1,78 @@
+"""Hold what all requests of one edge router share."""
+
+from collections.abc import Callable
+import dataclasses
+import random
+
+from arbutusvale.coordination import avoidance
+from arbutusvale.coordination import configview
+from arbutusvale.coordination import retries
+from arbutusvale.protocol import edgeports
+from arbutusvale.protocol import vmsettings
+from arbutusvale.state import edgemeasures
+from arbutusvale.state import eventlog
+from arbutusvale.state import promptmap
+from arbutusvale.state import rendezvous
+from arbutusvale.state import serverlist
+from arbutusvale.state import serverloads
+from arbutusvale.state import suspects
+
+
+@dataclasses.dataclass(slots=True)
+class EdgeParts:
+    """Wire the state and the ports that a request needs.
+
+    ``count_routers`` returns the number of live routers, this one among
+    them; ``store_age_s`` the time since the configuration was known to be
+    current, in seconds.
+    """
+
+    settings: vmsettings.EdgeSettings
+    wire: edgeports.Wire
+    connector: edgeports.ServerConnector
+    config: configview.ConfigView
+    servers: serverlist.ServerList
+    loads: serverloads.ServerLoads
+    prompts: promptmap.PromptMap
+    avoidance: avoidance.Avoidance
+    suspects: suspects.SuspectTable
+    measures: edgemeasures.EdgeMeasures
+    events: eventlog.EventLog
+    generator: random.Random
+    clock: Callable[[], float]
+    count_routers: Callable[[], int]
+    store_age_s: Callable[[], float]
+    budgets: dict[str, retries.WindowBudget] = dataclasses.field(
+        default_factory=dict
+    )
+    rankings: dict[str, tuple[int, rendezvous.Ranking]] = dataclasses.field(
+        default_factory=dict
+    )
+    heard_at: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def budget(self, pool: str) -> retries.WindowBudget:
+        """Return the retry budget of a pool."""
+        if pool not in self.budgets:
+            bounds = self.settings.bounds
+            self.budgets[pool] = retries.WindowBudget(
+                bounds.retry_ratio,
+                bounds.retry_reserve,
+                bounds.retry_window_s,
+                self.clock,
+            )
+        return self.budgets[pool]
+
+    def ranking(self, pool: str, names: list[str]) -> rendezvous.Ranking:
+        """Return the ranking of a pool's servers, kept while they stay."""
+        version = self.servers.version
+        kept = self.rankings.get(pool)
+        if kept is None or kept[0] != version:
+            kept = (version, rendezvous.Ranking(names))
+            self.rankings[pool] = kept
+        return kept[1]
+
+    def forget_server(self, server_id: str) -> None:
+        """Drop what is remembered of a server that is gone."""
+        self.prompts.forget_server(server_id)
+        self.heard_at.pop(server_id, None)
+        self.avoidance.forget(set(self.servers.listed))
--- /dev/null
+++ b/arbutusvale/coordination/edgerouter.py
@@ -0,0 +1,190 @@
+"""Admit callers' requests: route, key, deadline, then the call itself."""
+
+import asyncio
+import dataclasses
+
+from arbutusvale.coordination import edgecall
+from arbutusvale.coordination import edgeparts
+from arbutusvale.protocol import directcall
+from arbutusvale.protocol import edgeports
+from arbutusvale.protocol import routing
+from arbutusvale.state import rendezvous
+from arbutusvale.state import routetable
+
+# Without a deadline of the caller's, the route's timeout alone holds.
+_NO_DEADLINE_S = 3600.0
+_BUSY_RETRY_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """Hold an own answer to a request that goes to no server."""
+
+    status: int
+    cause: str
+    retry_after_s: float | None = None
+
+
+class EdgeRouter:
+    """Serve requests of callers."""
+
+    def __init__(self, parts: edgeparts.EdgeParts):
+        self.parts = parts
+        self.active = 0
+        self.refuse_new = False
+
+    async def serve(
+        self,
+        request: directcall.CallerRequest,
+        caller: edgeports.CallerStream,
+    ) -> None:
+        """Answer one request."""
+        traits = self.parts.wire.read_request(request.headers)
+        admitted = self._admit(request, traits)
+        match admitted:
+            case Refusal():
+                self._refuse(admitted, traits, request, caller)
+            case edgecall.Order():
+                self.active += 1
+                try:
+                    await self._run(admitted, caller)
+                finally:
+                    self.active -= 1
+
+    async def _run(
+        self, order: edgecall.Order, caller: edgeports.CallerStream
+    ) -> None:
+        """Run a call; an error of our own ends it without a false claim."""
+        call = edgecall.EdgeCall(self.parts, order, caller)
+        try:
+            await call.run()
+        except asyncio.CancelledError:
+            raise
+        except Exception as error:
+            self.parts.measures.count('internal_errors')
+            self.parts.events.write(
+                'internal-error',
+                id=order.traits.attempt_id,
+                error=repr(error),
+                at=_find_line(error),
+            )
+            caller.abort()
+
+    def _admit(
+        self,
+        request: directcall.CallerRequest,
+        traits: directcall.RequestTraits,
+    ) -> edgecall.Order | Refusal:
+        """Decide whether a request may go to a server."""
+        table = self.parts.config.table
+        if table is None:
+            return Refusal(503, 'no-configuration', _BUSY_RETRY_S)
+        if self.refuse_new:
+            return Refusal(503, 'stopping', 0.0)
+        if traits.fault:
+            return Refusal(400, traits.fault)
+        route = table.find(traits.host, request.path)
+        if route is None or not route.splits:
+            return self._doubt(404, 'no-route')
+        owner = self._find_owner(table, route, traits)
+        if isinstance(owner, Refusal):
+            return owner
+        return self._make_order(request, traits, route, owner)
+
+    def _find_owner(
+        self,
+        table: routetable.RouteTable,
+        route: routing.Route,
+        traits: directcall.RequestTraits,
+    ) -> routing.Organisation | None | Refusal:
+        """Return the organisation of a key; None where none is asked for."""
+        owners = table.configuration.organisations
+        if owners is None:
+            return None
+        owner = owners.get(traits.api_key) if traits.api_key else None
+        if owner is None and not route.anonymous:
+            return self._doubt(401, 'unknown-key')
+        return owner
+
+    def _doubt(self, status: int, cause: str) -> Refusal:
+        """Deny only by a configuration that is known to be current."""
+        if self.parts.store_age_s() > self.parts.settings.bounds.contact_s:
+            return Refusal(503, f'{cause}-by-stale-list', _BUSY_RETRY_S)
+        return Refusal(status, cause)
+
+    def _make_order(
+        self,
+        request: directcall.CallerRequest,
+        traits: directcall.RequestTraits,
+        route: routing.Route,
+        owner: routing.Organisation | None,
+    ) -> edgecall.Order:
+        """Bind a request to its pool and deadline."""
+        left_s = traits.time_left_s
+        limit_s = min(
+            route.timeout_s, _NO_DEADLINE_S if left_s is None else left_s
+        )
+        priority = route.priority
+        if owner is not None and owner.priority is not None:
+            priority = owner.priority
+        return edgecall.Order(
+            request=request,
+            traits=traits,
+            route=route,
+            pool=_pick_pool(route, traits),
+            organisation=owner.name if owner is not None else None,
+            priority=priority,
+            deadline=request.received_at + limit_s,
+            version=self.parts.config.version,
+        )
+
+    def _refuse(
+        self,
+        refusal: Refusal,
+        traits: directcall.RequestTraits,
+        request: directcall.CallerRequest,
+        caller: edgeports.CallerStream,
+    ) -> None:
+        """Answer a request that goes to no server."""
+        self.parts.measures.count('refused', refusal.cause)
+        self.parts.events.write(
+            'refused',
+            id=traits.attempt_id or '-',
+            status=refusal.status,
+            cause=refusal.cause,
+            path=request.path[:80],
+            config=self.parts.config.version,
+            config_age=self.parts.store_age_s(),
+            age=self.parts.clock() - request.received_at,
+        )
+        headers = []
+        if refusal.retry_after_s is not None:
+            headers = [(b'retry-after', b'%.2f' % refusal.retry_after_s)]
+        body = b'{"error":"%s"}\n' % refusal.cause.encode('latin-1', 'replace')
+        caller.answer(refusal.status, headers, body)
+
+
+def _pick_pool(route: routing.Route, traits: directcall.RequestTraits) -> str:
+    """Pick a pool by the weights, the same one for the same prompt."""
+    splits = route.splits
+    if len(splits) == 1:
+        return splits[0].pool
+    key = traits.prompt[-2].id if len(traits.prompt) > 1 else ''
+    point = rendezvous.hash_unit(key or traits.attempt_id)
+    total = sum(split.weight for split in splits)
+    passed = 0.0
+    for split in splits:
+        passed += split.weight / total
+        if point < passed:
+            return split.pool
+    return splits[-1].pool
+
+
+def _find_line(error: Exception) -> str:
+    """Return where an error was raised."""
+    trace = error.__traceback__
+    while trace is not None and trace.tb_next is not None:
+        trace = trace.tb_next
+    if trace is None:
+        return '-'
+    return f'{trace.tb_frame.f_code.co_filename}:{trace.tb_lineno}'
--- a/arbutusvale/coordination/retries.py
+++ b/arbutusvale/coordination/retries.py
@@ -1,11 +1,23 @@
 """Bound the retries of a process and space them out."""
 
-import numpy
+import collections
+from collections.abc import Callable
+import typing
 
 _RESERVE = 3.0
 _MAX_BALANCE = 10.0
 _BASE_DELAY_S = 0.02
 _MAX_DELAY_S = 0.5
+# Leaves a tenth for arrivals counted on the other edge of a window, and for
+# routers that are not known yet.
+_SHARE_USED = 0.9
+
+
+class UniformSource(typing.Protocol):
+    """Draw numbers; numpy's generators and ``random.Random`` both do."""
+
+    def uniform(self, low: float, high: float) -> float:
+        """Return a number between two others."""
 
 
 class RetryBudget:
@@ -33,7 +45,56 @@
         return True
 
 
-def backoff_s(attempt: int, generator: numpy.random.Generator) -> float:
+def backoff_s(attempt: int, generator: UniformSource) -> float:
     """Return a jittered delay that doubles with each attempt from 0."""
     full = min(_MAX_DELAY_S, _BASE_DELAY_S * 2**attempt)
     return full * generator.uniform(0.5, 1.0)
+
+
+class WindowBudget:
+    """Bound the repeats that all routers send to a pool in a time window.
+
+    The bound for the fleet is ``ratio`` times the requests in the window
+    plus ``reserve``.  A router keeps to the ratio of its own requests and to
+    its share of the reserve, so no agreement between routers is needed.
+
+    Load pattern answered: a whole pool that fails for many seconds, when
+    every request asks for a repeat.
+    """
+
+    def __init__(
+        self,
+        ratio: float,
+        reserve: float,
+        window_s: float,
+        clock: Callable[[], float],
+    ):
+        self.ratio = ratio
+        self.reserve = reserve
+        self.window_s = window_s
+        self.clock = clock
+        self.requests: collections.deque[float] = collections.deque()
+        self.repeats: collections.deque[float] = collections.deque()
+        self.denied = 0
+
+    def add_request(self) -> None:
+        """Count the first sending of a request."""
+        self.requests.append(self.clock())
+
+    def take(self, routers: int) -> bool:
+        """Take one repeat; False when this router's share is spent."""
+        now = self.clock()
+        self._expire(now)
+        share = _SHARE_USED * self.reserve / max(1, routers)
+        allowed = _SHARE_USED * self.ratio * len(self.requests) + share
+        if len(self.repeats) + 1 > allowed:
+            self.denied += 1
+            return False
+        self.repeats.append(now)
+        return True
+
+    def _expire(self, now: float) -> None:
+        """Drop what is older than the window."""
+        for times in (self.requests, self.repeats):
+            while times and times[0] <= now - self.window_s:
+                times.popleft()
--- /dev/null
+++ b/arbutusvale/coordination/serverview.py
@@ -0,0 +1,91 @@
+"""Take over the entries of backend servers from their topic."""
+
+from collections.abc import Callable
+
+from arbutusvale import errors
+from arbutusvale.protocol import directcall
+from arbutusvale.protocol import keyedlog
+from arbutusvale.state import eventlog
+from arbutusvale.state import serverlist
+
+
+class ServerView:
+    """Keep the server list by the records of a topic.
+
+    ``on_gone`` is called with the id of a server that is gone or started
+    again, as nothing that it remembered holds.
+    """
+
+    def __init__(
+        self,
+        servers: serverlist.ServerList,
+        decode: Callable[[str, bytes], directcall.BackendServer],
+        events: eventlog.EventLog,
+        on_gone: Callable[[str], None],
+    ):
+        self.servers = servers
+        self.decode = decode
+        self.events = events
+        self.on_gone = on_gone
+        self.malformed = 0
+
+    def replace(
+        self, records: list[keyedlog.Record], after_outage: bool
+    ) -> None:
+        """Take over all newest records; what isn't among them is gone."""
+        self.update(records, after_outage)
+        present = {record.key for record in records if record.value}
+        for server_id in self.servers.keep_only(present, after_outage):
+            self._note_removal(server_id, after_outage)
+
+    def update(
+        self, records: list[keyedlog.Record], after_outage: bool
+    ) -> None:
+        """Take over records in their order."""
+        for record in records:
+            if record.value is None:
+                if self.servers.remove(record.key, after_outage):
+                    self._note_removal(record.key, after_outage)
+            else:
+                self._put(record.key, record.value)
+        self.expire()
+
+    def expire(self) -> None:
+        """Drop servers that didn't return after an outage."""
+        for server_id in self.servers.expire():
+            self._note_removal(server_id, False)
+
+    def _put(self, server_id: str, data: bytes) -> None:
+        """Take one entry over unless it is malformed."""
+        try:
+            server = self.decode(server_id, data)
+        except errors.RecordError as error:
+            self.malformed += 1
+            self.events.write(
+                'server-malformed',
+                server=server_id,
+                field=error.field,
+                remedy=error.remedy,
+            )
+            return
+        known = self.servers.listed.get(server_id)
+        if not self.servers.put(server):
+            return
+        if known is not None and known.server.born != server.born:
+            self.on_gone(server_id)
+        self.events.write(
+            'server-listed',
+            server=server_id,
+            pool=server.pool,
+            address=server.address,
+            state=server.state.value,
+            born=server.born,
+        )
+
+    def _note_removal(self, server_id: str, pending: bool) -> None:
+        """Log a removal and forget what the server remembered."""
+        self.events.write(
+            'server-missing' if pending else 'server-gone', server=server_id
+        )
+        if not pending:
+            self.on_gone(server_id)
--- a/arbutusvale/errors.py
+++ b/arbutusvale/errors.py
@@ -94,3 +94,46 @@
             f'The backend server at {address} broke off its answer: {cause}.',
             'Treat the outcome of the request as unknown.',
         )
+
+
+class RecordError(ArbutusvaleError):
+    """Report a record of the platform that can't be decoded."""
+
+    def __init__(self, field: str, remedy: str):
+        super().__init__(f'Field {field} is missing or mistyped.', remedy)
+        self.field = field
+
+
+class StoreUnavailable(ArbutusvaleError):
+    """Report that the platform's store gave no usable answer."""
+
+    def __init__(self, cause: str):
+        super().__init__(
+            f'The store did not answer: {cause}.',
+            'Go on with what is known and ask again.',
+        )
+
+
+class StoreHistoryGone(ArbutusvaleError):
+    """Report that the wanted offset is not in the store's log."""
+
+    def __init__(self, topic: str, offset: int):
+        super().__init__(
+            f'Topic {topic} does not hold offset {offset}.',
+            'Read the newest records and go on from there.',
+        )
+
+
+class ServerFailed(ArbutusvaleError):
+    """Report that a backend server gave no whole, valid answer.
+
+    ``sent`` tells whether any byte of the request may have reached it.
+    """
+
+    def __init__(self, cause: str, sent: bool):
+        super().__init__(
+            f'The backend server failed: {cause}.',
+            'Send the request elsewhere only if it may be repeated.',
+        )
+        self.cause = cause
+        self.sent = sent
--- /dev/null
+++ b/arbutusvale/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translate between the users' platform and the product's own types."""
--- /dev/null
+++ b/arbutusvale/platform/bootfile.py
@@ -0,0 +1,135 @@
+"""Read the settings file that the platform gives a process."""
+
+import tomllib
+
+from arbutusvale import errors
+from arbutusvale.protocol import vmsettings
+
+VARIABLE = 'ARBUTUSVALE_BOOT'
+# Named by `metrics` in deploy/system.toml; lies outside the internal ports.
+METRICS_PORT = 9464
+_MEBIBYTE = 1 << 20
+
+
+def read(path: str) -> vmsettings.EdgeSettings:
+    """Return the settings in a file; raise DocumentError naming the field."""
+    try:
+        with open(path, 'rb') as file:
+            document = tomllib.load(file)
+    except (OSError, ValueError) as error:
+        raise errors.DocumentError(
+            path, [f'it cannot be read: {error}']
+        ) from error
+    return _Reader(path, document).read()
+
+
+class _Reader:
+    """Take typed fields out of a document and collect its faults."""
+
+    def __init__(self, path: str, document: dict):
+        self.path = path
+        self.document = document
+        self.faults: list[str] = []
+
+    def read(self) -> vmsettings.EdgeSettings:
+        """Return the settings; raise DocumentError for all faults at once."""
+        settings = vmsettings.EdgeSettings(
+            name=self._text('NodeName'),
+            data_centre=self._text('Zone'),
+            host=self._text('Ip'),
+            callers=self._address('Listen.Frontend'),
+            readiness=self._address('Listen.Ready'),
+            control=self._optional_address('Listen.Control'),
+            store=self._address('Platform.Address'),
+            seeds=self._seeds(),
+            peer_port=self._peer_port(),
+            metrics_port=METRICS_PORT,
+            memory_bytes=int(self._number('Limits.MemoryMb') * _MEBIBYTE),
+            cpu_share=self._number('Limits.CpuShare'),
+            bounds=self._bounds(),
+        )
+        if self.faults:
+            raise errors.DocumentError(self.path, self.faults)
+        return settings
+
+    def _bounds(self) -> vmsettings.Bounds:
+        """Return the bounds, times in seconds."""
+        return vmsettings.Bounds(
+            contact_s=self._number('Bounds.ContactMs') / 1000,
+            drain_s=self._number('Bounds.DrainMs') / 1000,
+            grace_s=self._number('Bounds.GraceS'),
+            config_apply_s=self._number('Bounds.ConfigApplyMs') / 1000,
+            retry_ratio=self._number('Bounds.RetryBudgetRatio'),
+            retry_window_s=self._number('Bounds.BudgetWindowS'),
+            retry_reserve=self._number('Bounds.RetryBudgetSlack'),
+            load_factor=self._number('Bounds.CapacityFactor', 2.0),
+            reuse_window_s=self._number('Bounds.ReuseWindowS', 10.0),
+        )
+
+    def _find(self, name: str) -> object:
+        """Return the value at a dotted name, or None."""
+        value: object = self.document
+        for key in name.split('.'):
+            if not isinstance(value, dict):
+                return None
+            value = value.get(key)
+        return value
+
+    def _text(self, name: str) -> str:
+        """Return a text that is not empty."""
+        value = self._find(name)
+        if isinstance(value, str) and value:
+            return value
+        self.faults.append(f'{name}: give a text')
+        return ''
+
+    def _number(self, name: str, default: float | None = None) -> float:
+        """Return a number that is not negative."""
+        value = self._find(name)
+        if value is None and default is not None:
+            return default
+        if isinstance(value, int | float) and value >= 0:
+            return float(value)
+        self.faults.append(f'{name}: give a number of 0 or more')
+        return 0.0
+
+    def _address(self, name: str) -> vmsettings.Address:
+        """Return an address; note a fault when there is none."""
+        address = _parse_address(self._find(name))
+        if address is None:
+            self.faults.append(f'{name}: give IP:PORT')
+            return vmsettings.Address('', 0)
+        return address
+
+    def _optional_address(self, name: str) -> vmsettings.Address | None:
+        """Return an address, or None when the field is absent."""
+        if self._find(name) in (None, ''):
+            return None
+        return self._address(name)
+
+    def _seeds(self) -> tuple[vmsettings.Address, ...]:
+        """Return the seeds that can be read; they may be stale anyway."""
+        seeds = self._find('Seeds')
+        if not isinstance(seeds, list):
+            return ()
+        parsed = (_parse_address(seed) for seed in seeds)
+        return tuple(seed for seed in parsed if seed is not None)
+
+    def _peer_port(self) -> int:
+        """Return the first internal port."""
+        ports = self._find('InternalPortRange')
+        match ports:
+            case [int(first), int()]:
+                return first
+        self.faults.append('InternalPortRange: give [FIRST, LAST]')
+        return 0
+
+
+def _parse_address(value: object) -> vmsettings.Address | None:
+    """Return an address from IP:PORT, or None."""
+    if not isinstance(value, str):
+        return None
+    host, _, port = value.rpartition(':')
+    if not host or not port.isdigit():
+        return None
+    return vmsettings.Address(host, int(port))
--- /dev/null
+++ b/arbutusvale/platform/headers.py
@@ -0,0 +1,249 @@
+"""Translate request and answer headers of the platform."""
+
+from collections.abc import Iterable
+
+from arbutusvale.protocol import directcall
+
+ATTEMPT_ID = b'x-arbutusvale-attempt-id'
+DEADLINE_MS = b'x-arbutusvale-deadline-ms'
+LAST_EVENT_ID = b'last-event-id'
+MODEL_ID = b'x-arbutusvale-model-id'
+# Both the prompt's tokens and the most output tokens, despite the name.
+TOKEN_COUNT = b'x-arbutusvale-token-count'
+PROMPT_PREFIX = b'x-arbutusvale-prompt-prefix'
+ENGINE_SIGNATURE = b'x-arbutusvale-engine-signature'
+ENGINE_LOAD = b'x-arbutusvale-engine-load'
+NOT_EXECUTED = b'x-arbutusvale-not-executed'
+MISDIRECTED = 421
+
+_SYSTEM_HEADERS = frozenset(
+    (
+        b'x-arbutusvale-deadline-ms',
+        b'x-arbutusvale-tenant',
+        b'x-arbutusvale-expected-instance',
+        b'x-arbutusvale-expected-version',
+        b'x-arbutusvale-request-priority',
+        b'x-arbutusvale-kv-reservation',
+        b'x-arbutusvale-kv-backup',
+        b'x-arbutusvale-pin-ms',
+        b'kv-from',
+        b'kv-fetch',
+        b'last-event-id',
+        b'authorization',
+    )
+)
+_HOP_HEADERS = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'proxy-authorization',
+        b'proxy-authenticate',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'content-length',
+        b'expect',
+    )
+)
+# A caller can't have these removed by naming them in Connection.
+_PROTECTED = frozenset(
+    (
+        b'host',
+        ATTEMPT_ID,
+        MODEL_ID,
+        TOKEN_COUNT,
+        PROMPT_PREFIX,
+        b'content-type',
+    )
+)
+_MAX_PRIORITY = 9
+_MAX_PARTS = 64
+
+
+def read_request(
+    headers: Iterable[tuple[bytes, bytes]],
+) -> directcall.RequestTraits:
+    """Decode the headers of a caller's request.
+
+    Names are lower-case.  What can't be read makes the request improper if
+    its run depends on it, and counts as absent otherwise.
+    """
+    found: dict[bytes, bytes] = {}
+    fault = ''
+    for name, value in headers:
+        if name in found:
+            if name in (ATTEMPT_ID, b'host', b'authorization'):
+                fault = f'header {name.decode()} stands twice'
+            continue
+        found[name] = value
+    attempt_id = found.get(ATTEMPT_ID, b'').decode('latin-1')
+    if not attempt_id:
+        fault = 'header X-Arbutusvale-Attempt-Id is missing'
+    if b'host' not in found:
+        fault = 'header Host is missing'
+    prompt_tokens, output_tokens = _read_tokens(found.get(TOKEN_COUNT, b''))
+    deadline = _read_number(found.get(DEADLINE_MS))
+    return directcall.RequestTraits(
+        attempt_id=attempt_id,
+        host=_read_host(found.get(b'host', b'')),
+        api_key=_read_key(found.get(b'authorization', b'')),
+        time_left_s=None if deadline is None else deadline / 1000,
+        last_event_id=_read_number(found.get(LAST_EVENT_ID)),
+        model=found.get(MODEL_ID, b'').decode('latin-1'),
+        prompt=_read_prompt(found.get(PROMPT_PREFIX, b'')),
+        prompt_tokens=prompt_tokens,
+        output_tokens=output_tokens,
+        fault=fault,
+    )
+
+
+def write_request(
+    request: directcall.CallerRequest,
+    sending: directcall.Sending,
+    forwarded: bytes,
+) -> bytes:
+    """Return the head and body of a request for a backend server.
+
+    ``forwarded`` comes from :func:`pass_headers`.
+    """
+    lines = [
+        request.method,
+        b' ',
+        request.target,
+        b' HTTP/1.1\r\n',
+        forwarded,
+        b'X-Arbutusvale-Deadline-Ms: %d\r\n'
+        % max(1, int(sending.time_left_s * 1000)),
+        b'X-Arbutusvale-Expected-Instance: %s\r\n'
+        % sending.server.id.encode('latin-1'),
+        b'X-Arbutusvale-Request-Priority: %d\r\n'
+        % min(_MAX_PRIORITY, max(0, sending.priority)),
+    ]
+    if sending.organisation is not None:
+        lines.append(
+            b'X-Arbutusvale-Tenant: %s\r\n'
+            % sending.organisation.encode('latin-1')
+        )
+    if sending.last_event_id is not None:
+        lines.append(b'Last-Event-Id: %d\r\n' % sending.last_event_id)
+    if sending.cache_source:
+        lines.append(
+            b'Kv-Fetch: %s\r\n' % sending.cache_source.encode('latin-1')
+        )
+    if request.has_body:
+        lines.append(b'Content-Length: %d\r\n' % len(request.body))
+    lines.append(b'\r\n')
+    lines.append(request.body)
+    return b''.join(lines)
+
+
+def pass_headers(request: directcall.CallerRequest) -> bytes:
+    """Return the header lines of a request that pass on unchanged."""
+    dropped = _list_connection_tokens(request.headers)
+    return b''.join(
+        b'%s: %s\r\n' % (name, value)
+        for name, value in request.headers
+        if name not in _SYSTEM_HEADERS
+        and name not in _HOP_HEADERS
+        and name not in dropped
+    )
+
+
+def read_answer(
+    status: int, reason: bytes, headers: list[tuple[bytes, bytes]]
+) -> directcall.AnswerHead:
+    """Decode the head of a backend server's answer; names are lower-case."""
+    dropped = _list_connection_tokens(headers)
+    found = dict(headers)
+    return directcall.AnswerHead(
+        status=status,
+        reason=reason,
+        headers=[
+            (name, value)
+            for name, value in headers
+            if name not in _HOP_HEADERS and name not in dropped
+        ],
+        attempt_id=found.get(ATTEMPT_ID, b'').decode('latin-1'),
+        signed=ENGINE_SIGNATURE in found,
+        not_run=NOT_EXECUTED in found,
+        misdirected=status == MISDIRECTED,
+        load=_read_load(found.get(ENGINE_LOAD)),
+        keep_alive_s=_read_keep_alive(found.get(b'keep-alive')),
+        encoded=b'content-encoding' in found,
+    )
+
+
+def _list_connection_tokens(
+    headers: list[tuple[bytes, bytes]],
+) -> frozenset[bytes]:
+    """List the headers that concern one connection by its own word."""
+    tokens: set[bytes] = set()
+    for name, value in headers:
+        if name == b'connection':
+            tokens.update(part.strip().lower() for part in value.split(b','))
+    return frozenset(tokens - _PROTECTED)
+
+
+def _read_host(value: bytes) -> str:
+    """Return a host in lower case without its port."""
+    host = value.decode('latin-1').strip().lower()
+    return host.partition(':')[0]
+
+
+def _read_key(value: bytes) -> str:
+    """Return the API key of an Authorization header, empty without one."""
+    scheme, _, key = value.strip().partition(b' ')
+    if scheme.lower() != b'bearer':
+        return ''
+    return key.strip().decode('latin-1')
+
+
+def _read_number(value: bytes | None) -> int | None:
+    """Return a whole number, or None."""
+    if value is None or not value.strip().isdigit():
+        return None
+    return int(value)
+
+
+def _read_tokens(value: bytes) -> tuple[int, int]:
+    """Return the tokens of the prompt and the most output tokens."""
+    first, _, second = value.partition(b',')
+    return _read_number(first) or 0, _read_number(second) or 0
+
+
+def _read_prompt(value: bytes) -> tuple[directcall.PromptPart, ...]:
+    """Return the parts of a prompt; none when one can't be read."""
+    if not value:
+        return ()
+    parts = []
+    for entry in value.split(b',')[:_MAX_PARTS]:
+        name, _, tokens = entry.strip().partition(b':')
+        if not name or not tokens.isdigit():
+            return ()
+        parts.append(
+            directcall.PromptPart(name.decode('latin-1'), int(tokens))
+        )
+    return tuple(parts)
+
+
+def _read_load(value: bytes | None) -> directcall.ReportedLoad | None:
+    """Return a reported load, or None when there is none to read."""
+    if value is None:
+        return None
+    fields = value.split(b',')
+    if len(fields) < 3 or not all(one.strip().isdigit() for one in fields):
+        return None
+    return directcall.ReportedLoad(*(int(one) for one in fields[:3]))
+
+
+def _read_keep_alive(value: bytes | None) -> float | None:
+    """Return the idle time that a Keep-Alive header allows, in seconds."""
+    if value is None:
+        return None
+    for field in value.split(b','):
+        name, _, number = field.strip().partition(b'=')
+        if name.lower() == b'timeout' and number.isdigit():
+            return float(number)
+    return None
--- /dev/null
+++ b/arbutusvale/platform/store.py
@@ -0,0 +1,192 @@
+"""Call the platform's metadata store."""
+
+import asyncio
+import base64
+import binascii
+import dataclasses
+import json
+import urllib.parse
+
+from arbutusvale import errors
+from arbutusvale.protocol import keyedlog
+from arbutusvale.protocol import vmsettings
+from arbutusvale.transport import httpconnection
+
+# The store answers in 4 ms; a lost SYN is sent again after a second.
+_CONNECT_TIMEOUT_S = 0.6
+# A slow store takes some 60 times its usual 4 ms, and more while busy.
+_ANSWER_TIMEOUT_S = 1.5
+_GONE = 410
+_OK = 200
+_LENGTH_BYTES = 4
+_HEADER_BYTES = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Head:
+    """Hold the status of a store's answer."""
+
+    status: int
+
+
+class StoreTopic:
+    """Read partition 0 of one keyed topic over a connection of its own."""
+
+    def __init__(self, address: vmsettings.Address, topic: str):
+        self.address = address
+        self.topic = topic
+        self.connection: httpconnection.HttpConnection | None = None
+        self.calls = 0
+
+    async def read_newest(self) -> keyedlog.Page:
+        """Return the newest record of each key, following all pages."""
+        records: list[keyedlog.Record] = []
+        after = ''
+        first_end = -1
+        while True:
+            query = {'Topic': self.topic, 'part': '0'}
+            if after:
+                query['After'] = after
+            document = _parse_object(
+                await self._get('/-/log-newest', query, 0.0)
+            )
+            rows = document.get('Entries')
+            end = document.get('EndOffset')
+            if not isinstance(rows, list) or not isinstance(end, int):
+                raise errors.StoreUnavailable('its answer is malformed')
+            page = [_decode_entry(row) for row in rows]
+            records.extend(record for record in page if record is not None)
+            # Pages are no snapshot: read on from the end at the first one.
+            first_end = end if first_end < 0 else first_end
+            if not document.get('Truncated') or not rows:
+                return keyedlog.Page(records, first_end)
+            after = str(rows[-1].get('Key'))
+
+    async def read_on(self, offset: int, wait_s: float) -> keyedlog.Page:
+        """Return the records from an offset on; raise StoreHistoryGone."""
+        query = {
+            'Topic': self.topic,
+            'part': '0',
+            'From': str(offset),
+            'WaitMs': str(int(wait_s * 1000)),
+        }
+        data = await self._get('/-/log-read', query, wait_s)
+        if len(data) < _HEADER_BYTES:
+            raise errors.StoreUnavailable('its answer is too short')
+        end = int.from_bytes(data[:8], 'big')
+        first = int.from_bytes(data[8:16], 'big')
+        if end < offset or first > offset:
+            raise errors.StoreHistoryGone(self.topic, offset)
+        records, count = _decode_records(data[_HEADER_BYTES:])
+        return keyedlog.Page(records, offset + count)
+
+    def disconnect(self) -> None:
+        """Drop the connection."""
+        if self.connection is not None:
+            self.connection.abort()
+            self.connection = None
+
+    async def _get(
+        self, path: str, query: dict[str, str], wait_s: float
+    ) -> bytes:
+        """Make one call and return the body; raise what went wrong."""
+        self.calls += 1
+        try:
+            async with asyncio.timeout(
+                wait_s + _ANSWER_TIMEOUT_S + _CONNECT_TIMEOUT_S
+            ):
+                status, body = await self._exchange(path, query)
+        except TimeoutError as error:
+            self.disconnect()
+            raise errors.StoreUnavailable('no answer in time') from error
+        except errors.ServerFailed as error:
+            self.disconnect()
+            raise errors.StoreUnavailable(error.cause) from error
+        except BaseException:
+            self.disconnect()
+            raise
+        if status == _GONE:
+            raise errors.StoreHistoryGone(
+                self.topic, int(query.get('From', '0'))
+            )
+        if status != _OK:
+            raise errors.StoreUnavailable(f'status {status}')
+        return body
+
+    async def _exchange(
+        self, path: str, query: dict[str, str]
+    ) -> tuple[int, bytes]:
+        """Send one request, on a new connection at need."""
+        if self.connection is None or self.connection.closed:
+            self.connection = await httpconnection.open_connection(
+                self.address.host, self.address.port, _CONNECT_TIMEOUT_S
+            )
+        connection = self.connection
+        target = f'{path}?{urllib.parse.urlencode(query)}'
+        request = (
+            f'GET {target} HTTP/1.1\r\n'
+            f'Host: {self.address.host}:{self.address.port}\r\n\r\n'
+        )
+        exchange = connection.send(request.encode(), _decode_head)
+        head = await exchange.head
+        parts = []
+        while data := await connection.read(exchange):
+            parts.append(data)
+        if not connection.release():
+            self.connection = None
+        return head.status, b''.join(parts)
+
+
+def _decode_head(
+    status: int, reason: bytes, headers: httpconnection.Headers
+) -> _Head:
+    """Keep the status."""
+    return _Head(status)
+
+
+def _parse_object(data: bytes) -> dict:
+    """Parse a JSON object."""
+    try:
+        document = json.loads(data)
+    except ValueError as error:
+        raise errors.StoreUnavailable(
+            f'its answer is no JSON: {error}'
+        ) from error
+    if not isinstance(document, dict):
+        raise errors.StoreUnavailable('its answer is no JSON object')
+    return document
+
+
+def _decode_entry(row: object) -> keyedlog.Record | None:
+    """Decode a row of the newest records; None when it can't be read."""
+    if not isinstance(row, dict) or not isinstance(row.get('Key'), str):
+        return None
+    try:
+        value = base64.b64decode(row.get('Data') or '')
+    except (binascii.Error, ValueError, TypeError):
+        # An unreadable value names nothing to use, like an empty one.
+        value = b'?'
+    return keyedlog.Record(row['Key'], value or None)
+
+
+def _decode_records(data: bytes) -> tuple[list[keyedlog.Record], int]:
+    """Decode raw keyed records and count them, odd ones included."""
+    records = []
+    count = 0
+    position = 0
+    while position + _LENGTH_BYTES <= len(data):
+        length = int.from_bytes(
+            data[position : position + _LENGTH_BYTES], 'big'
+        )
+        start = position + _LENGTH_BYTES
+        if start + length > len(data):
+            break
+        body = data[start : start + length]
+        position = start + length
+        count += 1
+        if not body or len(body) < 1 + body[0]:
+            continue
+        key = body[1 : 1 + body[0]].decode('utf-8', 'replace')
+        value = body[1 + body[0] :]
+        records.append(keyedlog.Record(key, value or None))
+    return records, count
--- /dev/null
+++ b/arbutusvale/protocol/edgeports.py
@@ -0,0 +1,97 @@
+"""Define the ports by which decisions reach callers, servers and the wire."""
+
+import typing
+
+from arbutusvale.protocol import directcall
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class CallerStream(typing.Protocol):
+    """Answer one request of a caller."""
+
+    started: bool
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+
+    def start(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer whose length isn't known."""
+
+    def write(self, data: bytes) -> None:
+        """Send a piece of the body."""
+
+    def finish(self) -> None:
+        """End the body as complete."""
+
+    def abort(self) -> None:
+        """Close the connection, so that the answer can't look complete."""
+
+    async def drained(self) -> None:
+        """Wait until the caller has read most of what was sent."""
+
+
+class ServerExchange(typing.Protocol):
+    """Hold the answer to one request; ``head`` is awaited first."""
+
+    head: typing.Any
+
+
+class ServerLink(typing.Protocol):
+    """Exchange requests with one backend server, one at a time."""
+
+    requests: int
+
+    def send(
+        self, request: bytes, decode: typing.Callable, bodiless: bool = False
+    ) -> ServerExchange:
+        """Send a request."""
+
+    async def read(self, exchange: ServerExchange) -> bytes:
+        """Return the next bytes, empty at the end; raise ServerFailed."""
+
+    def abort(self) -> None:
+        """Close at once."""
+
+
+class ServerConnector(typing.Protocol):
+    """Keep connections to backend servers."""
+
+    async def acquire(
+        self, server: directcall.BackendServer, fresh: bool, timeout_s: float
+    ) -> ServerLink:
+        """Return a free connection; raise ServerFailed, nothing sent.
+
+        ``fresh`` asks for one that the server surely still holds open.
+        """
+
+    def release(
+        self,
+        server: directcall.BackendServer,
+        link: ServerLink,
+        keep_alive_s: float | None,
+    ) -> None:
+        """Keep a connection whose answer was complete."""
+
+
+class Wire(typing.Protocol):
+    """Translate requests and answers; kept by the platform's adapter."""
+
+    def read_request(self, headers: Headers) -> directcall.RequestTraits:
+        """Decode the headers of a caller's request."""
+
+    def pass_headers(self, request: directcall.CallerRequest) -> bytes:
+        """Return the header lines that pass on unchanged."""
+
+    def write_request(
+        self,
+        request: directcall.CallerRequest,
+        sending: directcall.Sending,
+        forwarded: bytes,
+    ) -> bytes:
+        """Return the bytes of a request for a backend server."""
+
+    def read_answer(
+        self, status: int, reason: bytes, headers: Headers
+    ) -> directcall.AnswerHead:
+        """Decode the head of a server's answer."""
--- /dev/null
+++ b/arbutusvale/protocol/keyedlog.py
@@ -0,0 +1,33 @@
+"""Define what a topic with keyed records gives its readers."""
+
+import dataclasses
+import typing
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Record:
+    """Hold one record; a value of None drops the key."""
+
+    key: str
+    value: bytes | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Page:
+    """Hold records and the offset to read on from."""
+
+    records: list[Record]
+    next_offset: int
+
+
+class KeyedLog(typing.Protocol):
+    """Read one topic; raises StoreUnavailable and StoreHistoryGone."""
+
+    async def read_newest(self) -> Page:
+        """Return the newest record of each key."""
+
+    async def read_on(self, offset: int, wait_s: float) -> Page:
+        """Return the records from ``offset`` on, waiting for the first."""
+
+    def disconnect(self) -> None:
+        """Drop the connection, so that the next call opens a new one."""
--- /dev/null
+++ b/arbutusvale/state/edgemeasures.py
@@ -0,0 +1,76 @@
+"""Count what an edge router does, at a low cost of memory."""
+
+import bisect
+import collections
+
+# Spans half a plain call (5 ms) to the longest route timeout (15 s).
+BUCKETS_S = (
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 20.0,
+)  # fmt: skip
+
+
+class Histogram:
+    """Count latencies in fixed buckets."""
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(BUCKETS_S) + 1)
+        self.total_s = 0.0
+
+    def add(self, latency_s: float) -> None:
+        """Count one latency."""
+        self.counts[bisect.bisect_left(BUCKETS_S, latency_s)] += 1
+        self.total_s += latency_s
+
+
+class EdgeMeasures:
+    """Hold counters by name and label, and latency histograms by pool."""
+
+    def __init__(self) -> None:
+        self.counters: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self.first_byte: dict[str, Histogram] = {}
+        self.total: dict[str, Histogram] = {}
+
+    def count(self, name: str, label: str = '') -> None:
+        """Add one to a counter."""
+        self.counters[name, label] += 1
+
+    def note_first_byte(self, pool: str, latency_s: float) -> None:
+        """Count the time to the first byte of an answer."""
+        self.first_byte.setdefault(pool, Histogram()).add(latency_s)
+
+    def note_total(self, pool: str, latency_s: float) -> None:
+        """Count the time to the end of an answer."""
+        self.total.setdefault(pool, Histogram()).add(latency_s)
+
+    def render(self) -> str:
+        """Return all measures as Prometheus text."""
+        lines = []
+        for (name, label), count in sorted(self.counters.items()):
+            shown = f'{{kind="{label}"}}' if label else ''
+            lines.append(f'arbutusvale_{name}_total{shown} {count}')
+        for name, histograms in (
+            ('first_byte_seconds', self.first_byte),
+            ('total_seconds', self.total),
+        ):
+            for pool, histogram in sorted(histograms.items()):
+                lines.extend(_render_histogram(name, pool, histogram))
+        return '\n'.join(lines) + '\n'
+
+
+def _render_histogram(name: str, pool: str, histogram: Histogram) -> list[str]:
+    """Return the cumulative buckets of one histogram."""
+    lines = []
+    passed = 0
+    bounds = [*(str(bound) for bound in BUCKETS_S), '+Inf']
+    for bound, count in zip(bounds, histogram.counts, strict=True):
+        passed += count
+        lines.append(
+            f'arbutusvale_{name}_bucket{{pool="{pool}",le="{bound}"}} {passed}'
+        )
+    lines.append(
+        f'arbutusvale_{name}_sum{{pool="{pool}"}} {histogram.total_s:.6f}'
+    )
+    lines.append(f'arbutusvale_{name}_count{{pool="{pool}"}} {passed}')
+    return lines
--- /dev/null
+++ b/arbutusvale/state/promptmap.py
@@ -0,0 +1,38 @@
+"""Remember which engines have read which shared parts of prompts."""
+
+import collections
+from collections.abc import Callable
+
+# Some bytes an entry; 59 to a few thousand prompts are live on a fleet.
+MAX_PROMPTS = 4096
+
+
+class PromptMap:
+    """Map a prompt to the engines that this router sent it to.
+
+    Soft state, bounded: the least recently used prompt yields.  A prompt is
+    known by the id of its deepest shared part.
+    """
+
+    def __init__(self, clock: Callable[[], float]):
+        self.clock = clock
+        self.prompts: collections.OrderedDict[str, dict[str, float]] = (
+            collections.OrderedDict()
+        )
+
+    def note(self, prompt: str, server_id: str) -> None:
+        """Remember that an engine reads a prompt now."""
+        holders = self.prompts.setdefault(prompt, {})
+        holders[server_id] = self.clock()
+        self.prompts.move_to_end(prompt)
+        if len(self.prompts) > MAX_PROMPTS:
+            self.prompts.popitem(last=False)
+
+    def holders(self, prompt: str) -> dict[str, float]:
+        """Return the engines that read a prompt and when, in seconds."""
+        return self.prompts.get(prompt, {})
+
+    def forget_server(self, server_id: str) -> None:
+        """Drop an engine that is gone or has started again."""
+        for holders in self.prompts.values():
+            holders.pop(server_id, None)
--- a/arbutusvale/state/rendezvous.py
+++ b/arbutusvale/state/rendezvous.py
@@ -5,13 +5,20 @@
 """
 
 from collections.abc import Iterable
+import importlib
+import typing
 
-import numpy
 import xxhash
 
-_FIRST_FACTOR = numpy.uint64(0xBF58476D1CE4E5B9)
-_SECOND_FACTOR = numpy.uint64(0x94D049BB133111EB)
-_SHIFTS = tuple(numpy.uint64(bits) for bits in (30, 27, 31))
+if typing.TYPE_CHECKING:
+    import numpy
+
+_FIRST_FACTOR = 0xBF58476D1CE4E5B9
+_SECOND_FACTOR = 0x94D049BB133111EB
+_SHIFTS = (30, 27, 31)
+_WORD = (1 << 64) - 1
+# Below this size plain integers cost less than numpy's 13 MB of memory.
+_SMALL_POOL = 64
 
 
 class Ranking:
@@ -23,33 +30,75 @@
 
     def __init__(self, names: Iterable[str]):
         self.names = sorted(names)
-        self.seeds = numpy.array(
-            [_hash(name) for name in self.names], dtype=numpy.uint64
-        )
+        hashes = [_hash(name) for name in self.names]
+        self.seeds = hashes
+        self.vector = None
+        if len(hashes) > _SMALL_POOL:
+            self.vector = _Vector(hashes)
 
     def rank(self, key: str, count: int) -> list[str]:
         """Return the first ``count`` choices for ``key``, best first."""
-        scores = self._score(key)
-        most = len(self.names)
-        if count < most:
-            best = numpy.argpartition(scores, most - count)[most - count :]
-            order = best[numpy.argsort(scores[best])[::-1]]
+        if self.vector is not None:
+            order = self.vector.rank(_hash(key), count)
         else:
-            order = numpy.argsort(scores)[::-1]
-        return [self.names[index] for index in order.tolist()]
+            scores = self._score(key)
+            order = sorted(
+                range(len(scores)), key=scores.__getitem__, reverse=True
+            )
+        return [self.names[index] for index in order[:count]]
 
     def first(self, key: str) -> str:
         """Return the first choice for ``key``; empty when there is none."""
         if not self.names:
             return ''
-        return self.names[int(self._score(key).argmax())]
+        if self.vector is not None:
+            return self.names[self.vector.first(_hash(key))]
+        scores = self._score(key)
+        return self.names[scores.index(max(scores))]
 
-    def _score(self, key: str) -> numpy.ndarray:
+    def _score(self, key: str) -> list[int]:
         """Weigh every server for a key."""
         first, second, third = _SHIFTS
-        mixed = self.seeds ^ numpy.uint64(_hash(key))
-        mixed = (mixed ^ (mixed >> first)) * _FIRST_FACTOR
-        mixed = (mixed ^ (mixed >> second)) * _SECOND_FACTOR
+        hashed = _hash(key)
+        scores = []
+        for seed in self.seeds:
+            mixed = seed ^ hashed
+            mixed = ((mixed ^ (mixed >> first)) * _FIRST_FACTOR) & _WORD
+            mixed = ((mixed ^ (mixed >> second)) * _SECOND_FACTOR) & _WORD
+            scores.append(mixed ^ (mixed >> third))
+        return scores
+
+
+class _Vector:
+    """Weigh the servers of a large pool at once."""
+
+    def __init__(self, hashes: list[int]):
+        self.numpy = importlib.import_module('numpy')
+        self.seeds = self.numpy.array(hashes, dtype=self.numpy.uint64)
+        words = self.numpy.uint64
+        self.factors = (words(_FIRST_FACTOR), words(_SECOND_FACTOR))
+        self.shifts = tuple(words(bits) for bits in _SHIFTS)
+
+    def rank(self, hashed: int, count: int) -> list[int]:
+        """Return the positions of the best choices, best first."""
+        scores = self._score(hashed)
+        most = len(scores)
+        if count < most:
+            best = self.numpy.argpartition(scores, most - count)
+            best = best[most - count :]
+            return best[self.numpy.argsort(scores[best])[::-1]].tolist()
+        return self.numpy.argsort(scores)[::-1].tolist()
+
+    def first(self, hashed: int) -> int:
+        """Return the position of the best choice."""
+        return int(self._score(hashed).argmax())
+
+    def _score(self, hashed: int) -> 'numpy.ndarray':
+        """Weigh every server for the hash of a key."""
+        first, second, third = self.shifts
+        mixed = self.seeds ^ self.numpy.uint64(hashed)
+        mixed = (mixed ^ (mixed >> first)) * self.factors[0]
+        mixed = (mixed ^ (mixed >> second)) * self.factors[1]
         return mixed ^ (mixed >> third)
 
 
@@ -67,3 +116,8 @@
 def _hash(text: str) -> int:
     """Hash a name or key to 64 bits."""
     return xxhash.xxh3_64_intdigest(text.encode())
+
+
+def hash_unit(key: str) -> float:
+    """Return a number from 0 up to 1 that depends on ``key`` alone."""
+    return _hash(key) / (1 << 64)
--- /dev/null
+++ b/arbutusvale/state/routetable.py
@@ -0,0 +1,40 @@
+"""Find the route of a request in one version of the configuration."""
+
+from arbutusvale.protocol import routing
+
+
+class RouteTable:
+    """Index the routes of a configuration by host and path prefix.
+
+    ``learned_at`` is the steady time at which this process took the
+    configuration over, in seconds.
+    """
+
+    def __init__(
+        self, configuration: routing.Configuration, learned_at: float
+    ):
+        self.configuration = configuration
+        self.learned_at = learned_at
+        self.by_host: dict[str, dict[str, routing.Route]] = {}
+        for route in configuration.routes:
+            paths = self.by_host.setdefault(route.host, {})
+            paths[route.path_prefix] = route
+
+    def find(self, host: str, path: str) -> routing.Route | None:
+        """Return the route with the longest prefix, or None.
+
+        Prefixes begin and end with a slash, so only the cuts of the path
+        behind its slashes are looked up.
+        """
+        paths = self.by_host.get(host)
+        if paths is None:
+            return None
+        end = len(path)
+        while end > 0:
+            end = path.rfind('/', 0, end)
+            if end < 0:
+                return None
+            route = paths.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
--- /dev/null
+++ b/arbutusvale/state/serverloads.py
@@ -0,0 +1,83 @@
+"""Estimate the load of backend servers from several partial views.
+
+Each router counts its own requests exactly.  What other routers send is
+known from their messages, about a quarter of a second old, or else from
+the load that servers report with their answers.
+"""
+
+from collections.abc import Callable
+import dataclasses
+
+# A peer repeats its counts several times a second; older ones are void.
+PEER_AGE_S = 1.5
+# A reported load says little after this time: requests last 1 to 2 s.
+REPORT_AGE_S = 1.5
+
+
+@dataclasses.dataclass(slots=True)
+class _Load:
+    """Hold the views of one server's load, in requests."""
+
+    own: int = 0
+    others: float = 0.0
+    others_at: float = -1e9
+
+
+class ServerLoads:
+    """Count requests in flight per server, own and others'."""
+
+    def __init__(self, clock: Callable[[], float]):
+        self.clock = clock
+        self.loads: dict[str, _Load] = {}
+        self.peers: dict[str, tuple[float, dict[str, int]]] = {}
+
+    def begin(self, server_id: str) -> None:
+        """Count a request that is sent to a server."""
+        self._find(server_id).own += 1
+
+    def end(self, server_id: str) -> None:
+        """Count the end of a request."""
+        load = self._find(server_id)
+        load.own -= 1
+        if load.own <= 0 and load.others_at < self.clock() - REPORT_AGE_S:
+            self.loads.pop(server_id, None)
+
+    def note_report(self, server_id: str, total: int) -> None:
+        """Take the load that a server reported with an answer."""
+        load = self._find(server_id)
+        load.others = max(0, total - load.own)
+        load.others_at = self.clock()
+
+    def note_peer(self, peer: str, counts: dict[str, int]) -> None:
+        """Take another router's own counts over."""
+        self.peers[peer] = (self.clock(), counts)
+
+    def estimate(self, server_id: str) -> float:
+        """Return the probable number of requests at a server."""
+        load = self.loads.get(server_id)
+        own = load.own if load is not None else 0
+        now = self.clock()
+        told = self._sum_peers(server_id, now)
+        if load is None or now - load.others_at > REPORT_AGE_S:
+            return own + told
+        return own + max(told, load.others)
+
+    def own(self) -> dict[str, int]:
+        """Return the own counts of the servers that have any."""
+        return {
+            server_id: load.own
+            for server_id, load in self.loads.items()
+            if load.own > 0
+        }
+
+    def _sum_peers(self, server_id: str, now: float) -> int:
+        """Add up what peers told of late."""
+        return sum(
+            counts.get(server_id, 0)
+            for at, counts in self.peers.values()
+            if now - at <= PEER_AGE_S
+        )
+
+    def _find(self, server_id: str) -> _Load:
+        """Return the record of a server, a new one at need."""
+        return self.loads.setdefault(server_id, _Load())
--- /dev/null
+++ b/arbutusvale/transport/serverpool.py
@@ -0,0 +1,98 @@
+"""Keep connections to backend servers open between requests."""
+
+import asyncio
+import time
+
+from arbutusvale.protocol import directcall
+from arbutusvale.transport import httpconnection
+
+# Servers name whole seconds, or nothing below one; a connection is used
+# again only while its server surely holds it open still.
+UNNAMED_IDLE_S = 0.4
+IDLE_SHARE = 0.8
+# A request that must not repeat is lost if its connection turns out closed.
+FRESH_SHARE = 0.3
+# A share of what a server takes from all routers together.
+MAX_IDLE = 16
+
+
+class ServerPool:
+    """Open, lend and keep connections, by server incarnation."""
+
+    def __init__(self) -> None:
+        self.idle: dict[str, list[httpconnection.HttpConnection]] = {}
+        self.opened = 0
+
+    async def acquire(
+        self, server: directcall.BackendServer, fresh: bool, timeout_s: float
+    ) -> httpconnection.HttpConnection:
+        """Return a free connection; raise ServerFailed, nothing sent."""
+        kept = self._take(server.id, fresh)
+        if kept is not None:
+            return kept
+        host, port = server.endpoint
+        self.opened += 1
+        return await httpconnection.open_connection(host, port, timeout_s)
+
+    def release(
+        self,
+        server: directcall.BackendServer,
+        link: httpconnection.HttpConnection,
+        keep_alive_s: float | None,
+    ) -> None:
+        """Keep a connection whose answer was complete, if it may be."""
+        if not link.release():
+            return
+        named = keep_alive_s if keep_alive_s else UNNAMED_IDLE_S / IDLE_SHARE
+        link.idle_limit_s = named
+        kept = self.idle.setdefault(server.id, [])
+        if len(kept) >= MAX_IDLE:
+            kept.pop(0).abort()
+        kept.append(link)
+
+    def prune(self) -> None:
+        """Close connections that idled too long or lost their server."""
+        now = time.monotonic()
+        for server_id in list(self.idle):
+            kept = self.idle[server_id]
+            live = [one for one in kept if _is_usable(one, now, IDLE_SHARE)]
+            for one in kept:
+                if one not in live:
+                    one.abort()
+            if live:
+                self.idle[server_id] = live
+            else:
+                del self.idle[server_id]
+
+    async def run(self) -> None:
+        """Prune until cancelled."""
+        while True:
+            await asyncio.sleep(UNNAMED_IDLE_S)
+            self.prune()
+
+    def _take(
+        self, server_id: str, fresh: bool
+    ) -> httpconnection.HttpConnection | None:
+        """Return the connection that idled for the shortest time."""
+        kept = self.idle.get(server_id)
+        share = FRESH_SHARE if fresh else IDLE_SHARE
+        now = time.monotonic()
+        while kept:
+            one = kept.pop()
+            if _is_usable(one, now, share):
+                return one
+            if not fresh:
+                one.abort()
+                continue
+            kept.append(one)
+            return None
+        return None
+
+
+def _is_usable(
+    link: httpconnection.HttpConnection, now: float, share: float
+) -> bool:
+    """Tell whether the server surely holds a connection open still."""
+    if link.closed or not link.reusable:
+        return False
+    return now - link.idle_since < share * link.idle_limit_s
--- /dev/null
+++ b/arbutusvale/ui/edge.py
@@ -0,0 +1,26 @@
+"""Start the edge router; imports as little as it can."""
+
+import sys
+
+# Connections are plain, and asyncio does without ssl, which takes 2 MB.
+sys.modules.setdefault('ssl', None)  # type: ignore[arg-type]
+
+import asyncio  # noqa: E402
+
+from arbutusvale import composeedge  # noqa: E402
+from arbutusvale import errors  # noqa: E402
+
+EXIT_WRONG_SETTINGS = 2
+
+
+def main() -> int:
+    """Run until stopped; return the exit code."""
+    try:
+        return asyncio.run(composeedge.run())
+    except errors.DocumentError as error:
+        print(f'error: {error}', file=sys.stderr)
+        return EXIT_WRONG_SETTINGS
+
+
+if __name__ == '__main__':
+    sys.exit(main())
