Share loads, cache places and store offsets among edge routers

Cause: each router counted only its own requests and remembered only its own prompts; each polled the store every second; one that the store turned away stayed behind. Routers now send each other small datagrams, copy lists from a peer while the store is away, and wait longer for news the more they are.

Ruled out: a stuck poll (the log shows the removal at once).

--- a/arbutusvale/commonparts.py
+++ b/arbutusvale/commonparts.py
@@ -56,7 +56,9 @@
             peers=self._list_peers,
             generator=self.generator,
         )
-        self.freeze_guard = freeze.FreezeGuard(self.refresh_views)
+        self.freeze_guard = freeze.FreezeGuard(
+            self.refresh_views, note=note_clock_gap
+        )
         self.tasks: list[asyncio.Task] = []
 
     def make_links(self, handler, idle_s: float) -> linkpool.LinkPool:
@@ -165,3 +167,8 @@
             except Exception:
                 logging.exception('event=task-failed task=%s', loop)
             await asyncio.sleep(TASK_RESTART_S)
+
+
+def note_clock_gap(gap_s: float) -> None:
+    """Log that this process stood still."""
+    logging.warning('event=clock-gap seconds=%.1f', gap_s)
--- a/arbutusvale/compose.py
+++ b/arbutusvale/compose.py
@@ -167,7 +167,9 @@
         )
         self.health = health.HealthWatch(self.server, self._note_health)
         self.drain = self._make_drain()
-        self.freeze_guard = freeze.FreezeGuard(self._look_around)
+        self.freeze_guard = freeze.FreezeGuard(
+            self._look_around, note=commonparts.note_clock_gap
+        )
         self.gate = self._make_gate()
         self.link_server = linkserver.LinkServer(
             listen=held.listen,
--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -16,7 +16,10 @@
 from arbutusvale.coordination import edgedrain
 from arbutusvale.coordination import edgeparts
 from arbutusvale.coordination import edgerouter
+from arbutusvale.coordination import freeze
 from arbutusvale.coordination import logfollower
+from arbutusvale.coordination import peercopy
+from arbutusvale.coordination import peers
 from arbutusvale.coordination import serverview
 from arbutusvale.platform import bootfile
 from arbutusvale.platform import headers
@@ -31,6 +34,8 @@
 from arbutusvale.state import serverloads
 from arbutusvale.state import suspects
 from arbutusvale.transport import edgeserver
+from arbutusvale.transport import pagefetch
+from arbutusvale.transport import peersocket
 from arbutusvale.transport import plainpages
 from arbutusvale.transport import serverpool
 
@@ -83,6 +88,13 @@
     def _wire_router(self) -> None:
         """Make what serves requests."""
         generator = random.Random()
+        self.peers = peers.Peers(
+            self.settings.name,
+            self.settings.host,
+            tuple(seed.host for seed in self.settings.seeds),
+            self.events,
+            self.clock,
+        )
         self.parts = edgeparts.EdgeParts(
             settings=self.settings,
             wire=headers,
@@ -97,10 +109,16 @@
             events=self.events,
             generator=generator,
             clock=self.clock,
-            count_routers=self._count_routers,
+            peers=self.peers,
             store_age_s=self._store_age,
         )
-        self.router = edgerouter.EdgeRouter(self.parts)
+        self.freeze_guard = freeze.FreezeGuard(
+            self._look_around, _read_boot_clock, self._note_gap
+        )
+        self.router = edgerouter.EdgeRouter(
+            self.parts, self.freeze_guard.check
+        )
+        self._wire_peers()
         self.edge = edgeserver.EdgeServer(
             self.router.serve,
             self._limits,
@@ -108,6 +126,23 @@
             self.events.write,
         )
 
+    def _wire_peers(self) -> None:
+        """Let routers share what each of them knows."""
+        self.peer_copy = peercopy.PeerCopy(
+            self.config,
+            self.server_view,
+            self.config_follower,
+            self.server_follower,
+            self.events,
+        )
+        self.peers.loads = self.parts.loads
+        self.peers.prompts = self.parts.prompts
+        self.peers.suspects = self.parts.suspects
+        self.peers.read_offsets = self._read_offsets
+        self.peers.on_behind = self._note_behind
+        for follower in (self.config_follower, self.server_follower):
+            follower.count_readers = self.peers.count_live
+
     async def run(self) -> int:
         """Serve until stopped; return the exit code."""
         self.events.write(
@@ -122,6 +157,10 @@
         loop.add_signal_handler(signal.SIGINT, self._begin_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         listening = await self._listen()
+        peer_socket = await peersocket.open_socket(
+            self.settings.host, self.settings.peer_port, self.peers.receive
+        )
+        self.peers.send = peer_socket.send
         runners = [
             asyncio.create_task(one)
             for one in (
@@ -130,6 +169,9 @@
                 self.pool.run(),
                 self.edge.run(),
                 self.events.run(),
+                self.peers.run(),
+                self.freeze_guard.run(),
+                self.peer_copy.run(self._list_peer_hosts, self._fetch),
                 self._tick(),
             )
         ]
@@ -149,6 +191,7 @@
         readiness = self.settings.readiness
         pages = {'/-/readyz': self._show_readiness}
         metrics = {'/metrics': self._show_metrics}
+        shared = {peercopy.PATH: self.peer_copy.offer}
         return [
             await loop.create_server(
                 self.edge.connect,
@@ -161,6 +204,11 @@
                 readiness.host,
                 readiness.port,
             ),
+            await loop.create_server(
+                lambda: plainpages.PageConnection(shared),
+                self.settings.host,
+                self.settings.peer_port,
+            ),
             await loop.create_server(
                 lambda: plainpages.PageConnection(metrics),
                 self.settings.host,
@@ -190,6 +238,7 @@
             return
         self.stop_at = self.clock()
         self.edge.closing = True
+        self.peers.leaving = True
         self.events.write('stopping', active=self.router.active)
 
     def _reload(self) -> None:
@@ -203,6 +252,39 @@
         self.parts.settings = settings
         self.events.write('reload', vm=settings.name)
 
+    def _read_offsets(self) -> dict[str, int]:
+        """Return how far the store was read, by topic."""
+        return {
+            follower.topic: follower.offset
+            for follower in (self.config_follower, self.server_follower)
+            if follower.offset is not None
+        }
+
+    def _note_behind(self, topic: str, offset: int) -> None:
+        """Let the follower of a topic know how far a peer has read."""
+        for follower in (self.config_follower, self.server_follower):
+            if follower.topic == topic:
+                follower.note_behind(offset)
+
+    def _list_peer_hosts(self) -> list[str]:
+        """List who may know what the store said."""
+        return list(dict.fromkeys([*self.peers.peers, *self.peers.seeds]))
+
+    async def _fetch(self, host: str, path: str) -> bytes:
+        """Fetch a page of a peer."""
+        return await pagefetch.fetch(host, self.settings.peer_port, path)
+
+    async def _look_around(self) -> None:
+        """Ask the store anew after this process stood still."""
+        self.pool.close_all()
+        await asyncio.gather(
+            self.config_follower.refresh(), self.server_follower.refresh()
+        )
+
+    def _note_gap(self, gap_s: float) -> None:
+        """Log that this process stood still."""
+        self.events.write('clock-gap', seconds=gap_s)
+
     def _forget(self, server_id: str) -> None:
         """Drop what is remembered of a server that is gone."""
         self.parts.forget_server(server_id)
@@ -215,11 +297,7 @@
 
     def _store_age(self) -> float:
         """Return for how long the configuration wasn't confirmed."""
-        return self.clock() - self.config_follower.contact.heard_at
-
-    def _count_routers(self) -> int:
-        """Return the number of live routers."""
-        return 8
+        return self.config_follower.age_s()
 
     def _is_ready(self) -> bool:
         """Tell whether callers are served."""
@@ -241,6 +319,11 @@
         return 200, self.measures.render()
 
 
+def _read_boot_clock() -> float:
+    """Return a clock that goes on while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 async def run() -> int:
     """Read the settings and run an edge router."""
     path = os.environ.get(bootfile.VARIABLE, '')
--- a/arbutusvale/coordination/configview.py
+++ b/arbutusvale/coordination/configview.py
@@ -42,13 +42,13 @@
         return self.table.configuration.version
 
     def replace(
-        self, records: list[keyedlog.Record], after_outage: bool
+        self, records: list[keyedlog.Record], return_by: float | None
     ) -> None:
         """Take over all newest records."""
-        self.update(records, after_outage)
+        self.update(records, return_by)
 
     def update(
-        self, records: list[keyedlog.Record], after_outage: bool
+        self, records: list[keyedlog.Record], return_by: float | None
     ) -> None:
         """Take over the last configuration among the records."""
         for record in reversed(records):
--- a/arbutusvale/coordination/edgecall.py
+++ b/arbutusvale/coordination/edgecall.py
@@ -163,7 +163,7 @@
         if self._time_left() < LEAST_TIME_S:
             return False
         taken = self.parts.budget(self.order.pool).take(
-            self.parts.count_routers()
+            self.parts.peers.count_live()
         )
         if not taken:
             self.parts.measures.count('retries_denied', self.order.pool)
@@ -194,7 +194,8 @@
         )
         self.parts.loads.begin(server.id)
         if place.prompt:
-            self.parts.prompts.note(place.prompt, server.id)
+            if self.parts.prompts.note(place.prompt, server.id):
+                self.parts.peers.note_place(place.prompt, server.id)
         complete = False
         try:
             sent_at = self.parts.clock()
--- a/arbutusvale/coordination/edgeparts.py
+++ b/arbutusvale/coordination/edgeparts.py
@@ -6,6 +6,7 @@
 
 from arbutusvale.coordination import avoidance
 from arbutusvale.coordination import configview
+from arbutusvale.coordination import peers
 from arbutusvale.coordination import retries
 from arbutusvale.protocol import edgeports
 from arbutusvale.protocol import vmsettings
@@ -22,9 +23,8 @@
 class EdgeParts:
     """Wire the state and the ports that a request needs.
 
-    ``count_routers`` returns the number of live routers, this one among
-    them; ``store_age_s`` the time since the configuration was known to be
-    current, in seconds.
+    ``store_age_s`` returns the time since the configuration was known to
+    be current, in seconds.
     """
 
     settings: vmsettings.EdgeSettings
@@ -40,7 +40,7 @@
     events: eventlog.EventLog
     generator: random.Random
     clock: Callable[[], float]
-    count_routers: Callable[[], int]
+    peers: peers.Peers
     store_age_s: Callable[[], float]
     budgets: dict[str, retries.WindowBudget] = dataclasses.field(
         default_factory=dict
--- a/arbutusvale/coordination/edgerouter.py
+++ b/arbutusvale/coordination/edgerouter.py
@@ -1,6 +1,8 @@
 """Admit callers' requests: route, key, deadline, then the call itself."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
 
 from arbutusvale.coordination import edgecall
@@ -26,10 +28,19 @@
 
 
 class EdgeRouter:
-    """Serve requests of callers."""
+    """Serve requests of callers.
 
-    def __init__(self, parts: edgeparts.EdgeParts):
+    ``before_work`` is awaited before each request; it looks for news first
+    if this process stood still.
+    """
+
+    def __init__(
+        self,
+        parts: edgeparts.EdgeParts,
+        before_work: Callable[[], Awaitable[None]],
+    ):
         self.parts = parts
+        self.before_work = before_work
         self.active = 0
         self.refuse_new = False
 
@@ -39,6 +50,7 @@
         caller: edgeports.CallerStream,
     ) -> None:
         """Answer one request."""
+        await self.before_work()
         traits = self.parts.wire.read_request(request.headers)
         admitted = self._admit(request, traits)
         match admitted:
--- a/arbutusvale/coordination/logfollower.py
+++ b/arbutusvale/coordination/logfollower.py
@@ -13,9 +13,21 @@
 from arbutusvale import errors
 from arbutusvale.protocol import keyedlog
 from arbutusvale.state import eventlog
+from arbutusvale.state import serverlist
 
-# Half of the least time to apply a change (2 s), as one answer may be lost.
+# A router alone asks this often, as an answer may be lost and a change must
+# be in force in 2 s.  Several share the work: each waits longer, and who
+# hears of a change tells the others.
 POLL_S = 1.0
+READERS = 3
+MAX_POLL_S = 10.0
+# An answer that is on its way arrives within this time, and a follower that
+# settles has asked again.
+HINT_S = 0.6
+# Work that waits for a fresh look waits no longer: the store answers in 4 ms.
+REFRESH_S = 0.5
+REFRESH_STEP_S = 0.02
+NEVER = -1e9
 # Keeps a busy topic from asking for each record by itself; a quarter of the
 # least time in which a change must be in force.
 SETTLE_S = 0.4
@@ -23,20 +35,22 @@
 _MAX_RETRY_S = 0.8
 # After an outage that entries can lapse in, which takes three heartbeats.
 _LAPSE_S = 1.0
-# Entries that lapsed are back within two seconds of the store's return.
-_RETURN_WINDOW_S = 2.0
 
 
 class Sink(typing.Protocol):
-    """Take over what a topic holds."""
+    """Take over what a topic holds.
+
+    ``return_by`` is the steady time until which entries may return that
+    lapsed while the store was away; None if it wasn't of late.
+    """
 
     def replace(
-        self, records: list[keyedlog.Record], after_outage: bool
+        self, records: list[keyedlog.Record], return_by: float | None
     ) -> None:
         """Take over all newest records."""
 
     def update(
-        self, records: list[keyedlog.Record], after_outage: bool
+        self, records: list[keyedlog.Record], return_by: float | None
     ) -> None:
         """Take over records in their order."""
 
@@ -45,9 +59,9 @@
 class Contact:
     """Tell when the store answered last, in steady seconds."""
 
-    heard_at: float = -1e9
+    heard_at: float = NEVER
     lost_at: float | None = None
-    regained_at: float = -1e9
+    regained_at: float = NEVER
 
 
 class LogFollower:
@@ -69,7 +83,38 @@
         self.offset: int | None = None
         self.contact = Contact()
         self.failures = 0
-        self.looked = asyncio.Event()
+        self.count_readers: Callable[[], int] = lambda: 1
+        self.hinted = False
+        self.told_offset = 0
+        self.at_once = False
+        self.wait_s = 0.0
+
+    def needs_copy(self) -> bool:
+        """Tell whether the store is away and a peer knows more."""
+        if self.contact.lost_at is None:
+            return False
+        return self.offset is None or self.told_offset > self.offset
+
+    def age_s(self) -> float:
+        """Return for how long the topic may have changed unnoticed.
+
+        A call that waits for news on a live connection counts as contact.
+        """
+        age_s = self.clock() - self.contact.heard_at
+        if self.contact.lost_at is None and age_s <= self.wait_s + POLL_S:
+            return 0.0
+        return age_s
+
+    async def refresh(self) -> None:
+        """Ask the store at once and wait a short time for its answer."""
+        asked_at = self.clock()
+        self.contact.heard_at = NEVER
+        self.wait_s = 0.0
+        self.look_again()
+        while self.contact.heard_at < asked_at:
+            if self.clock() - asked_at > REFRESH_S:
+                return
+            await asyncio.sleep(REFRESH_STEP_S)
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
@@ -91,25 +136,52 @@
                     await asyncio.sleep(SETTLE_S)
 
     def look_again(self) -> None:
-        """Drop a call in flight, as this process may have stood still."""
+        """Drop a call in flight, as its answer may have been lost."""
+        self.at_once = True
         self.log.disconnect()
 
+    def note_behind(self, offset: int) -> None:
+        """Look again soon, as a peer has read up to a higher offset."""
+        self.told_offset = max(self.told_offset, offset)
+        if self.offset is None or offset <= self.offset or self.hinted:
+            return
+        if self.contact.lost_at is not None:
+            return
+        self.hinted = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(HINT_S, self._check_hint, offset)
+
+    def _check_hint(self, offset: int) -> None:
+        """Drop the call in flight if it still hasn't brought the offset."""
+        self.hinted = False
+        if self.offset is not None and offset > self.offset:
+            self.events.write(
+                'store-behind', topic=self.topic, own=self.offset, told=offset
+            )
+            self.look_again()
+
+    def _poll_s(self) -> float:
+        """Return how long one call waits for records."""
+        readers = self.count_readers()
+        return min(MAX_POLL_S, POLL_S * max(1.0, readers / READERS))
+
     async def _read(self) -> bool:
         """Make one call; tell whether it brought records."""
         if self.offset is None:
             page = await self.log.read_newest()
-            outage = self._note_answer()
-            self.sink.replace(page.records, outage)
+            return_by = self._note_answer()
+            self.sink.replace(page.records, return_by)
         else:
-            page = await self.log.read_on(self.offset, POLL_S)
-            outage = self._note_answer()
-            self.sink.update(page.records, outage)
+            self.wait_s = 0.0 if self.at_once else self._poll_s()
+            self.at_once = False
+            page = await self.log.read_on(self.offset, self.wait_s)
+            return_by = self._note_answer()
+            self.sink.update(page.records, return_by)
         self.offset = page.next_offset
-        self.looked.set()
         return bool(page.records)
 
-    def _note_answer(self) -> bool:
-        """Note contact; tell whether entries may have lapsed meanwhile."""
+    def _note_answer(self) -> float | None:
+        """Note contact; return until when lapsed entries may return."""
         now = self.clock()
         away_s = now - self.contact.heard_at
         self.contact.heard_at = now
@@ -121,7 +193,8 @@
             self.contact.lost_at = None
             if away_s >= _LAPSE_S:
                 self.contact.regained_at = now
-        return now - self.contact.regained_at < _RETURN_WINDOW_S
+        return_by = self.contact.regained_at + serverlist.RETURN_GRACE_S
+        return return_by if now < return_by else None
 
     async def _back_off(self, error: errors.StoreUnavailable) -> None:
         """Note a failed call and wait, longer with each in a row."""
--- /dev/null
+++ b/arbutusvale/coordination/peers.py
@@ -0,0 +1,209 @@
+"""Exchange what edge routers must share, in datagrams of a few bytes.
+
+Shared are loads (each router counts only its own requests), the engines
+that hold a prompt, how far the store has been read, and requests that
+crash engines.  All of it is soft: a lost message costs efficiency only.
+
+Routers find each other by the seeds of their settings and by the peers
+that others name, so no list of routers is kept anywhere.
+"""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import dataclasses
+import time
+
+from arbutusvale import errors
+from arbutusvale.protocol import peernews
+from arbutusvale.state import eventlog
+from arbutusvale.state import promptmap
+from arbutusvale.state import serverloads
+from arbutusvale.state import suspects
+
+# Short enough that a burst is seen before it has doubled a load; requests
+# last some 0.1 to 2 s.
+SEND_S = 0.25
+# Beyond this many peers a router sends to each more seldom, so that its
+# messages stay below 32 a second.
+FULL_RATE_PEERS = 8
+# Three messages lost in a row are rare.
+LIVE_SENDINGS = 4
+# Named peers are tried for this long before they count as gone.
+FORGET_S = 30.0
+MAX_PLACES = 16
+MAX_PENDING_PLACES = 512
+MAX_NAMED = 8
+MAX_LOADS = 30
+
+
+@dataclasses.dataclass(slots=True)
+class _Peer:
+    """Hold what is known of one router; times are steady seconds."""
+
+    named_at: float
+    heard_at: float = -1e9
+
+
+class Peers:
+    """Tell peers what this router knows and take over what they tell.
+
+    ``send`` transmits a datagram to an IP number.  ``on_behind`` is called
+    with a topic and offset when a peer has read further than this router.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        seeds: tuple[str, ...],
+        events: eventlog.EventLog,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.name = name
+        self.host = host
+        self.seeds = tuple(seed for seed in seeds if seed != host)
+        self.events = events
+        self.clock = clock
+        self.peers: dict[str, _Peer] = {}
+        self.places: collections.deque[peernews.CachePlace] = (
+            collections.deque(maxlen=MAX_PENDING_PLACES)
+        )
+        self.send: Callable[[str, bytes], None] = _send_nowhere
+        self.on_behind: Callable[[str, int], None] = _ignore_offset
+        self.read_offsets: Callable[[], dict[str, int]] = dict
+        self.loads: serverloads.ServerLoads | None = None
+        self.prompts: promptmap.PromptMap | None = None
+        self.suspects: suspects.SuspectTable | None = None
+        self.leaving = False
+        self.malformed = 0
+        self.turn = 0
+
+    def interval_s(self) -> float:
+        """Return the time between two messages to one peer."""
+        return SEND_S * max(1.0, len(self.peers) / FULL_RATE_PEERS)
+
+    def count_live(self) -> int:
+        """Return the number of live routers, this one included."""
+        return 1 + len(self._live())
+
+    def note_place(self, prompt: str, server_id: str) -> None:
+        """Tell peers with the next messages that an engine reads a prompt."""
+        self.places.append(peernews.CachePlace(prompt, server_id))
+
+    def receive(self, data: bytes) -> None:
+        """Take over a message."""
+        try:
+            news = peernews.decode(data)
+        except errors.FrameError as error:
+            self.malformed += 1
+            self.events.write('peer-malformed', cause=error.problem)
+            return
+        if news.host == self.host:
+            return
+        self._note_peer(news)
+        for topic, offset in news.offsets.items():
+            self.on_behind(topic, offset)
+        if self.loads is not None:
+            age_s = LIVE_SENDINGS * self.interval_s()
+            self.loads.note_peer(news.host, news.loads, age_s)
+        if self.prompts is not None:
+            for place in news.places:
+                self.prompts.note(place.prompt, place.server_id)
+        if self.suspects is not None:
+            for one in news.suspicions:
+                self.suspects.merge(
+                    bytes.fromhex(one.fingerprint), one.crashes
+                )
+
+    async def run(self) -> None:
+        """Send messages until cancelled."""
+        while True:
+            self.tell()
+            await asyncio.sleep(self.interval_s())
+
+    def tell(self) -> None:
+        """Send one message to every peer, and to silent seeds now and then."""
+        self._forget()
+        targets = set(self.peers)
+        self.turn += 1
+        if self.turn % LIVE_SENDINGS == 1:
+            targets.update(self.seeds)
+        if not targets:
+            return
+        data = peernews.encode(self._make_news())
+        if len(data) > peernews.MAX_BYTES:
+            self.events.write('peer-news-too-long', bytes=len(data))
+        for target in sorted(targets):
+            self.send(target, data)
+
+    def _make_news(self) -> peernews.PeerNews:
+        """Put a message together."""
+        places = []
+        while self.places and len(places) < MAX_PLACES:
+            places.append(self.places.popleft())
+        live = self._live()
+        start = self.turn % max(1, len(live))
+        loads = self.loads.own() if self.loads is not None else {}
+        return peernews.PeerNews(
+            name=self.name,
+            host=self.host,
+            offsets=self.read_offsets(),
+            loads=dict(list(loads.items())[:MAX_LOADS]),
+            peers=tuple((live[start:] + live[:start])[:MAX_NAMED]),
+            places=tuple(places),
+            suspicions=self._list_suspicions(),
+            leaving=self.leaving,
+        )
+
+    def _list_suspicions(self) -> tuple[peernews.Suspicion, ...]:
+        """List the newest requests that were in flight at crashes."""
+        if self.suspects is None:
+            return ()
+        return tuple(
+            peernews.Suspicion(fingerprint.hex(), tuple(sorted(one.crashes)))
+            for fingerprint, one in self.suspects.list_newest()[:2]
+        )
+
+    def _note_peer(self, news: peernews.PeerNews) -> None:
+        """Note a live peer and those that it names."""
+        now = self.clock()
+        if news.leaving:
+            if self.peers.pop(news.host, None) is not None:
+                self.events.write('peer-left', peer=news.name)
+            if self.loads is not None:
+                self.loads.peers.pop(news.host, None)
+            return
+        known = self.peers.get(news.host)
+        if known is None:
+            known = self.peers[news.host] = _Peer(now)
+        if now - known.heard_at > FORGET_S:
+            self.events.write('peer-heard', peer=news.name, host=news.host)
+        known.heard_at = now
+        known.named_at = now
+        for host in news.peers:
+            if host != self.host and host not in self.peers:
+                self.peers[host] = _Peer(now)
+
+    def _live(self) -> list[str]:
+        """List the peers that were heard of late."""
+        limit = self.clock() - LIVE_SENDINGS * self.interval_s()
+        return sorted(
+            host for host, one in self.peers.items() if one.heard_at >= limit
+        )
+
+    def _forget(self) -> None:
+        """Drop peers that were silent for long."""
+        limit = self.clock() - FORGET_S
+        for host in list(self.peers):
+            if self.peers[host].named_at < limit:
+                del self.peers[host]
+                self.events.write('peer-forgotten', host=host)
+
+
+def _send_nowhere(host: str, data: bytes) -> None:
+    """Stand in for the transport until it is open."""
+
+
+def _ignore_offset(topic: str, offset: int) -> None:
+    """Stand in for the followers until they are wired."""
--- a/arbutusvale/coordination/serverview.py
+++ b/arbutusvale/coordination/serverview.py
@@ -28,24 +28,25 @@
         self.events = events
         self.on_gone = on_gone
         self.malformed = 0
+        self.newest: dict[str, bytes] = {}
 
     def replace(
-        self, records: list[keyedlog.Record], after_outage: bool
+        self, records: list[keyedlog.Record], return_by: float | None
     ) -> None:
         """Take over all newest records; what isn't among them is gone."""
-        self.update(records, after_outage)
+        self.update(records, return_by)
         present = {record.key for record in records if record.value}
-        for server_id in self.servers.keep_only(present, after_outage):
-            self._note_removal(server_id, after_outage)
+        for server_id in self.servers.keep_only(present, return_by):
+            self._note_removal(server_id, return_by is not None)
 
     def update(
-        self, records: list[keyedlog.Record], after_outage: bool
+        self, records: list[keyedlog.Record], return_by: float | None
     ) -> None:
         """Take over records in their order."""
         for record in records:
             if record.value is None:
-                if self.servers.remove(record.key, after_outage):
-                    self._note_removal(record.key, after_outage)
+                if self.servers.remove(record.key, return_by):
+                    self._note_removal(record.key, return_by is not None)
             else:
                 self._put(record.key, record.value)
         self.expire()
@@ -68,6 +69,7 @@
                 remedy=error.remedy,
             )
             return
+        self.newest[server_id] = data
         known = self.servers.listed.get(server_id)
         if not self.servers.put(server):
             return
@@ -88,4 +90,5 @@
             'server-missing' if pending else 'server-gone', server=server_id
         )
         if not pending:
+            self.newest.pop(server_id, None)
             self.on_gone(server_id)
--- /dev/null
+++ b/arbutusvale/protocol/peernews.py
@@ -0,0 +1,114 @@
+"""Define what edge routers tell each other, and its encoding.
+
+A message is one UDP datagram; losing it costs efficiency only.  It is
+JSON, as a CBOR codec would cost each router 1 MB of memory.
+"""
+
+import dataclasses
+import json
+
+from arbutusvale import errors
+
+# Fits one datagram on links of 1,500 bytes.
+MAX_BYTES = 1400
+_VERSION = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CachePlace:
+    """Tell that an engine has read a prompt."""
+
+    prompt: str
+    server_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspicion:
+    """Tell which crashes a request was in flight at."""
+
+    fingerprint: str
+    crashes: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerNews:
+    """Hold one message of a router.
+
+    ``offsets`` are the offsets up to which the sender has read the topics
+    of the store.  ``loads`` counts its requests in flight by server id.
+    ``peers`` are IP numbers of routers that the sender has heard of late.
+    """
+
+    name: str
+    host: str
+    offsets: dict[str, int]
+    loads: dict[str, int]
+    peers: tuple[str, ...]
+    places: tuple[CachePlace, ...] = ()
+    suspicions: tuple[Suspicion, ...] = ()
+    leaving: bool = False
+
+
+def encode(news: PeerNews) -> bytes:
+    """Return a datagram."""
+    return json.dumps(
+        {
+            'v': _VERSION,
+            'name': news.name,
+            'host': news.host,
+            'at': news.offsets,
+            'load': news.loads,
+            'peers': news.peers,
+            'places': [[one.prompt, one.server_id] for one in news.places],
+            'suspects': [
+                [one.fingerprint, *one.crashes] for one in news.suspicions
+            ],
+            'leaving': news.leaving,
+        },
+        separators=(',', ':'),
+    ).encode()
+
+
+def decode(data: bytes) -> PeerNews:
+    """Return a message; raise FrameError for anything else."""
+    try:
+        document = json.loads(data)
+        if document['v'] != _VERSION:
+            raise errors.FrameError('The message has another version.')
+        return PeerNews(
+            name=_text(document['name']),
+            host=_text(document['host']),
+            offsets=_counts(document['at']),
+            loads=_counts(document['load']),
+            peers=tuple(_text(one) for one in document['peers']),
+            places=tuple(
+                CachePlace(_text(prompt), _text(server_id))
+                for prompt, server_id in document['places']
+            ),
+            suspicions=tuple(
+                Suspicion(_text(first), tuple(_text(one) for one in rest))
+                for first, *rest in document['suspects']
+            ),
+            leaving=document['leaving'] is True,
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise errors.FrameError(
+            f'The message is malformed: {error!r}.'
+        ) from error
+
+
+def _text(value: object) -> str:
+    """Return a text or raise TypeError."""
+    if not isinstance(value, str):
+        raise TypeError('not a text')
+    return value
+
+
+def _counts(value: object) -> dict[str, int]:
+    """Return a map of counts or raise TypeError."""
+    if not isinstance(value, dict):
+        raise TypeError('not an object')
+    for count in value.values():
+        if not isinstance(count, int) or isinstance(count, bool):
+            raise TypeError('not a count')
+    return value
--- a/arbutusvale/state/promptmap.py
+++ b/arbutusvale/state/promptmap.py
@@ -20,13 +20,15 @@
             collections.OrderedDict()
         )
 
-    def note(self, prompt: str, server_id: str) -> None:
-        """Remember that an engine reads a prompt now."""
+    def note(self, prompt: str, server_id: str) -> bool:
+        """Remember that an engine reads a prompt; tell whether it's news."""
         holders = self.prompts.setdefault(prompt, {})
+        new = server_id not in holders
         holders[server_id] = self.clock()
         self.prompts.move_to_end(prompt)
         if len(self.prompts) > MAX_PROMPTS:
             self.prompts.popitem(last=False)
+        return new
 
     def holders(self, prompt: str) -> dict[str, float]:
         """Return the engines that read a prompt and when, in seconds."""
--- a/arbutusvale/state/serverlist.py
+++ b/arbutusvale/state/serverlist.py
@@ -5,7 +5,8 @@
 
 from arbutusvale.protocol import directcall
 
-# Entries that lapsed during an outage are back within about two seconds.
+# Entries that lapsed during an outage are back within about two seconds of
+# the store's return.
 RETURN_GRACE_S = 2.0
 
 
@@ -27,7 +28,8 @@
 
     Load pattern answered: engines that join, drain and vanish while the
     list itself has outages.  A removal is final at once, unless it follows
-    an outage of the list; then the entry has two seconds to return.
+    an outage of the list; then the entry may return until two seconds after
+    the list did.
     """
 
     def __init__(self, clock: Callable[[], float]):
@@ -51,24 +53,28 @@
         self._index()
         return True
 
-    def remove(self, server_id: str, after_outage: bool) -> bool:
-        """Drop an entry; tell whether it was known."""
+    def remove(self, server_id: str, return_by: float | None) -> bool:
+        """Drop an entry; tell whether it was known.
+
+        ``return_by`` is the steady time until which it may return.
+        """
         known = self.listed.get(server_id)
         if known is None:
             return False
-        if after_outage:
-            if known.gone_at is None:
-                known.gone_at = self.clock() + RETURN_GRACE_S
+        if return_by is not None:
+            known.gone_at = return_by
             return True
         del self.listed[server_id]
         self._index()
         return True
 
-    def keep_only(self, server_ids: set[str], after_outage: bool) -> list[str]:
+    def keep_only(
+        self, server_ids: set[str], return_by: float | None
+    ) -> list[str]:
         """Drop entries that a whole list doesn't hold; return their ids."""
         missing = [one for one in self.listed if one not in server_ids]
         for server_id in missing:
-            self.remove(server_id, after_outage)
+            self.remove(server_id, return_by)
         return missing
 
     def expire(self) -> list[str]:
--- a/arbutusvale/state/serverloads.py
+++ b/arbutusvale/state/serverloads.py
@@ -8,8 +8,6 @@
 from collections.abc import Callable
 import dataclasses
 
-# A peer repeats its counts several times a second; older ones are void.
-PEER_AGE_S = 1.5
 # A reported load says little after this time: requests last 1 to 2 s.
 REPORT_AGE_S = 1.5
 
@@ -30,6 +28,8 @@
         self.clock = clock
         self.loads: dict[str, _Load] = {}
         self.peers: dict[str, tuple[float, dict[str, int]]] = {}
+        self.told: dict[str, int] = {}
+        self.told_until = -1e9
 
     def begin(self, server_id: str) -> None:
         """Count a request that is sent to a server."""
@@ -48,16 +48,21 @@
         load.others = max(0, total - load.own)
         load.others_at = self.clock()
 
-    def note_peer(self, peer: str, counts: dict[str, int]) -> None:
-        """Take another router's own counts over."""
-        self.peers[peer] = (self.clock(), counts)
+    def note_peer(
+        self, peer: str, counts: dict[str, int], age_s: float
+    ) -> None:
+        """Take another router's own counts over for ``age_s`` seconds."""
+        self.peers[peer] = (self.clock() + age_s, counts)
+        self.told_until = -1e9
 
     def estimate(self, server_id: str) -> float:
         """Return the probable number of requests at a server."""
         load = self.loads.get(server_id)
         own = load.own if load is not None else 0
         now = self.clock()
-        told = self._sum_peers(server_id, now)
+        if now > self.told_until:
+            self._sum_peers(now)
+        told = self.told.get(server_id, 0)
         if load is None or now - load.others_at > REPORT_AGE_S:
             return own + told
         return own + max(told, load.others)
@@ -70,12 +75,19 @@
             if load.own > 0
         }
 
-    def _sum_peers(self, server_id: str, now: float) -> int:
-        """Add up what peers told of late."""
-        return sum(
-            counts.get(server_id, 0)
-            for at, counts in self.peers.values()
-            if now - at <= PEER_AGE_S
+    def _sum_peers(self, now: float) -> None:
+        """Add up what live peers told, until the first of it is void."""
+        self.peers = {
+            peer: (until, counts)
+            for peer, (until, counts) in self.peers.items()
+            if until >= now
+        }
+        self.told = {}
+        for _, counts in self.peers.values():
+            for server_id, count in counts.items():
+                self.told[server_id] = self.told.get(server_id, 0) + count
+        self.told_until = min(
+            (until for until, _ in self.peers.values()), default=now + 1e9
         )
 
     def _find(self, server_id: str) -> _Load:
--- a/arbutusvale/transport/serverpool.py
+++ b/arbutusvale/transport/serverpool.py
@@ -64,6 +64,13 @@
             else:
                 del self.idle[server_id]
 
+    def close_all(self) -> None:
+        """Close all idle connections, as their servers may have done."""
+        for kept in self.idle.values():
+            for one in kept:
+                one.abort()
+        self.idle.clear()
+
     async def run(self) -> None:
         """Prune until cancelled."""
         while True:
--- /dev/null
+++ b/tests/helpers_edge.py
@@ -0,0 +1,112 @@
+"""Make servers, routes and fakes for tests of the edge router."""
+
+import json
+
+from arbutusvale.protocol import directcall
+from arbutusvale.protocol import vmsettings
+
+
+class Clock:
+    """A steady clock that tests move."""
+
+    def __init__(self, now=1000.0):
+        self.now = now
+
+    def __call__(self):
+        return self.now
+
+
+class Events:
+    """Collect the lines of an event log."""
+
+    def __init__(self):
+        self.lines = []
+
+    def write(self, event, **fields):
+        self.lines.append((event, fields))
+
+    def named(self, event):
+        return [fields for name, fields in self.lines if name == event]
+
+
+def make_server(server_id, pool='chat', **changes):
+    fields = {
+        'id': server_id,
+        'pool': pool,
+        'address': '127.0.0.1:9',
+        'data_centre': 'north',
+        'slots': 8,
+        'state': directcall.ServerState.READY,
+        'warming': False,
+        'born': 1,
+    }
+    return directcall.BackendServer(**(fields | changes))
+
+
+def make_bounds(**changes):
+    fields = {
+        'contact_s': 3.0,
+        'drain_s': 2.0,
+        'grace_s': 8.0,
+        'config_apply_s': 2.0,
+        'retry_ratio': 0.2,
+        'retry_window_s': 10.0,
+        'retry_reserve': 50.0,
+        'load_factor': 2.0,
+        'reuse_window_s': 10.0,
+    }
+    return vmsettings.Bounds(**(fields | changes))
+
+
+def make_route(name='r', prefix='/chat/', **changes):
+    """Return a route as the operators write it."""
+    fields = {
+        'Name': name,
+        'Host': 'fleet.example',
+        'PathPrefix': prefix,
+        'RouteType': 'idempotent',
+        'TimeoutMs': 2000,
+        'TargetLatencyMs': 400,
+        'Priority': 1,
+        'Service': 'chat',
+        'MaxAttempts': 2,
+        'Anonymous': False,
+        'StreamResume': False,
+        'GapAimMs': 300,
+    }
+    return fields | changes
+
+
+def make_config(version=1, routes=None, **changes):
+    """Return a configuration as the operators write it."""
+    fields = {
+        'Version': version,
+        'Routes': routes if routes is not None else [make_route()],
+        'Services': [
+            {'Name': 'chat', 'HealthCheckPath': '/h', 'MaxConnections': 50}
+        ],
+        'Limits': {
+            'MaxHeaderBytes': 4096,
+            'MaxBodyBytes': 65536,
+            'HeaderTimeoutMs': 1000,
+            'IdleTimeoutMs': 3000,
+        },
+        'Tenants': [{'Name': 'acme', 'ApiKeys': ['key-1'], 'Priority': 2}],
+    }
+    return json.dumps(fields | changes).encode()
+
+
+def make_entry(address, **changes):
+    """Return a server's entry as the server writes it."""
+    fields = {
+        'Service': 'chat',
+        'Address': address,
+        'Zone': 'north',
+        'Version': 'v1',
+        'Slots': 8,
+        'State': 'ready',
+        'WarmupLeftMs': 0,
+        'Sequence': 1,
+        'born': 1,
+    }
+    return json.dumps(fields | changes).encode()
