Test the edge router's path, limits, drain and starts with real processes

Cause: the lean path had no tests. Stand-ins of the store and of engines with the platform's headers and faults now run on loopback beside real edge routers. The tests found one fault at once: an idempotent request was given up for silence though no other server could take it (502 after 240 ms on a pool of one); a router now waits for a slow server unless another one and a retry are there.

Admission refuses what no server can run in time, and what an organisation holds beyond its share while all are full; crashes of servers are told from broken connections by connecting once more.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -13,6 +13,7 @@
 
 from arbutusvale.coordination import avoidance
 from arbutusvale.coordination import configview
+from arbutusvale.coordination import crashwatch
 from arbutusvale.coordination import edgedrain
 from arbutusvale.coordination import edgeparts
 from arbutusvale.coordination import edgerouter
@@ -104,7 +105,12 @@
             loads=serverloads.ServerLoads(self.clock),
             prompts=promptmap.PromptMap(self.clock),
             avoidance=avoidance.Avoidance(generator, self.clock),
-            suspects=suspects.SuspectTable(self.clock),
+            crashes=crashwatch.CrashWatch(
+                suspects.SuspectTable(self.clock),
+                self.pool,
+                self.events,
+                self.clock,
+            ),
             measures=self.measures,
             events=self.events,
             generator=generator,
@@ -137,7 +143,7 @@
         )
         self.peers.loads = self.parts.loads
         self.peers.prompts = self.parts.prompts
-        self.peers.suspects = self.parts.suspects
+        self.peers.suspects = self.parts.crashes.table
         self.peers.read_offsets = self._read_offsets
         self.peers.on_behind = self._note_behind
         for follower in (self.config_follower, self.server_follower):
@@ -189,7 +195,7 @@
         loop = asyncio.get_running_loop()
         callers = self.settings.callers
         readiness = self.settings.readiness
-        pages = {'/-/readyz': self._show_readiness}
+        pages = {bootfile.READINESS_PATH: self._show_readiness}
         metrics = {'/metrics': self._show_metrics}
         shared = {peercopy.PATH: self.peer_copy.offer}
         return [
--- a/arbutusvale/coordination/edgecall.py
+++ b/arbutusvale/coordination/edgecall.py
@@ -82,6 +82,7 @@
     priority: int
     deadline: float
     version: int
+    fingerprint: bytes
 
 
 class EdgeCall:
@@ -317,10 +318,22 @@
         return since + limit_s
 
     def _can_move(self) -> bool:
-        """Tell whether another server could be given the request."""
-        return (
-            self.order.route.repeatable
-            and self.sent < self.order.route.max_attempts
+        """Tell whether another server could be given the request.
+
+        Without one, or without a retry to spend, a slow server is waited
+        for: giving it up would turn a late answer into none.
+        """
+        if not self.order.route.repeatable:
+            return False
+        if self.sent >= self.order.route.max_attempts:
+            return False
+        others = any(
+            one.server.id not in self.tried
+            and not self.parts.avoidance.is_avoided(one.server.id)
+            for one in self.parts.servers.ready(self.order.pool)
+        )
+        return others and self.parts.budget(self.order.pool).allows(
+            self.parts.peers.count_live()
         )
 
     async def _read_refusal(
@@ -360,7 +373,7 @@
         body = b''.join(held)
         if head.status < 300 and (not head.signed or head.encoded):
             return Failed('answer without signature'), None
-        if head.status >= _SERVER_ERRORS and self._can_move():
+        if head.status >= _SERVER_ERRORS and self.order.route.repeatable:
             return Failed(f'status-{head.status}', head, body), head
         if self.caller.started:
             return Failed(f'status-{head.status}'), head
@@ -433,14 +446,19 @@
         match outcome:
             case Delivered(_, status) if status < _SERVER_ERRORS:
                 self.parts.avoidance.note_success(server.id)
+                self.parts.crashes.note_answered(self.order.fingerprint)
             case Delivered():
                 self.parts.avoidance.note_failure(server.id)
             case NotRun(cause):
                 if cause == 'misdirected':
                     self.parts.avoidance.note_unreachable(server.id)
-            case Failed(cause):
+            case Failed(cause, head):
                 if cause != 'deadline':
                     self.parts.avoidance.note_failure(server.id)
+                if head is None and cause.startswith('connection'):
+                    self.parts.crashes.note_broken(
+                        server, self.order.fingerprint
+                    )
         if not isinstance(outcome, Delivered):
             self.cutter.drop_partial()
             self.parts.measures.count('failed_sendings', self.order.pool)
--- a/arbutusvale/coordination/edgeparts.py
+++ b/arbutusvale/coordination/edgeparts.py
@@ -6,17 +6,18 @@
 
 from arbutusvale.coordination import avoidance
 from arbutusvale.coordination import configview
+from arbutusvale.coordination import crashwatch
 from arbutusvale.coordination import peers
 from arbutusvale.coordination import retries
 from arbutusvale.protocol import edgeports
 from arbutusvale.protocol import vmsettings
 from arbutusvale.state import edgemeasures
 from arbutusvale.state import eventlog
+from arbutusvale.state import holdings
 from arbutusvale.state import promptmap
 from arbutusvale.state import rendezvous
 from arbutusvale.state import serverlist
 from arbutusvale.state import serverloads
-from arbutusvale.state import suspects
 
 
 @dataclasses.dataclass(slots=True)
@@ -35,7 +36,7 @@
     loads: serverloads.ServerLoads
     prompts: promptmap.PromptMap
     avoidance: avoidance.Avoidance
-    suspects: suspects.SuspectTable
+    crashes: crashwatch.CrashWatch
     measures: edgemeasures.EdgeMeasures
     events: eventlog.EventLog
     generator: random.Random
@@ -49,6 +50,12 @@
         default_factory=dict
     )
     heard_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    in_flight: holdings.Holdings = dataclasses.field(
+        default_factory=holdings.Holdings
+    )
+    usual_times: holdings.UsualTimes = dataclasses.field(
+        default_factory=holdings.UsualTimes
+    )
 
     def budget(self, pool: str) -> retries.WindowBudget:
         """Return the retry budget of a pool."""
--- a/arbutusvale/coordination/edgerouter.py
+++ b/arbutusvale/coordination/edgerouter.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import dataclasses
 
+from arbutusvale.coordination import edgeadmission
 from arbutusvale.coordination import edgecall
 from arbutusvale.coordination import edgeparts
 from arbutusvale.protocol import directcall
@@ -16,6 +17,8 @@
 # Without a deadline of the caller's, the route's timeout alone holds.
 _NO_DEADLINE_S = 3600.0
 _BUSY_RETRY_S = 0.5
+# A request that crashes servers is better not sent again at all.
+_QUARANTINE_RETRY_S = 30.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,11 +60,25 @@
             case Refusal():
                 self._refuse(admitted, traits, request, caller)
             case edgecall.Order():
-                self.active += 1
-                try:
-                    await self._run(admitted, caller)
-                finally:
-                    self.active -= 1
+                await self._hold(admitted, caller)
+
+    async def _hold(
+        self, order: edgecall.Order, caller: edgeports.CallerStream
+    ) -> None:
+        """Count a request as in flight while it runs."""
+        holdings = self.parts.in_flight
+        organisation = order.organisation or ''
+        self.active += 1
+        holdings.begin(order.pool, organisation)
+        began_at = self.parts.clock()
+        try:
+            await self._run(order, caller)
+            self.parts.usual_times.note(
+                order.route.name, self.parts.clock() - began_at
+            )
+        finally:
+            self.active -= 1
+            holdings.end(order.pool, organisation)
 
     async def _run(
         self, order: edgecall.Order, caller: edgeports.CallerStream
@@ -101,7 +118,43 @@
         owner = self._find_owner(table, route, traits)
         if isinstance(owner, Refusal):
             return owner
-        return self._make_order(request, traits, route, owner)
+        order = self._make_order(request, traits, route, owner)
+        if self.parts.crashes.is_quarantined(order.fingerprint):
+            return Refusal(503, 'quarantined', _QUARANTINE_RETRY_S)
+        return self._find_room(order)
+
+    def _find_room(self, order: edgecall.Order) -> edgecall.Order | Refusal:
+        """Refuse a request at once that no server can run in time."""
+        parts = self.parts
+        loads = [
+            edgeadmission.Load(
+                parts.loads.estimate(one.server.id), one.server.slots
+            )
+            for one in parts.servers.ready(order.pool)
+            if not parts.avoidance.is_avoided(one.server.id)
+        ]
+        ask = edgeadmission.Ask(
+            time_left_s=order.deadline - parts.clock(),
+            service_s=parts.usual_times.find(order.route.name),
+            held=parts.in_flight.count(order.pool, order.organisation or ''),
+            mean_held=parts.in_flight.mean(order.pool),
+        )
+        decision = edgeadmission.decide(loads, ask, parts.generator.random())
+        match decision:
+            case edgeadmission.TurnedAway(cause, wait_s, retry_after_s):
+                parts.events.write(
+                    'turned-away',
+                    id=order.traits.attempt_id,
+                    pool=order.pool,
+                    cause=cause,
+                    wait=wait_s,
+                    left=ask.time_left_s,
+                    usual=ask.service_s,
+                    held=ask.held,
+                    mean_held=ask.mean_held,
+                )
+                return Refusal(503, cause, retry_after_s)
+        return order
 
     def _find_owner(
         self,
@@ -148,6 +201,11 @@
             priority=priority,
             deadline=request.received_at + limit_s,
             version=self.parts.config.version,
+            fingerprint=rendezvous.hash_request(
+                owner.name if owner is not None else '',
+                request.target,
+                request.body,
+            ),
         )
 
     def _refuse(
--- a/arbutusvale/coordination/retries.py
+++ b/arbutusvale/coordination/retries.py
@@ -83,16 +83,19 @@
 
     def take(self, routers: int) -> bool:
         """Take one repeat; False when this router's share is spent."""
-        now = self.clock()
-        self._expire(now)
-        share = _SHARE_USED * self.reserve / max(1, routers)
-        allowed = _SHARE_USED * self.ratio * len(self.requests) + share
-        if len(self.repeats) + 1 > allowed:
+        if not self.allows(routers):
             self.denied += 1
             return False
-        self.repeats.append(now)
+        self.repeats.append(self.clock())
         return True
 
+    def allows(self, routers: int) -> bool:
+        """Tell whether one more repeat stays within this router's share."""
+        self._expire(self.clock())
+        share = _SHARE_USED * self.reserve / max(1, routers)
+        allowed = _SHARE_USED * self.ratio * len(self.requests) + share
+        return len(self.repeats) + 1 <= allowed
+
     def _expire(self, now: float) -> None:
         """Drop what is older than the window."""
         for times in (self.requests, self.repeats):
--- a/arbutusvale/platform/bootfile.py
+++ b/arbutusvale/platform/bootfile.py
@@ -6,6 +6,7 @@
 from arbutusvale.protocol import vmsettings
 
 VARIABLE = 'ARBUTUSVALE_BOOT'
+READINESS_PATH = '/-/readyz'
 # Named by `metrics` in deploy/system.toml; lies outside the internal ports.
 METRICS_PORT = 9464
 _MEBIBYTE = 1 << 20
--- a/arbutusvale/platform/store.py
+++ b/arbutusvale/platform/store.py
@@ -12,6 +12,9 @@
 from arbutusvale.protocol import vmsettings
 from arbutusvale.transport import httpconnection
 
+NEWEST_PATH = '/-/log-newest'
+READ_PATH = '/-/log-read'
+
 # The store answers in 4 ms; a lost SYN is sent again after a second.
 _CONNECT_TIMEOUT_S = 0.6
 # A slow store takes some 60 times its usual 4 ms, and more while busy.
@@ -47,9 +50,7 @@
             query = {'Topic': self.topic, 'part': '0'}
             if after:
                 query['After'] = after
-            document = _parse_object(
-                await self._get('/-/log-newest', query, 0.0)
-            )
+            document = _parse_object(await self._get(NEWEST_PATH, query, 0.0))
             rows = document.get('Entries')
             end = document.get('EndOffset')
             if not isinstance(rows, list) or not isinstance(end, int):
@@ -70,7 +71,7 @@
             'From': str(offset),
             'WaitMs': str(int(wait_s * 1000)),
         }
-        data = await self._get('/-/log-read', query, wait_s)
+        data = await self._get(READ_PATH, query, wait_s)
         if len(data) < _HEADER_BYTES:
             raise errors.StoreUnavailable('its answer is too short')
         end = int.from_bytes(data[:8], 'big')
--- /dev/null
+++ b/arbutusvale/standins/edgestore.py
@@ -0,0 +1,111 @@
+"""Stand in for the platform's store: keyed topics, and its faults."""
+
+import asyncio
+import base64
+import json
+
+from arbutusvale.platform import store
+from arbutusvale.standins import rawserver
+
+PAGE = 500
+
+
+class StoreStandin:
+    """Hold keyed topics in memory.
+
+    ``fault`` is None, 'busy' (503), 'silent' (no answer) or 'reset'.
+    """
+
+    def __init__(self) -> None:
+        self.records: dict[str, list[tuple[str, bytes]]] = {}
+        self.first: dict[str, int] = {}
+        self.fault: str | None = None
+        self.calls = 0
+        self.page = PAGE
+        self.news = asyncio.Condition()
+        self.server = rawserver.RawServer(self._handle)
+
+    async def append(self, topic: str, key: str, value: bytes) -> None:
+        """Add a record and wake those who wait; no value drops the key."""
+        self.records.setdefault(topic, []).append((key, value))
+        async with self.news:
+            self.news.notify_all()
+
+    async def forget(self, topic: str) -> None:
+        """Drop the history; the newest record of each key stays."""
+        self.first[topic] = len(self.records.get(topic, []))
+
+    async def rewind(self, topic: str, count: int) -> None:
+        """Lose the last records, as a store restored from a copy would."""
+        del self.records[topic][-count:]
+
+    async def _handle(
+        self,
+        request: rawserver.RawRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Answer one call."""
+        self.calls += 1
+        match self.fault:
+            case 'busy':
+                writer.write(rawserver.format_answer(503, {}, b''))
+                return True
+            case 'silent':
+                await asyncio.sleep(3600)
+            case 'reset':
+                writer.transport.abort()
+                return False
+        topic = request.query['Topic']
+        if request.path == store.NEWEST_PATH:
+            answer = self._newest(topic, request.query.get('After', ''))
+        else:
+            answer = await self._read(topic, request.query)
+        if self.fault == 'silent':
+            await asyncio.sleep(3600)
+        writer.write(answer)
+        return True
+
+    def _newest(self, topic: str, after: str) -> bytes:
+        """Return a page of the newest records by key."""
+        newest: dict[str, tuple[int, bytes]] = {}
+        for offset, (key, value) in enumerate(self.records.get(topic, [])):
+            newest[key] = (offset, value)
+        rows = [
+            {
+                'Key': key,
+                'Data': base64.b64encode(value).decode(),
+                'Offset': offset,
+            }
+            for key, (offset, value) in sorted(newest.items())
+            if value and key > after
+        ]
+        document = {
+            'Entries': rows[: self.page],
+            'Truncated': len(rows) > self.page,
+            'EndOffset': len(self.records.get(topic, [])),
+        }
+        return rawserver.format_answer(200, {}, json.dumps(document).encode())
+
+    async def _read(self, topic: str, query: dict[str, str]) -> bytes:
+        """Return the records from an offset on, waiting for the first."""
+        offset = int(query['From'])
+        wait_s = int(query.get('WaitMs', '0')) / 1000
+        records = self.records.setdefault(topic, [])
+        try:
+            async with asyncio.timeout(wait_s), self.news:
+                await self.news.wait_for(lambda: len(records) > offset)
+        except TimeoutError:
+            # No news: the answer holds no records.
+            pass
+        first = self.first.get(topic, 0)
+        if offset < first:
+            document = {'FirstOffset': first}
+            return rawserver.format_answer(
+                410, {}, json.dumps(document).encode()
+            )
+        parts = [len(records).to_bytes(8, 'big'), first.to_bytes(8, 'big')]
+        for key, value in records[offset:]:
+            body = bytes([len(key)]) + key.encode() + value
+            parts.append(len(body).to_bytes(4, 'big') + body)
+        return rawserver.format_answer(200, {}, b''.join(parts))
--- /dev/null
+++ b/arbutusvale/standins/rawserver.py
@@ -0,0 +1,119 @@
+"""Serve raw HTTP/1.1 on a thread, so that faults can be put on the wire."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import threading
+import urllib.parse
+
+START_TIMEOUT_S = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RawRequest:
+    """Hold one request; header names are lower-case."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+
+Handler = Callable[
+    [RawRequest, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[bool]
+]
+
+
+class LoopThread:
+    """Run an event loop on a thread of its own until stopped."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever)
+        self.thread.daemon = True
+        self.thread.start()
+
+    def call(self, coroutine):
+        """Run a coroutine on the loop and return its result."""
+        future = asyncio.run_coroutine_threadsafe(coroutine, self.loop)
+        return future.result(START_TIMEOUT_S)
+
+    def stop(self) -> None:
+        """End the loop and its thread."""
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join(START_TIMEOUT_S)
+
+
+class RawServer:
+    """Accept connections and give each request to a handler.
+
+    The handler returns False to end the connection.
+    """
+
+    def __init__(self, handle: Handler):
+        self.handle = handle
+        self.server: asyncio.Server | None = None
+        self.port = 0
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    async def open(self, port: int = 0) -> int:
+        """Listen on loopback and return the port."""
+        self.server = await asyncio.start_server(
+            self._serve, '127.0.0.1', port
+        )
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self.port
+
+    async def close(self) -> None:
+        """Stop listening and reset all connections."""
+        if self.server is not None:
+            self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection."""
+        self.writers.add(writer)
+        try:
+            while True:
+                request = await read_request(reader)
+                if not await self.handle(request, reader, writer):
+                    break
+        except (OSError, EOFError, asyncio.LimitOverrunError):
+            # The other side has left; nothing is owed to it.
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+
+async def read_request(reader: asyncio.StreamReader) -> RawRequest:
+    """Read one request with a length or without a body."""
+    head = await reader.readuntil(b'\r\n\r\n')
+    first, *lines = head.decode('latin-1').split('\r\n')
+    method, target, _ = first.split(' ', 2)
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(':')
+        if name:
+            headers[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get('content-length', '0')))
+    path, _, query = target.partition('?')
+    return RawRequest(
+        method, path, dict(urllib.parse.parse_qsl(query)), headers, body
+    )
+
+
+def format_answer(
+    status: int, headers: dict[str, str], body: bytes, framed: bool = True
+) -> bytes:
+    """Return an answer with a length, or one that ends by closing."""
+    lines = [f'HTTP/1.1 {status} Status']
+    lines.extend(f'{name}: {value}' for name, value in headers.items())
+    if framed:
+        lines.append(f'Content-Length: {len(body)}')
+    return ('\r\n'.join(lines) + '\r\n\r\n').encode('latin-1') + body
--- a/arbutusvale/state/rendezvous.py
+++ b/arbutusvale/state/rendezvous.py
@@ -121,3 +121,14 @@
 def hash_unit(key: str) -> float:
     """Return a number from 0 up to 1 that depends on ``key`` alone."""
     return _hash(key) / (1 << 64)
+
+
+def hash_request(owner: str, target: bytes, body: bytes) -> bytes:
+    """Return a fingerprint of a request that its caller would send again."""
+    digest = xxhash.xxh3_128()
+    digest.update(owner.encode())
+    digest.update(b'\0')
+    digest.update(target)
+    digest.update(b'\0')
+    digest.update(body)
+    return digest.digest()
--- /dev/null
+++ b/tests/edgefleet.py
@@ -0,0 +1,250 @@
+"""Run edge routers as real processes between stand-ins on loopback."""
+
+import http.client
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+from arbutusvale.standins import edgeengine
+from arbutusvale.standins import edgestore
+from arbutusvale.standins import rawserver
+from tests import helpers_edge
+
+ROOT = pathlib.Path(__file__).parent.parent
+WAIT_S = 20.0
+CONFIG_TOPIC = 'keyed.op'
+SERVERS_TOPIC = 'keyed.servers'
+
+
+def wait_for(condition, what, timeout_s=WAIT_S):
+    """Wait until a condition holds; fail by its name otherwise."""
+    end = time.monotonic() + timeout_s
+    while time.monotonic() < end:
+        if condition():
+            return
+        time.sleep(0.01)
+    raise AssertionError(f'{what} did not happen within {timeout_s} s')
+
+
+class Router:
+    """One edge router process."""
+
+    def __init__(self, fleet, host):
+        self.fleet = fleet
+        self.host = host
+        self.settings = fleet.folder / f'{host}.toml'
+        self.log = fleet.folder / f'{host}.log'
+        self.process = None
+
+    def start(self):
+        self.settings.write_text(self.fleet.format_settings(self.host))
+        environment = os.environ | {
+            'ARBUTUSVALE_BOOT': str(self.settings),
+            'PYTHONPATH': str(ROOT),
+        }
+        with self.log.open('ab') as log:
+            self.process = subprocess.Popen(
+                [sys.executable, '-m', 'arbutusvale.ui.edge'],
+                stdout=log,
+                stderr=log,
+                env=environment,
+                cwd=ROOT,
+            )
+        return self
+
+    def is_ready(self):
+        return self.ask_ready() == 200
+
+    def ask_ready(self):
+        try:
+            connection = http.client.HTTPConnection(
+                self.host, self.fleet.ready_port, timeout=2
+            )
+            connection.request('GET', '/-/readyz')
+            return connection.getresponse().status
+        except OSError:
+            return 0
+
+    def wait_ready(self):
+        try:
+            wait_for(self.is_ready, f'readiness of {self.host}')
+        except AssertionError as error:
+            raise AssertionError(f'{error}; log: {self.read_log()}') from None
+        return self
+
+    def fetch_metrics(self):
+        connection = http.client.HTTPConnection(self.host, 9464, timeout=2)
+        connection.request('GET', '/metrics')
+        return connection.getresponse().read().decode()
+
+    def read_log(self):
+        return self.log.read_text()
+
+    def wait_log(self, text):
+        wait_for(lambda: text in self.read_log(), f'log line {text!r}')
+
+    def connect(self):
+        return socket.create_connection(
+            (self.host, self.fleet.caller_port), timeout=10
+        )
+
+    def ask(
+        self, path='/chat/x', method='GET', body=None, timeout=10, **headers
+    ):
+        """Send one request and return status, headers and body."""
+        connection = http.client.HTTPConnection(
+            self.host, self.fleet.caller_port, timeout=timeout
+        )
+        named = {
+            'Host': 'fleet.example',
+            'X-Arbutusvale-Attempt-Id': self.fleet.next_id(),
+            'X-Arbutusvale-Deadline-Ms': '2000',
+            'Authorization': 'Bearer key-1',
+        }
+        named |= {
+            name.replace('_', '-'): value for name, value in headers.items()
+        }
+        named = {name: one for name, one in named.items() if one is not None}
+        connection.request(method, path, body, named)
+        answer = connection.getresponse()
+        named = {name.lower(): one for name, one in answer.headers.items()}
+        return answer.status, named, answer.read()
+
+    def send(self, number):
+        self.process.send_signal(number)
+
+    def stop(self):
+        if self.process is None or self.process.poll() is not None:
+            return
+        self.process.send_signal(signal.SIGCONT)
+        self.process.kill()
+        self.process.wait()
+
+
+class EdgeFleet:
+    """A store, engines and routers, with ports of their own."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.thread = rawserver.LoopThread()
+        self.store = self.thread.call(self._make_store())
+        self.engines = {}
+        self.routers = []
+        self.caller_port, self.ready_port, self.peer_port = find_ports(3)
+        self.ids = 0
+        self.version = 0
+
+    async def _make_store(self):
+        made = edgestore.StoreStandin()
+        await made.server.open()
+        return made
+
+    def host(self, number):
+        """Return a loopback address that no other test uses now."""
+        first, second = divmod(os.getpid(), 250)
+        return f'127.{first % 250 + 1}.{second + 1}.{number + 1}'
+
+    def next_id(self):
+        self.ids += 1
+        return f'attempt-{self.ids}'
+
+    def configure(self, **changes):
+        """Publish a configuration of the next version."""
+        self.version += 1
+        data = helpers_edge.make_config(self.version, **changes)
+        self.append(CONFIG_TOPIC, 'config', data)
+        return self.version
+
+    def append(self, topic, key, value):
+        self.thread.call(self.store.append(topic, key, value))
+
+    def add_engine(self, name, **entry):
+        """Start an engine and list it."""
+        engine = edgeengine.EngineStandin(name)
+        port = self.thread.call(engine.server.open())
+        self.engines[name] = engine
+        self.list_engine(name, port, **entry)
+        return engine
+
+    def list_engine(self, name, port=None, **entry):
+        port = port or self.engines[name].server.port
+        data = helpers_edge.make_entry(f'127.0.0.1:{port}', **entry)
+        self.append(SERVERS_TOPIC, name, data)
+
+    def drop_engine(self, name):
+        self.append(SERVERS_TOPIC, name, b'')
+
+    def add_router(self, number=1, wait=True):
+        router = Router(self, self.host(number)).start()
+        self.routers.append(router)
+        return router.wait_ready() if wait else router
+
+    def runs(self, attempt=None):
+        """List the runs of all engines, of one attempt or of all."""
+        return [
+            run
+            for engine in self.engines.values()
+            for run in engine.runs
+            if run.ran and attempt in (None, run.attempt)
+        ]
+
+    def format_settings(self, host):
+        seeds = ', '.join(
+            f'"{self.host(number)}:{self.ready_port}"' for number in (1, 2, 3)
+        )
+        return f"""
+NodeName = "edge-{host}"
+Ip = "{host}"
+Zone = "north"
+InternalPortRange = [{self.peer_port}, {self.peer_port}]
+Seeds = [{seeds}]
+[Listen]
+Frontend = "{host}:{self.caller_port}"
+Ready = "{host}:{self.ready_port}"
+[Limits]
+CpuShare = 1.0
+MemoryMb = 200
+[Bounds]
+ContactMs = 3000
+DrainMs = 2000
+GraceS = 8
+ConfigApplyMs = 2000
+RetryBudgetRatio = 0.2
+BudgetWindowS = 10
+RetryBudgetSlack = 50
+CapacityFactor = 2
+ReuseWindowS = 10
+[Platform]
+Address = "127.0.0.1:{self.store.server.port}"
+"""
+
+    def close(self):
+        for router in self.routers:
+            router.stop()
+        for engine in self.engines.values():
+            self.thread.call(engine.server.close())
+        self.thread.call(self.store.server.close())
+        self.thread.stop()
+
+
+def find_ports(count):
+    """Return free ports below the range that connections are made from."""
+    found = []
+    held = []
+    for port in range(20000 + os.getpid() % 10000, 32700):
+        with_socket = socket.socket()
+        try:
+            with_socket.bind(('127.0.0.1', port))
+        except OSError:
+            continue
+        held.append(with_socket)
+        found.append(port)
+        if len(found) == count:
+            break
+    for one in held:
+        one.close()
+    return found
--- /dev/null
+++ b/tests/platform/test_edge_drain.py
@@ -0,0 +1,154 @@
+"""Starting, stopping and standing still."""
+
+import http.client
+import signal
+import threading
+import time
+
+import pytest
+
+from tests import edgefleet
+from tests import helpers_edge
+
+pytestmark = pytest.mark.process
+
+
+@pytest.fixture
+def path(fleet):
+    fleet.configure()
+    fleet.add_engine('e1')
+    fleet.router = fleet.add_router()
+    return fleet
+
+
+def test_a_stop_finishes_what_runs_and_serves_what_comes_soon(path):
+    path.engines['e1'].work_s = 1.5
+    results = []
+
+    def ask():
+        results.append(path.router.ask()[0])
+
+    running = threading.Thread(target=ask)
+    running.start()
+    edgefleet.wait_for(path.runs, 'the first run')
+    path.router.send(signal.SIGTERM)
+    edgefleet.wait_for(
+        lambda: path.router.ask_ready() != 200, 'failing readiness', 1.0
+    )
+    status, headers, _ = path.router.ask()
+    assert status == 200
+    assert headers['connection'] == 'close'
+    running.join()
+    assert results == [200]
+    path.router.process.wait(10)
+    assert path.router.process.returncode == 0
+    assert 'event=stop cut=0' in path.router.read_log()
+
+
+def test_late_requests_of_a_stopping_router_are_told_as_not_run(path):
+    path.engines['e1'].faults = ['hang']
+    holder = path.router.connect()
+    holder.sendall(
+        b'GET /chat/x HTTP/1.1\r\nHost: fleet.example\r\n'
+        b'X-Arbutusvale-Attempt-Id: holder\r\n'
+        b'Authorization: Bearer key-1\r\n\r\n'
+    )
+    edgefleet.wait_for(path.runs, 'the held run')
+    path.configure(routes=[helpers_edge.make_route(TimeoutMs=9000)])
+    path.router.wait_log('event=config-applied version=2')
+    holder2 = path.router.connect()
+    path.engines['e1'].faults = ['hang']
+    holder2.sendall(
+        b'GET /chat/x HTTP/1.1\r\nHost: fleet.example\r\n'
+        b'X-Arbutusvale-Attempt-Id: holder2\r\n'
+        b'Authorization: Bearer key-1\r\n\r\n'
+    )
+    edgefleet.wait_for(lambda: path.runs('holder2'), 'the second held run')
+    path.router.send(signal.SIGTERM)
+    time.sleep(3.2)
+    status, headers, _ = path.router.ask()
+    assert status == 503
+    assert 'retry-after' in headers
+    assert headers['connection'] == 'close'
+
+
+def test_a_kept_connection_is_closed_with_an_answer_on_a_stop(path):
+    connection = http.client.HTTPConnection(
+        path.router.host, path.caller_port, timeout=5
+    )
+    headers = {
+        'Host': 'fleet.example',
+        'Authorization': 'Bearer key-1',
+    }
+    connection.request(
+        'GET', '/chat/1', headers=headers | {'X-Arbutusvale-Attempt-Id': 'a'}
+    )
+    assert connection.getresponse().read()
+    path.router.send(signal.SIGTERM)
+    time.sleep(0.5)
+    connection.request(
+        'GET', '/chat/2', headers=headers | {'X-Arbutusvale-Attempt-Id': 'b'}
+    )
+    answer = connection.getresponse()
+    assert answer.status == 200
+    assert answer.headers['connection'] == 'close'
+
+
+def test_a_reload_takes_changed_bounds_and_keeps_the_old_on_a_fault(path):
+    path.router.send(signal.SIGHUP)
+    path.router.wait_log('event=reload vm=')
+    path.router.settings.write_text('NodeName = 5')
+    path.router.send(signal.SIGHUP)
+    path.router.wait_log('event=reload-failed')
+    assert 'Platform.Address' in path.router.read_log()
+    assert path.router.ask()[0] == 200
+
+
+def test_a_router_without_configuration_is_not_ready(fleet):
+    fleet.store.fault = 'busy'
+    router = fleet.add_router(wait=False)
+    edgefleet.wait_for(
+        lambda: router.log.exists() and 'store-lost' in router.read_log(),
+        'the store is found away',
+    )
+    assert router.ask_ready() == 503
+    assert router.ask()[0] == 503
+    fleet.configure()
+    fleet.add_engine('e1')
+    fleet.store.fault = None
+    router.wait_ready()
+    assert router.ask()[0] == 200
+
+
+def test_a_router_that_starts_while_the_store_is_away_asks_a_peer(path):
+    path.store.fault = 'busy'
+    second = path.add_router(2)
+    second.wait_log('event=peer-copy-taken')
+    assert second.ask()[0] == 200
+    # An unknown key can't be denied by a list that may be old.
+    assert second.ask(Authorization='Bearer nobody')[0] == 503
+
+
+def test_routers_share_loads_and_cache_places(path):
+    second = path.add_router(2)
+    path.router.wait_log('event=peer-heard')
+    second.wait_log('event=peer-heard')
+
+
+def test_a_router_that_stood_still_looks_at_the_store_first(path):
+    path.router.send(signal.SIGSTOP)
+    time.sleep(2.0)
+    version = path.configure(routes=[helpers_edge.make_route('n', '/new/')])
+    path.router.send(signal.SIGCONT)
+    assert path.router.ask('/new/x')[0] == 200
+    path.router.wait_log('event=clock-gap')
+    path.router.wait_log(f'event=config-applied version={version}')
+
+
+def test_settings_with_faults_name_the_fields(fleet, tmp_path):
+    fleet.format_settings = lambda host: 'NodeName = "x"\n'
+    router = fleet.add_router(wait=False)
+    assert router.process.wait(10) == 2
+    text = router.read_log()
+    for field in ('Platform.Address', 'Listen.Frontend', 'Bounds.GraceS'):
+        assert field in text
