--- a/arbutusvale/platform/records.py
+++ b/arbutusvale/platform/records.py
@@ -1,6 +1,7 @@
 """Decode the platform's records of configuration and backend servers."""
 
 import json
+import math
 
 from arbutusvale import errors
 from arbutusvale.protocol import directcall
@@ -184,6 +185,8 @@
     value = row.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise errors.RecordError(name, 'Write a number.')
+    if not math.isfinite(value):
+        raise errors.RecordError(name, 'Write a finite number.')
     return int(value)
 
 
--- /dev/null
+++ b/tests/coordination/test_logfollower.py
@@ -0,0 +1,167 @@
+"""Following a topic through outages, lost history and peers' hints."""
+
+import asyncio
+
+from arbutusvale import errors
+from arbutusvale.coordination import logfollower
+from arbutusvale.protocol import keyedlog
+from tests import helpers_edge
+
+
+class Log:
+    """Give scripted answers; an exception is raised, then it hangs."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.calls = []
+        self.hanging = asyncio.Event()
+        self.dropped = asyncio.Event()
+
+    async def read_newest(self):
+        return await self.answer(('newest',))
+
+    async def read_on(self, offset, wait_s):
+        return await self.answer(('read', offset, wait_s))
+
+    async def answer(self, call):
+        self.calls.append(call)
+        if not self.answers:
+            self.hanging.set()
+            await self.dropped.wait()
+            self.dropped.clear()
+            raise errors.StoreUnavailable('dropped')
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    def disconnect(self):
+        self.dropped.set()
+
+
+class Sink:
+    def __init__(self):
+        self.taken = []
+
+    def replace(self, records, return_by):
+        self.taken.append(('replace', [one.key for one in records], return_by))
+
+    def update(self, records, return_by):
+        self.taken.append(('update', [one.key for one in records], return_by))
+
+
+def page(end, *keys):
+    return keyedlog.Page([keyedlog.Record(key, b'v') for key in keys], end)
+
+
+async def follow(log, clock=None, steps=None):
+    """Run a follower until its log hangs."""
+    sink, events = Sink(), helpers_edge.Events()
+    follower = logfollower.LogFollower(
+        'topic', log, sink, events, clock or helpers_edge.Clock()
+    )
+    task = asyncio.create_task(follower.run())
+    await asyncio.wait_for(log.hanging.wait(), 10)
+    if steps is not None:
+        await steps(follower)
+    task.cancel()
+    return follower, sink, events
+
+
+def test_newest_records_come_first_and_then_the_log():
+    log = Log(page(5, 'a', 'b'), page(6, 'c'))
+    follower, sink, _ = asyncio.run(follow(log))
+    assert [taken[:2] for taken in sink.taken] == [
+        ('replace', ['a', 'b']),
+        ('update', ['c']),
+    ]
+    assert [call[:2] for call in log.calls] == [
+        ('newest',),
+        ('read', 5),
+        ('read', 6),
+    ]
+
+
+def test_lost_history_is_read_anew():
+    log = Log(page(5, 'a'), errors.StoreHistoryGone('topic', 5), page(9, 'a'))
+    _, sink, events = asyncio.run(follow(log))
+    assert [taken[0] for taken in sink.taken] == ['replace', 'replace']
+    assert events.named('store-history-gone')
+
+
+def test_an_outage_is_logged_once_and_keeps_the_offset():
+    away = errors.StoreUnavailable('away')
+    log = Log(page(5, 'a'), away, away, page(6, 'b'))
+    follower, sink, events = asyncio.run(follow(log))
+    assert len(events.named('store-lost')) == 1
+    assert len(events.named('store-regained')) == 1
+    assert [call[1] for call in log.calls[1:4]] == [5, 5, 5]
+    assert not follower.needs_copy()
+
+
+def test_entries_may_return_for_two_seconds_after_an_outage():
+    clock = helpers_edge.Clock()
+
+    class SlowLog(Log):
+        async def answer(self, call):
+            clock.now += 1.5
+            return await super().answer(call)
+
+    away = errors.StoreUnavailable('away')
+    log = SlowLog(page(5, 'a'), away, page(6, 'b'), page(7, 'c'), page(8, 'd'))
+    _, sink, _ = asyncio.run(follow(log, clock))
+    regained_at = 1000.0 + 3 * 1.5
+    assert [taken[2] for taken in sink.taken] == [
+        None,
+        regained_at + 2.0,
+        regained_at + 2.0,
+        None,
+    ]
+
+
+def test_a_peer_that_has_read_further_makes_a_stuck_call_end():
+    log = Log(page(5, 'a'))
+
+    async def hint(follower):
+        follower.note_behind(5)
+        assert not follower.hinted
+        follower.note_behind(7)
+        log.hanging.clear()
+        await asyncio.wait_for(log.hanging.wait(), 5)
+
+    _, _, events = asyncio.run(follow(log, steps=hint))
+    assert events.named('store-behind') == [
+        {'topic': 'topic', 'own': 5, 'told': 7}
+    ]
+    # The next call doesn't wait, as there is something to read.
+    assert log.calls[-1] == ('read', 5, 0.0)
+
+
+def test_more_routers_wait_longer_each():
+    async def count(readers):
+        log = Log(page(5, 'a'))
+        follower = logfollower.LogFollower(
+            'topic', log, Sink(), helpers_edge.Events()
+        )
+        follower.count_readers = lambda: readers
+        task = asyncio.create_task(follower.run())
+        await asyncio.wait_for(log.hanging.wait(), 5)
+        task.cancel()
+        return log.calls[-1][2]
+
+    assert asyncio.run(count(1)) == logfollower.POLL_S
+    assert asyncio.run(count(9)) == 3 * logfollower.POLL_S
+    assert asyncio.run(count(300)) == logfollower.MAX_POLL_S
+
+
+def test_a_waiting_call_counts_as_contact_and_a_failed_one_does_not():
+    clock = helpers_edge.Clock()
+    log = Log(page(5, 'a'))
+
+    async def look(follower):
+        clock.now += follower.wait_s
+        assert follower.age_s() == 0.0
+        clock.now += 2.0
+        assert follower.age_s() > 2.0
+
+    asyncio.run(follow(log, clock, look))
--- /dev/null
+++ b/tests/coordination/test_peers.py
@@ -0,0 +1,135 @@
+"""Messages between edge routers, lost, odd and in any order."""
+
+import random
+
+from arbutusvale.coordination import peers
+from arbutusvale.protocol import peernews
+from arbutusvale.state import promptmap
+from arbutusvale.state import serverloads
+from arbutusvale.state import suspects
+from tests import helpers_edge
+
+
+class Network:
+    """Routers that exchange datagrams; some are lost."""
+
+    def __init__(self, count, loss=0.0, seed=1):
+        self.clock = helpers_edge.Clock()
+        self.generator = random.Random(seed)
+        self.loss = loss
+        self.routers = {}
+        self.sent = 0
+        for number in range(count):
+            self.add(number)
+
+    def add(self, number):
+        host = f'10.0.0.{number}'
+        one = peers.Peers(
+            f'r{number}',
+            host,
+            ('10.0.0.0', '10.0.0.1'),
+            helpers_edge.Events(),
+            self.clock,
+        )
+        one.loads = serverloads.ServerLoads(self.clock)
+        one.prompts = promptmap.PromptMap(self.clock)
+        one.suspects = suspects.SuspectTable(self.clock)
+        one.send = self.deliver
+        self.routers[host] = one
+        return one
+
+    def deliver(self, host, data):
+        assert len(data) <= peernews.MAX_BYTES
+        self.sent += 1
+        if host in self.routers and self.generator.random() >= self.loss:
+            self.routers[host].receive(data)
+
+    def run(self, seconds):
+        end = self.clock.now + seconds
+        while self.clock.now < end:
+            self.clock.now += peers.SEND_S
+            for one in list(self.routers.values()):
+                one.tell()
+
+
+def test_routers_find_all_others_by_two_seeds():
+    network = Network(12, loss=0.2)
+    network.run(10)
+    for one in network.routers.values():
+        assert one.count_live() >= 11
+
+
+def test_loads_of_all_routers_add_up():
+    network = Network(5)
+    for one in network.routers.values():
+        one.loads.begin('e1')
+    network.run(3)
+    for one in network.routers.values():
+        assert one.loads.estimate('e1') == 5
+
+
+def test_a_router_that_dies_or_leaves_no_longer_counts():
+    network = Network(4)
+    network.run(3)
+    dead = network.routers.pop('10.0.0.3')
+    dead.loads.begin('e1')
+    leaving = network.routers['10.0.0.2']
+    leaving.leaving = True
+    leaving.tell()
+    assert network.routers['10.0.0.0'].count_live() == 3
+    del network.routers['10.0.0.2']
+    network.run(3)
+    assert network.routers['10.0.0.0'].count_live() == 2
+
+
+def test_cache_places_reach_the_others_once():
+    network = Network(3)
+    network.run(2)
+    first = network.routers['10.0.0.0']
+    for number in range(40):
+        first.note_place(f'p{number}', 'e1')
+    network.run(2)
+    for one in network.routers.values():
+        if one is not first:
+            assert set(one.prompts.holders('p39')) == {'e1'}
+    assert not first.places
+
+
+def test_crashes_seen_by_two_routers_add_up():
+    network = Network(3)
+    network.run(2)
+    routers = list(network.routers.values())
+    routers[0].suspects.merge(b'f' * 16, ['e1/1'])
+    routers[1].suspects.merge(b'f' * 16, ['e2/1'])
+    network.run(2)
+    assert all(one.suspects.find(b'f' * 16).quarantined for one in routers)
+
+
+def test_a_peer_that_read_further_is_noticed():
+    network = Network(2)
+    first, second = network.routers.values()
+    first.read_offsets = lambda: {'topic': 9}
+    told = []
+    second.on_behind = lambda topic, offset: told.append((topic, offset))
+    network.run(1)
+    assert ('topic', 9) in told
+
+
+def test_messages_become_rarer_as_routers_become_many():
+    few, many = Network(4), Network(60)
+    few.run(5)
+    many.run(5)
+    assert few.routers['10.0.0.0'].interval_s() == peers.SEND_S
+    rate = 59 / many.routers['10.0.0.0'].interval_s()
+    assert rate <= peers.FULL_RATE_PEERS / peers.SEND_S * 1.01
+
+
+def test_odd_datagrams_change_nothing():
+    network = Network(2)
+    network.run(2)
+    one = network.routers['10.0.0.0']
+    live = one.count_live()
+    for data in (b'', b'{}', b'[]', b'\xff', b'{"v":1}', b'{"v":9}', b'null'):
+        one.receive(data)
+    assert one.malformed == 7
+    assert one.count_live() == live
--- /dev/null
+++ b/tests/coordination/test_silence.py
@@ -0,0 +1,29 @@
+"""How long a silent server is waited for."""
+
+from arbutusvale.coordination import silence
+from arbutusvale.platform import records
+from tests import helpers_edge
+
+
+def make_route(**changes):
+    data = helpers_edge.make_config(
+        routes=[helpers_edge.make_route(**changes)]
+    )
+    return records.read_configuration(data).routes[0]
+
+
+def test_a_plain_call_moves_while_it_can_still_be_in_time():
+    route = make_route(TargetLatencyMs=400)
+    assert silence.find_first_byte_limit(route, 0.1, 0.0) < 0.4
+
+
+def test_an_engine_that_serves_others_is_waited_for():
+    route = make_route(RouteType='streaming', TargetLatencyMs=1000)
+    busy = silence.find_first_byte_limit(route, 1.0, 0.05)
+    quiet = silence.find_first_byte_limit(route, 1.0, 5.0)
+    assert busy > 1.0 > quiet
+
+
+def test_a_pause_is_ended_before_callers_leave():
+    route = make_route(RouteType='streaming', GapAimMs=300)
+    assert 0.3 < silence.find_pause_limit(route) < 8 * 0.3
--- /dev/null
+++ b/tests/fuzz/test_edge_border.py
@@ -0,0 +1,230 @@
+"""No bytes from outside crash the edge router or mix answers."""
+
+import asyncio
+import json
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+from arbutusvale import errors
+from arbutusvale.platform import headers
+from arbutusvale.platform import records
+from arbutusvale.platform import store
+from arbutusvale.protocol import peernews
+from arbutusvale.protocol import routing
+from arbutusvale.transport import edgeserver
+from arbutusvale.transport import httpconnection
+from tests import helpers_edge
+
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=False)
+    | strategies.text(),
+    lambda inner: (
+        strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(
+            strategies.text(max_size=8), inner, max_size=4
+        )
+    ),
+    max_leaves=12,
+)
+CONFIG = json.loads(helpers_edge.make_config())
+ENTRY = json.loads(helpers_edge.make_entry('1.1.1.1:1'))
+
+
+def mutate(document, path, value):
+    """Put a value somewhere into a copy of a document."""
+    made = json.loads(json.dumps(document))
+    target = made
+    for step in path:
+        if isinstance(target, dict) and target:
+            key = sorted(target)[step % len(target)]
+        elif isinstance(target, list) and target:
+            key = step % len(target)
+        else:
+            return made
+        if step % 3 == 0 or not isinstance(target[key], dict | list):
+            target[key] = value
+            return made
+        target = target[key]
+    return made
+
+
+@given(strategies.lists(strategies.integers(0, 50), max_size=5), JSON)
+def test_a_configuration_is_decoded_or_refused(path, value):
+    data = json.dumps(mutate(CONFIG, path, value)).encode()
+    try:
+        assert isinstance(
+            records.read_configuration(data), routing.Configuration
+        )
+    except errors.RecordError as error:
+        assert error.remedy
+
+
+@given(strategies.lists(strategies.integers(0, 50), max_size=2), JSON)
+def test_an_entry_is_decoded_or_refused(path, value):
+    data = json.dumps(mutate(ENTRY, path, value)).encode()
+    try:
+        records.read_server('i', data).endpoint  # noqa: B018
+    except errors.RecordError as error:
+        assert error.remedy
+
+
+@given(strategies.binary(max_size=200))
+def test_raw_records_are_decoded_or_skipped(data):
+    decoded, count = store._decode_records(data)
+    assert len(decoded) <= count
+
+
+@given(JSON)
+def test_peer_messages_are_decoded_or_refused(value):
+    try:
+        peernews.decode(json.dumps(value).encode())
+    except errors.FrameError:
+        pass
+
+
+@given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(
+                [
+                    headers.ATTEMPT_ID,
+                    headers.DEADLINE_MS,
+                    headers.PROMPT_PREFIX,
+                    headers.TOKEN_COUNT,
+                    headers.ENGINE_LOAD,
+                    b'host',
+                    b'keep-alive',
+                    b'connection',
+                    b'authorization',
+                ]
+            ),
+            strategies.binary(max_size=30),
+        ),
+        max_size=8,
+    )
+)
+def test_headers_never_raise(named):
+    headers.read_request(named)
+    headers.read_answer(200, b'OK', named)
+
+
+class Transport:
+    """Collect what is written."""
+
+    def __init__(self):
+        self.written = b''
+        self.aborted = False
+
+    def get_extra_info(self, name):
+        return None
+
+    def write(self, data):
+        self.written += data
+
+    def abort(self):
+        self.aborted = True
+
+    close = abort
+
+    def can_write_eof(self):
+        return False
+
+    def pause_reading(self):
+        pass
+
+    resume_reading = pause_reading
+
+    def get_write_buffer_size(self):
+        return 0
+
+
+REQUEST = (
+    b'POST /chat/x HTTP/1.1\r\nHost: a\r\nX: y\r\n'
+    b'Content-Length: 5\r\n\r\nhello'
+)
+
+
+def corrupt(data, edits):
+    """Change, drop and insert bytes."""
+    made = bytearray(data)
+    for position, byte, kind in edits:
+        at = position % (len(made) + 1)
+        if kind == 0 and at < len(made):
+            made[at] = byte
+        elif kind == 1 and at < len(made):
+            del made[at]
+        else:
+            made.insert(at, byte)
+    return bytes(made)
+
+
+EDITS = strategies.lists(
+    strategies.tuples(
+        strategies.integers(0, 300),
+        strategies.integers(0, 255),
+        strategies.integers(0, 2),
+    ),
+    max_size=6,
+)
+
+
+@settings(max_examples=200)
+@given(EDITS, strategies.integers(1, 40))
+def test_a_corrupt_request_is_whole_or_refused(edits, size):
+    async def run():
+        seen = []
+
+        async def serve(request, caller):
+            seen.append(request)
+            caller.answer(200, [], b'')
+
+        server = edgeserver.EdgeServer(
+            serve, routing.CallerLimits, 1 << 20, lambda *a, **b: None
+        )
+        connection = server.connect()
+        transport = Transport()
+        connection.connection_made(transport)
+        data = corrupt(REQUEST, edits)
+        for start in range(0, len(data), size):
+            connection.data_received(data[start : start + size])
+            await asyncio.sleep(0)
+        for request in seen:
+            assert len(request.body) <= len(data)
+        refused = transport.written.startswith(b'HTTP/1.1 4')
+        assert not (refused and seen)
+        connection.connection_lost(None)
+
+    asyncio.run(run())
+
+
+ANSWER = (
+    b'HTTP/1.1 200 OK\r\nX-Arbutusvale-Attempt-Id: a\r\n'
+    b'Content-Length: 5\r\n\r\nhello'
+)
+
+
+@settings(max_examples=200)
+@given(EDITS, strategies.integers(1, 40), strategies.booleans())
+def test_a_corrupt_answer_is_whole_or_fails(edits, size, reset):
+    async def run():
+        connection = httpconnection.HttpConnection()
+        connection.connection_made(Transport())
+        exchange = connection.send(
+            b'x', lambda *head: headers.read_answer(*head)
+        )
+        data = corrupt(ANSWER, edits)
+        for start in range(0, len(data), size):
+            connection.data_received(data[start : start + size])
+        connection.connection_lost(OSError() if reset else None)
+        assert exchange.ended or exchange.error is not None
+        if exchange.ended and exchange.head.result().status == 200:
+            length = dict(connection.headers).get(b'content-length')
+            if length is not None and length.strip().isdigit():
+                assert len(exchange.take()) == int(length)
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/platform/test_bootfile.py
@@ -0,0 +1,71 @@
+"""The settings file of the platform."""
+
+import pytest
+
+from arbutusvale import errors
+from arbutusvale.platform import bootfile
+
+WHOLE = """
+NodeName = "edge-1"
+Ip = "10.1.0.40"
+Zone = "north"
+InternalPortRange = [7340, 7355]
+Seeds = ["10.1.0.40:8229", "odd", 5]
+SomethingNew = true
+[Listen]
+Frontend = "10.1.0.40:8227"
+Ready = "10.1.0.40:8220"
+[Limits]
+CpuShare = 0.8
+MemoryMb = 300
+[Bounds]
+ContactMs = 3000
+DrainMs = 2000
+GraceS = 8
+ConfigApplyMs = 2000
+RetryBudgetRatio = 0.2
+BudgetWindowS = 10
+RetryBudgetSlack = 56
+[Platform]
+Address = "10.200.1.7:8223"
+"""
+
+
+def read(tmp_path, text):
+    path = tmp_path / 'local.toml'
+    path.write_text(text)
+    return bootfile.read(str(path))
+
+
+def test_whole_settings_are_read_and_new_fields_ignored(tmp_path):
+    settings = read(tmp_path, WHOLE)
+    assert settings.callers.port == 8227
+    assert settings.bounds.drain_s == 2.0
+    assert settings.bounds.load_factor == 2.0
+    assert [seed.port for seed in settings.seeds] == [8229]
+    assert settings.control is None
+    assert settings.memory_bytes == 300 << 20
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'field'),
+    [
+        ('NodeName = "edge-1"', '', 'NodeName'),
+        ('"10.1.0.40:8227"', '"10.1.0.40"', 'Listen.Frontend'),
+        ('GraceS = 8', 'GraceS = "x"', 'Bounds.GraceS'),
+        ('MemoryMb = 300', 'MemoryMb = -1', 'Limits.MemoryMb'),
+        ('[7340, 7355]', '[]', 'InternalPortRange'),
+        ('[Platform]', '[Elsewhere]', 'Platform.Address'),
+    ],
+)
+def test_a_fault_names_the_field(tmp_path, old, new, field):
+    with pytest.raises(errors.DocumentError) as caught:
+        read(tmp_path, WHOLE.replace(old, new))
+    assert any(fault.startswith(field) for fault in caught.value.faults)
+
+
+def test_a_file_that_can_not_be_read_is_told(tmp_path):
+    with pytest.raises(errors.DocumentError):
+        read(tmp_path, 'no toml')
+    with pytest.raises(errors.DocumentError):
+        bootfile.read(str(tmp_path / 'missing'))
--- /dev/null
+++ b/tests/platform/test_records.py
@@ -0,0 +1,92 @@
+"""Records of the platform, whole and malformed."""
+
+import json
+
+import pytest
+
+from arbutusvale import errors
+from arbutusvale.platform import records
+from arbutusvale.protocol import directcall
+from arbutusvale.protocol import routing
+from tests import helpers_edge
+
+
+def read(**changes):
+    return records.read_configuration(helpers_edge.make_config(**changes))
+
+
+def test_a_configuration_is_decoded():
+    route = helpers_edge.make_route(
+        RouteType='streaming',
+        StreamResume=True,
+        TrafficSplit=[
+            {'Service': 'a', 'Weight': 90},
+            {'Service': 'b', 'Weight': 10},
+            {'Service': 'c', 'Weight': 0},
+        ],
+    )
+    read_one = read(version=7, routes=[route])
+    assert read_one.version == 7
+    [made] = read_one.routes
+    assert made.kind is routing.RouteKind.STREAM
+    assert made.repeatable
+    assert [split.pool for split in made.splits] == ['a', 'b']
+    assert made.timeout_s == 2.0
+    assert read_one.organisations['key-1'].priority == 2
+    assert read_one.limits.idle_timeout_s == 3.0
+
+
+def test_a_kind_that_is_not_known_may_not_repeat():
+    [route] = read(routes=[helpers_edge.make_route(RouteType='new')]).routes
+    assert not route.repeatable
+
+
+def test_without_organisations_no_key_is_asked_for():
+    assert read(Tenants=None).organisations is None
+    assert read(Tenants=[]).organisations == {}
+
+
+@pytest.mark.parametrize(
+    ('changes', 'field'),
+    [
+        ({'Version': '7'}, 'Version'),
+        ({'Version': True}, 'Version'),
+        ({'Routes': None}, 'Routes'),
+        ({'Routes': ['x']}, 'Routes'),
+        ({'Routes': [helpers_edge.make_route(Host='')]}, 'Host'),
+        ({'Routes': [helpers_edge.make_route(Service=None)]}, 'Service'),
+        ({'Routes': [helpers_edge.make_route(TimeoutMs='x')]}, 'TimeoutMs'),
+        ({'Services': [{'Name': 5}]}, 'Name'),
+        ({'Tenants': {}}, 'Tenants'),
+        ({'Tenants': [{'Name': 'a', 'ApiKeys': 'k'}]}, 'ApiKeys'),
+    ],
+)
+def test_a_malformed_configuration_names_the_field(changes, field):
+    with pytest.raises(errors.RecordError) as caught:
+        read(**changes)
+    assert caught.value.field == field
+    assert caught.value.remedy
+
+
+def test_bytes_that_are_no_object_are_malformed():
+    for data in (b'', b'[]', b'\xff\xfe', b'"x"'):
+        with pytest.raises(errors.RecordError):
+            records.read_configuration(data)
+
+
+def test_an_entry_is_decoded():
+    entry = helpers_edge.make_entry('10.1.1.1:80', State='draining', New=1)
+    server = records.read_server('i-1', entry)
+    assert server.state is directcall.ServerState.DRAINING
+    assert server.endpoint == ('10.1.1.1', 80)
+
+
+@pytest.mark.parametrize(
+    'field', ['Service', 'Address', 'Zone', 'Slots', 'State']
+)
+def test_an_entry_without_a_field_is_malformed(field):
+    entry = json.loads(helpers_edge.make_entry('10.1.1.1:80'))
+    del entry[field]
+    with pytest.raises(errors.RecordError) as caught:
+        records.read_server('i-1', json.dumps(entry).encode())
+    assert caught.value.field == field
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,102 @@
+"""The client of the store against its stand-in."""
+
+import asyncio
+
+import pytest
+
+from arbutusvale import errors
+from arbutusvale.platform import store
+from arbutusvale.protocol import vmsettings
+from arbutusvale.standins import edgestore
+
+TOPIC = 'keyed.servers'
+
+
+async def open_pair():
+    standin = edgestore.StoreStandin()
+    port = await standin.server.open()
+    address = vmsettings.Address('127.0.0.1', port)
+    return standin, store.StoreTopic(address, TOPIC)
+
+
+def run(scenario):
+    async def whole():
+        standin, topic = await open_pair()
+        try:
+            await scenario(standin, topic)
+        finally:
+            topic.disconnect()
+            await standin.server.close()
+
+    asyncio.run(whole())
+
+
+def test_newest_records_are_read_page_by_page():
+    async def scenario(standin, topic):
+        standin.page = 3
+        for number in range(8):
+            await standin.append(TOPIC, f'k{number}', b'v%d' % number)
+        await standin.append(TOPIC, 'k3', b'')
+        page = await topic.read_newest()
+        assert [one.key for one in page.records] == [
+            'k0', 'k1', 'k2', 'k4', 'k5', 'k6', 'k7',
+        ]  # fmt: skip
+        assert page.next_offset == 9
+
+    run(scenario)
+
+
+def test_reading_on_waits_for_a_record_and_knows_removals():
+    async def scenario(standin, topic):
+        await standin.append(TOPIC, 'a', b'1')
+        waiting = asyncio.create_task(topic.read_on(1, 5.0))
+        await asyncio.sleep(0.05)
+        assert not waiting.done()
+        await standin.append(TOPIC, 'a', b'')
+        page = await waiting
+        assert page.records[0].value is None
+        assert page.next_offset == 2
+        empty = await topic.read_on(2, 0.05)
+        assert (empty.records, empty.next_offset) == ([], 2)
+
+    run(scenario)
+
+
+def test_forgotten_and_rewound_history_is_told():
+    async def scenario(standin, topic):
+        for _ in range(5):
+            await standin.append(TOPIC, 'a', b'1')
+        await standin.forget(TOPIC)
+        with pytest.raises(errors.StoreHistoryGone):
+            await topic.read_on(2, 0.1)
+        await standin.rewind(TOPIC, 3)
+        standin.first.clear()
+        with pytest.raises(errors.StoreHistoryGone):
+            await topic.read_on(5, 0.0)
+
+    run(scenario)
+
+
+@pytest.mark.parametrize('fault', ['busy', 'reset', 'silent'])
+def test_a_store_that_gives_no_answer_is_told_in_time(fault, monkeypatch):
+    monkeypatch.setattr(store, '_ANSWER_TIMEOUT_S', 0.1)
+    monkeypatch.setattr(store, '_CONNECT_TIMEOUT_S', 0.1)
+
+    async def scenario(standin, topic):
+        standin.fault = fault
+        with pytest.raises(errors.StoreUnavailable):
+            await asyncio.wait_for(topic.read_on(0, 0.1), 2)
+        standin.fault = None
+        await standin.append(TOPIC, 'a', b'1')
+        assert (await topic.read_newest()).records
+
+    run(scenario)
+
+
+def test_a_store_that_is_gone_is_told():
+    async def scenario(standin, topic):
+        await standin.server.close()
+        with pytest.raises(errors.StoreUnavailable):
+            await topic.read_newest()
+
+    run(scenario)
--- /dev/null
+++ b/tests/state/test_edgemeasures.py
@@ -0,0 +1,24 @@
+"""Counters and histograms are shown as Prometheus text."""
+
+from prometheus_client import parser
+
+from arbutusvale.state import edgemeasures
+
+
+def test_the_text_is_valid_and_complete():
+    measures = edgemeasures.EdgeMeasures()
+    measures.count('requests', 'answered')
+    measures.count('requests', 'answered')
+    measures.note_first_byte('chat', 0.03)
+    measures.note_total('chat', 99.0)
+    families = parser.text_string_to_metric_families(measures.render())
+    samples = {
+        (sample.name, sample.labels.get('le', '')): sample.value
+        for family in families
+        for sample in family.samples
+    }
+    assert samples['arbutusvale_requests_total', ''] == 2
+    assert samples['arbutusvale_first_byte_seconds_bucket', '0.05'] == 1
+    assert samples['arbutusvale_first_byte_seconds_bucket', '0.025'] == 0
+    assert samples['arbutusvale_total_seconds_bucket', '+Inf'] == 1
+    assert samples['arbutusvale_total_seconds_count', ''] == 1
--- /dev/null
+++ b/tests/state/test_eventlog.py
@@ -0,0 +1,50 @@
+"""Log lines never block and never grow without bound."""
+
+import os
+
+from arbutusvale.state import eventlog
+from tests import helpers_edge
+
+
+def make():
+    reader, writer = os.pipe()
+    clock = helpers_edge.Clock()
+    return clock, reader, eventlog.EventLog(writer, clock)
+
+
+def test_a_line_holds_the_event_and_its_fields():
+    _, reader, log = make()
+    log.write('place', id='a b', load=1.5, server='s', text='x="1"\ny')
+    log.flush()
+    assert os.read(reader, 1000) == (
+        b't=1000.000 event=place id="a b" load=1.5 server=s text="x=\'1\' y"\n'
+    )
+
+
+def test_lines_beyond_the_bound_are_counted():
+    clock, reader, log = make()
+    for _ in range(eventlog.MAX_LINES_S + 50):
+        log.write('x')
+    assert log.left_out == 50
+    clock.now += 1.0
+    log.write('y')
+    assert log.left_out == 50
+
+
+def test_a_reader_that_stands_still_costs_lines_only():
+    clock, reader, log = make()
+    for _ in range(40):
+        clock.now += 1
+        for _ in range(eventlog.MAX_LINES_S):
+            log.write('long', text='z' * 100)
+        log.flush()
+    assert log.left_out > 0
+    assert log.pending_bytes < 2 * eventlog.MAX_PENDING_BYTES
+
+
+def test_a_reader_that_is_gone_is_no_error():
+    _, reader, log = make()
+    os.close(reader)
+    log.write('x')
+    log.flush()
+    assert log.pending == []
--- a/tests/state/test_rendezvous.py
+++ b/tests/state/test_rendezvous.py
@@ -35,3 +35,25 @@
     for key in KEYS:
         counts[rendezvous.first(key, NAMES)] += 1
     assert all(150 <= count <= 250 for count in counts.values())
+
+
+def test_small_and_large_pools_are_ranked_alike():
+    names = [f'engine-{number}' for number in range(100)]
+    large = rendezvous.Ranking(names)
+    small = rendezvous.Ranking(names)
+    small.vector = None
+    assert large.vector is not None
+    for key in KEYS[:100]:
+        assert large.rank(key, 100) == small.rank(key, 100)
+        assert large.rank(key, 3) == small.rank(key, 3)
+        assert large.first(key) == small.first(key)
+
+
+def test_a_request_is_known_by_owner_target_and_body():
+    prints = {
+        rendezvous.hash_request(owner, target, body)
+        for owner in ('a', 'b')
+        for target in (b'/x', b'/y')
+        for body in (b'', b'z')
+    }
+    assert len(prints) == 8
--- /dev/null
+++ b/tests/state/test_routetable.py
@@ -0,0 +1,30 @@
+"""The longest prefix of a host wins."""
+
+from arbutusvale.platform import records
+from arbutusvale.state import routetable
+from tests import helpers_edge
+
+
+def find(host, path):
+    names = {'/': 'root', '/a/': 'a', '/a/b/': 'ab'}
+    routes = [
+        helpers_edge.make_route(name, prefix) for prefix, name in names.items()
+    ]
+    configuration = records.read_configuration(
+        helpers_edge.make_config(routes=routes)
+    )
+    route = routetable.RouteTable(configuration, 0.0).find(host, path)
+    return route.name if route else None
+
+
+def test_the_longest_prefix_that_begins_the_path_is_chosen():
+    assert find('fleet.example', '/a/b/c') == 'ab'
+    assert find('fleet.example', '/a/bc') == 'a'
+    assert find('fleet.example', '/a/b/') == 'ab'
+    assert find('fleet.example', '/a') == 'root'
+    assert find('fleet.example', '/') == 'root'
+
+
+def test_another_host_has_no_route():
+    assert find('other.example', '/a/') is None
+    assert find('fleet.example', 'no-slash') is None
