Ask the store at once after a failure; draw plain servers at random

Calls after a failure now don't wait, a call dropped by the router itself is no outage, and live peers are asked first.

Cause 2: plain calls went to the server that looked least loaded, by counts up to a second old, so 32 routers crowded one of three servers (booking-confirm p50 217 ms for 90 ms of work).

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -82,8 +82,10 @@
     ) -> logfollower.LogFollower:
         """Make the follower of one topic."""
         log = store.StoreTopic(self.settings.store, topic)
+        bounds = self.settings.bounds
+        apply_s = min(bounds.config_apply_s, bounds.drain_s)
         return logfollower.LogFollower(
-            topic, log, sink, self.events, self.clock
+            topic, log, sink, self.events, apply_s, self.clock
         )
 
     def _wire_router(self) -> None:
@@ -177,7 +179,7 @@
                 self.events.run(),
                 self.peers.run(),
                 self.freeze_guard.run(),
-                self.peer_copy.run(self._list_peer_hosts, self._fetch),
+                self.peer_copy.run(self.peers.list_hosts, self._fetch),
                 self._tick(),
             )
         ]
@@ -276,10 +278,6 @@
             if follower.topic == topic:
                 follower.note_behind(offset)
 
-    def _list_peer_hosts(self) -> list[str]:
-        """List who may know what the store said."""
-        return list(dict.fromkeys([*self.peers.peers, *self.peers.seeds]))
-
     async def _fetch(self, host: str, path: str) -> bytes:
         """Fetch a page of a peer."""
         return await pagefetch.fetch(host, self.settings.peer_port, path)
--- a/arbutusvale/coordination/edgeplaces.py
+++ b/arbutusvale/coordination/edgeplaces.py
@@ -87,7 +87,6 @@
         id=server.id,
         load=parts.loads.estimate(server.id),
         slots=server.slots,
-        near=server.data_centre == parts.settings.data_centre,
         avoided=parts.avoidance.is_avoided(server.id),
     )
 
--- a/arbutusvale/coordination/engineplacement.py
+++ b/arbutusvale/coordination/engineplacement.py
@@ -9,7 +9,9 @@
   copies the cached parts from the first instead of reading them;
 - *join and return of engines*: prompts stay where they are cached; only
   new prompts and surplus reach an empty engine;
-- *bursts of plain calls*: the least loaded server, a near one among equals.
+- *plain calls from many routers*: a call is over before its router's count
+  reaches the others, so all would crowd the server that looked idle; servers
+  are drawn at random, those that stay loaded more seldom.
 """
 
 from collections.abc import Mapping
@@ -19,22 +21,22 @@
 # Stays below the users' bound of factor x mean + 3, as counts are stale.
 BOUND_MARGIN = 0.1
 BOUND_RESERVE = 2.0
-# A call that crosses data centres costs money, but less than a waiting one.
-FAR_PENALTY = 0.4
+# A server with this many times its slots in requests is drawn hardly ever; a
+# steeper slope would follow loads that are a second old.
+QUEUE_SLOTS = 4
+LEAST_WEIGHT = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidate:
     """Describe a server that may be chosen.
 
-    ``load`` is its estimated number of requests, ``near`` tells that it
-    shares this router's data centre.
+    ``load`` is its estimated number of requests.
     """
 
     id: str
     load: float
     slots: int
-    near: bool
     avoided: bool
 
 
@@ -83,18 +85,23 @@
     return Choice(least.id, 'least-loaded', source, bound)
 
 
-def choose_plain(candidates: Sequence[Candidate], tie: float) -> Choice | None:
-    """Choose the least loaded server for its slots; near ones win ties.
+def choose_plain(
+    candidates: Sequence[Candidate], draw: float
+) -> Choice | None:
+    """Draw a server, one with much load more seldom; None without any.
 
-    ``tie`` between 0 and 1 spreads equal choices over routers.
+    ``draw`` is between 0 and 1.
     """
     usable = [one for one in candidates if not one.avoided] or candidates
     if not usable:
         return None
-    offset = int(tie * len(usable))
-    turned = [*usable[offset:], *usable[:offset]]
-    least = min(turned, key=_weigh_plain)
-    return Choice(least.id, 'least-loaded', '', 0.0)
+    weights = [_weigh_plain(one) for one in usable]
+    rest = draw * sum(weights)
+    for one, weight in zip(usable, weights, strict=True):
+        rest -= weight
+        if rest < 0:
+            return Choice(one.id, 'drawn', '', 0.0)
+    return Choice(usable[-1].id, 'drawn', '', 0.0)
 
 
 def find_bound(candidates: Sequence[Candidate], load_factor: float) -> float:
@@ -104,9 +111,9 @@
 
 
 def _weigh_plain(candidate: Candidate) -> float:
-    """Return the load for each slot, with a penalty for distance."""
-    penalty = 0.0 if candidate.near else FAR_PENALTY
-    return (candidate.load + penalty) / candidate.slots
+    """Return the weight of a server in a draw."""
+    busy = candidate.load / (candidate.slots * QUEUE_SLOTS)
+    return candidate.slots * max(LEAST_WEIGHT, 1 - busy)
 
 
 def _find_source(ranking: Sequence[str], holders: Mapping[str, float]) -> str:
--- a/arbutusvale/coordination/logfollower.py
+++ b/arbutusvale/coordination/logfollower.py
@@ -21,16 +21,15 @@
 POLL_S = 1.0
 READERS = 3
 MAX_POLL_S = 10.0
-# An answer that is on its way arrives within this time, and a follower that
-# settles has asked again.
-HINT_S = 0.6
+# A busy topic isn't asked for each record by itself: this share of the time
+# in which a change must be in force passes between two calls.
+SETTLE_SHARE = 0.3
+# An answer that is on its way arrives within this time.
+ANSWER_S = 0.3
 # Work that waits for a fresh look waits no longer: the store answers in 4 ms.
 REFRESH_S = 0.5
 REFRESH_STEP_S = 0.02
 NEVER = -1e9
-# Keeps a busy topic from asking for each record by itself; a quarter of the
-# least time in which a change must be in force.
-SETTLE_S = 0.4
 _FIRST_RETRY_S = 0.1
 _MAX_RETRY_S = 0.8
 # After an outage that entries can lapse in, which takes three heartbeats.
@@ -65,7 +64,10 @@
 
 
 class LogFollower:
-    """Keep a sink up to date with one topic."""
+    """Keep a sink up to date with one topic.
+
+    ``apply_s`` is the time in which a change must be in force, in seconds.
+    """
 
     def __init__(
         self,
@@ -73,9 +75,11 @@
         log: keyedlog.KeyedLog,
         sink: Sink,
         events: eventlog.EventLog,
+        apply_s: float,
         clock: Callable[[], float] = time.monotonic,
     ):
         self.topic = topic
+        self.settle_s = SETTLE_SHARE * apply_s
         self.log = log
         self.sink = sink
         self.events = events
@@ -87,6 +91,7 @@
         self.hinted = False
         self.told_offset = 0
         self.at_once = False
+        self.dropped = False
         self.wait_s = 0.0
 
     def needs_copy(self) -> bool:
@@ -130,13 +135,18 @@
                 )
                 self.offset = None
             except errors.StoreUnavailable as error:
-                await self._back_off(error)
+                if self.dropped:
+                    # This router ended the call; the store may be well.
+                    self.dropped = False
+                else:
+                    await self._back_off(error)
             else:
                 if found:
-                    await asyncio.sleep(SETTLE_S)
+                    await asyncio.sleep(self.settle_s)
 
     def look_again(self) -> None:
         """Drop a call in flight, as its answer may have been lost."""
+        self.dropped = True
         self.at_once = True
         self.log.disconnect()
 
@@ -149,7 +159,7 @@
             return
         self.hinted = True
         loop = asyncio.get_running_loop()
-        loop.call_later(HINT_S, self._check_hint, offset)
+        loop.call_later(self.settle_s + ANSWER_S, self._check_hint, offset)
 
     def _check_hint(self, offset: int) -> None:
         """Drop the call in flight if it still hasn't brought the offset."""
@@ -161,7 +171,13 @@
             self.look_again()
 
     def _poll_s(self) -> float:
-        """Return how long one call waits for records."""
+        """Return how long one call waits for records.
+
+        After a failure an answer is wanted at once, whatever it holds: a
+        call that waits and is never answered would hang for its whole wait.
+        """
+        if self.at_once or self.contact.lost_at is not None:
+            return 0.0
         readers = self.count_readers()
         return min(MAX_POLL_S, POLL_S * max(1.0, readers / READERS))
 
@@ -172,8 +188,9 @@
             return_by = self._note_answer()
             self.sink.replace(page.records, return_by)
         else:
-            self.wait_s = 0.0 if self.at_once else self._poll_s()
+            self.wait_s = self._poll_s()
             self.at_once = False
+            self.dropped = False
             page = await self.log.read_on(self.offset, self.wait_s)
             return_by = self._note_answer()
             self.sink.update(page.records, return_by)
--- a/arbutusvale/coordination/peers.py
+++ b/arbutusvale/coordination/peers.py
@@ -87,6 +87,10 @@
         """Return the number of live routers, this one included."""
         return 1 + len(self._live())
 
+    def list_hosts(self) -> list[str]:
+        """List who may know what the store said, live peers first."""
+        return list(dict.fromkeys([*self._live(), *self.peers, *self.seeds]))
+
     def note_place(self, prompt: str, server_id: str) -> None:
         """Tell peers with the next messages that an engine reads a prompt."""
         self.places.append(peernews.CachePlace(prompt, server_id))
--- a/tests/coordination/test_peers.py
+++ b/tests/coordination/test_peers.py
@@ -124,6 +124,16 @@
     assert rate <= peers.FULL_RATE_PEERS / peers.SEND_S * 1.01
 
 
+def test_peers_that_were_heard_of_late_are_asked_first():
+    network = Network(4)
+    network.run(3)
+    one = network.routers['10.0.0.0']
+    del network.routers['10.0.0.1']
+    network.run(2)
+    assert one.list_hosts()[:2] == ['10.0.0.2', '10.0.0.3']
+    assert set(one.list_hosts()) == {'10.0.0.1', '10.0.0.2', '10.0.0.3'}
+
+
 def test_odd_datagrams_change_nothing():
     network = Network(2)
     network.run(2)
