--- /dev/null
+++ b/tests/variants.py
@@ -0,0 +1,121 @@
+"""Write variants of a site file for the bench, each from a fixed seed.
+
+Usage: python -m tests.variants SITE_FILE FOLDER COUNT
+
+Each variant changes what a router may not take for granted: the number of
+VMs, servers and slots, bounds, prices, traffic, organisations, prompts.
+"""
+
+import pathlib
+import random
+import re
+import shutil
+import sys
+
+SCALES = (0.5, 1.0, 1.5)
+
+
+def vary(text, seed):
+    """Return the text of a site file with some things changed."""
+    generator = random.Random(seed)
+    changes = [
+        _vary_machines,
+        _vary_slots,
+        _vary_bounds,
+        _vary_traffic,
+        _drop_organisations,
+        _vary_attempts,
+        _vary_limits,
+    ]
+    for change in generator.sample(changes, generator.randint(2, 4)):
+        text = change(text, generator)
+    return text
+
+
+def _vary_machines(text, generator):
+    """Give each data centre another number of entry VMs."""
+    return re.sub(
+        r'(class = "front".*?count = )\d+',
+        lambda found: f'{found[1]}{generator.randint(1, 4)}',
+        text,
+    )
+
+
+def _vary_slots(text, generator):
+    """Change slots and queues of plain services."""
+    slots = generator.randint(2, 16)
+    return re.sub(
+        r'slots = 6, queue = 24',
+        f'slots = {slots}, queue = {generator.choice((2, 8, 40))}',
+        text,
+    )
+
+
+def _vary_bounds(text, generator):
+    """Change times and budgets that the operators promise or demand."""
+    for name, values in (
+        ('drain_ms', (1500, 2000, 4000)),
+        ('config_ms', (1500, 2500, 4000)),
+        ('grace_s', (6.0, 8.0, 12.0)),
+        ('budget_slack', (20.0, 56.0, 120.0)),
+    ):
+        text = re.sub(
+            rf'^{name} = .*$', f'{name} = {generator.choice(values)}', text,
+            flags=re.M,
+        )  # fmt: skip
+    return text
+
+
+def _vary_traffic(text, generator):
+    """Send more or less."""
+    scale = generator.choice(SCALES)
+    return re.sub(
+        r'per_s = ([\d.]+), clients',
+        lambda found: f'per_s = {float(found[1]) * scale:.2f}, clients',
+        text,
+    )
+
+
+def _drop_organisations(text, generator):
+    """Ask for no keys."""
+    text = re.sub(r'^\[tenants\]\ncount = \d+\n', '', text, flags=re.M)
+    return text.replace('"tenants", ', '')
+
+
+def _vary_attempts(text, generator):
+    """Change how many servers a request may be sent to."""
+    return re.sub(
+        r'attempts = [12]',
+        lambda found: f'attempts = {generator.randint(1, 3)}',
+        text,
+    )
+
+
+def _vary_limits(text, generator):
+    """Have the platform's store forget sooner and take fewer calls."""
+    return re.sub(
+        r'^reads_per_s = .*$',
+        f'reads_per_s = {generator.choice((200.0, 1000.0))}',
+        text,
+        flags=re.M,
+    )
+
+
+def main(site_file, folder, count):
+    """Write the variants beside copies of what the site file names."""
+    site = pathlib.Path(site_file)
+    target = pathlib.Path(folder)
+    target.mkdir(parents=True, exist_ok=True)
+    for other in site.parent.iterdir():
+        if other.suffix != '.toml':
+            shutil.copy(other, target / other.name)
+    for seed in range(int(count)):
+        text = vary(site.read_text(), seed)
+        name = f'{site.stem}-v{seed}'
+        text = re.sub(r'^name = ".*?"', f'name = "{name}"', text, count=1)
+        text = text.replace(f'name = "{site.stem}"', f'name = "{name}"')
+        (target / f'{name}.toml').write_text(text)
+
+
+if __name__ == '__main__':
+    main(*sys.argv[1:])
