--- a/arbutusvale/coordination/edgecall.py
+++ b/arbutusvale/coordination/edgecall.py
@@ -103,6 +103,7 @@
         self.sent = 0
         self.may_have_run = False
         self.failure: Failed | None = None
+        self.first_byte_s: float | None = None
 
     async def run(self) -> None:
         """Send the request until it is answered or given up."""
@@ -271,6 +272,7 @@
         now = self.parts.clock()
         self.parts.heard_at[server.id] = now
         self.parts.measures.note_first_byte(self.order.pool, now - sent_at)
+        self.first_byte_s = now - self.order.request.received_at
         if head.load is not None:
             self.parts.loads.note_report(
                 server.id, head.load.running + head.load.waiting
@@ -540,6 +542,7 @@
             status=status,
             server=server or '-',
             sent=self.sent,
+            first=self.first_byte_s if self.first_byte_s is not None else '-',
             age=now - order.request.received_at,
             left=order.deadline - now,
             config=order.version,
--- a/arbutusvale/coordination/edgeplaces.py
+++ b/arbutusvale/coordination/edgeplaces.py
@@ -92,6 +92,11 @@
 
 
 def _find_address(parts: edgeparts.EdgeParts, server_id: str) -> str:
-    """Return the address of a listed server, or empty."""
+    """Return the address of a listed server, or empty.
+
+    A server that fails is no source: the copy would hang with it.
+    """
     one = parts.servers.listed.get(server_id)
-    return one.server.address if one is not None else ''
+    if one is None or parts.avoidance.is_avoided(server_id):
+        return ''
+    return one.server.address
--- a/arbutusvale/coordination/peercopy.py
+++ b/arbutusvale/coordination/peercopy.py
@@ -80,19 +80,25 @@
         )
 
     async def _ask(self, host: str, fetch: Fetch) -> bool:
-        """Take a peer's lists over; tell whether it had any."""
+        """Take a peer's lists over; tell whether they brought news."""
         try:
-            document = json.loads(await fetch(host, PATH))
+            data = await fetch(host, PATH)
+        except errors.ServerFailed as error:
+            self.events.write('peer-copy-failed', host=host, cause=error.cause)
+            return False
+        return self.take(host, data)
+
+    def take(self, host: str, data: bytes) -> bool:
+        """Take over what a peer offered, as far as it is newer."""
+        try:
+            document = json.loads(data)
             config = base64.b64decode(document['config'])
             config_offset = int(document['config_offset'])
             records = [
-                keyedlog.Record(str(server_id), base64.b64decode(data))
-                for server_id, data in document['servers'].items()
+                keyedlog.Record(str(server_id), base64.b64decode(entry))
+                for server_id, entry in document['servers'].items()
             ]
             server_offset = int(document['server_offset'])
-        except errors.ServerFailed as error:
-            self.events.write('peer-copy-failed', host=host, cause=error.cause)
-            return False
         except (
             ValueError, KeyError, TypeError, AttributeError, binascii.Error,
         ) as error:  # fmt: skip
--- a/arbutusvale/platform/store.py
+++ b/arbutusvale/platform/store.py
@@ -3,7 +3,6 @@
 import asyncio
 import base64
 import binascii
-import dataclasses
 import json
 import urllib.parse
 
@@ -25,13 +24,6 @@
 _HEADER_BYTES = 16
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Head:
-    """Hold the status of a store's answer."""
-
-    status: int
-
-
 class StoreTopic:
     """Read partition 0 of one keyed topic over a connection of its own."""
 
@@ -128,21 +120,14 @@
             f'GET {target} HTTP/1.1\r\n'
             f'Host: {self.address.host}:{self.address.port}\r\n\r\n'
         )
-        exchange = connection.send(request.encode(), _decode_head)
+        exchange = connection.send(
+            request.encode(), httpconnection.decode_status
+        )
         head = await exchange.head
-        parts = []
-        while data := await connection.read(exchange):
-            parts.append(data)
+        body = await connection.read_all(exchange)
         if not connection.release():
             self.connection = None
-        return head.status, b''.join(parts)
-
-
-def _decode_head(
-    status: int, reason: bytes, headers: httpconnection.Headers
-) -> _Head:
-    """Keep the status."""
-    return _Head(status)
+        return head.status, body
 
 
 def _parse_object(data: bytes) -> dict:
--- a/arbutusvale/transport/httpconnection.py
+++ b/arbutusvale/transport/httpconnection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import time
 import typing
 
@@ -24,6 +25,18 @@
     status: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StatusHead:
+    """Hold no more of an answer's head than its status."""
+
+    status: int
+
+
+def decode_status(status: int, reason: bytes, headers: Headers) -> StatusHead:
+    """Decode a head of which only the status counts."""
+    return StatusHead(status)
+
+
 class Exchange:
     """Follow the answer to one request.
 
@@ -193,6 +206,13 @@
             raise exchange.error
         return b''
 
+    async def read_all(self, exchange: Exchange) -> bytes:
+        """Return the whole body; raise ServerFailed."""
+        parts = []
+        while data := await self.read(exchange):
+            parts.append(data)
+        return b''.join(parts)
+
     def release(self) -> bool:
         """End a complete exchange; tell whether another may follow."""
         self.exchange = None
--- a/arbutusvale/transport/pagefetch.py
+++ b/arbutusvale/transport/pagefetch.py
@@ -1,7 +1,6 @@
 """Fetch a short page from another VM."""
 
 import asyncio
-import dataclasses
 
 from arbutusvale import errors
 from arbutusvale.transport import httpconnection
@@ -10,35 +9,21 @@
 _OK = 200
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Head:
-    """Hold the status of a page."""
-
-    status: int
-
-
 async def fetch(host: str, port: int, path: str) -> bytes:
     """Return the body of a page; raise ServerFailed."""
     connection = await httpconnection.open_connection(host, port, TIMEOUT_S)
     request = f'GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n'
     try:
         async with asyncio.timeout(TIMEOUT_S):
-            exchange = connection.send(request.encode(), _decode)
+            exchange = connection.send(
+                request.encode(), httpconnection.decode_status
+            )
             head = await exchange.head
-            parts = []
-            while data := await connection.read(exchange):
-                parts.append(data)
+            body = await connection.read_all(exchange)
     except TimeoutError as error:
         raise errors.ServerFailed('no page in time', True) from error
     finally:
         connection.abort()
     if head.status != _OK:
         raise errors.ServerFailed(f'status {head.status}', True)
-    return b''.join(parts)
-
-
-def _decode(
-    status: int, reason: bytes, headers: httpconnection.Headers
-) -> _Head:
-    """Keep the status."""
-    return _Head(status)
+    return body
--- /dev/null
+++ b/tests/coordination/test_edge_schedules.py
@@ -0,0 +1,195 @@
+"""Explore interleavings of what several edge routers decide at once.
+
+A seeded explorer mixes records of the store, reads, lost history, copies
+from peers, freezes and restarts in any order.  What must hold is checked
+after each step.
+"""
+
+import json
+import random
+
+import pytest
+
+from arbutusvale.coordination import configview
+from arbutusvale.coordination import peercopy
+from arbutusvale.coordination import serverview
+from arbutusvale.platform import records
+from arbutusvale.protocol import keyedlog
+from arbutusvale.state import serverlist
+from arbutusvale.state import suspects
+from tests import helpers_edge
+
+ROUTERS = 3
+SERVERS = 4
+STEPS = 150
+
+
+class Store:
+    """One log for each topic; the newest record of each key stays."""
+
+    def __init__(self):
+        self.topics = {'config': [], 'servers': []}
+        self.version = 0
+
+    def configure(self):
+        self.version += 1
+        data = helpers_edge.make_config(self.version)
+        self.topics['config'].append(keyedlog.Record('config', data))
+
+    def write_server(self, generator, born):
+        name = f's{generator.randrange(SERVERS)}'
+        state = generator.choice(('ready', 'ready', 'draining', 'gone'))
+        value = None
+        if state != 'gone':
+            value = helpers_edge.make_entry(
+                '1.1.1.1:1', State=state, born=born
+            )
+        self.topics['servers'].append(keyedlog.Record(name, value))
+
+    def newest(self, topic):
+        return {one.key: one for one in self.topics[topic]}
+
+
+class Router:
+    """The lists of one incarnation of a router."""
+
+    def __init__(self, clock):
+        self.events = helpers_edge.Events()
+        self.config = configview.ConfigView(
+            configview.Source('config', records.read_configuration),
+            self.events,
+            clock,
+        )
+        self.servers = serverlist.ServerList(clock)
+        self.view = serverview.ServerView(
+            self.servers, records.read_server, self.events, lambda one: None
+        )
+        self.followers = {}
+        for topic, sink in (('config', self.config), ('servers', self.view)):
+            self.followers[topic] = Follower(topic, sink)
+        self.copy = peercopy.PeerCopy(
+            self.config,
+            self.view,
+            self.followers['config'],
+            self.followers['servers'],
+            self.events,
+        )
+        self.highest = 0
+
+    def read(self, store, generator):
+        topic = generator.choice(list(self.followers))
+        follower = self.followers[topic]
+        log = store.topics[topic]
+        if follower.offset is None or generator.random() < 0.1:
+            newest = [one for one in store.newest(topic).values() if one.value]
+            follower.sink.replace(newest, None)
+            follower.offset = len(log)
+            return
+        end = generator.randint(follower.offset, len(log))
+        follower.sink.update(log[follower.offset : end], None)
+        follower.offset = end
+
+    def take_copy(self, peer):
+        status, text = peer.copy.offer()
+        if status == 200:
+            self.copy.take('peer', text.encode())
+
+    def ready(self):
+        return {one.server.id for one in self.servers.ready('chat')}
+
+
+class Follower:
+    """Stand in for a follower: its offset and its sink."""
+
+    def __init__(self, topic, sink):
+        self.topic = topic
+        self.sink = sink
+        self.offset = None
+
+
+def expect_ready(store):
+    """Return the servers that the whole log lists as ready."""
+    return {
+        one.key
+        for one in store.newest('servers').values()
+        if one.value and json.loads(one.value)['State'] == 'ready'
+    }
+
+
+@pytest.mark.parametrize('seed', range(60))
+def test_routers_agree_with_the_store_whatever_the_order(seed):
+    generator = random.Random(seed)
+    clock = helpers_edge.Clock()
+    store = Store()
+    store.configure()
+    routers = [Router(clock) for _ in range(ROUTERS)]
+    for step in range(STEPS):
+        clock.now += generator.expovariate(5)
+        number = generator.randrange(ROUTERS)
+        router = routers[number]
+        match generator.randrange(8):
+            case 0:
+                store.configure()
+            case 1:
+                store.write_server(generator, step)
+            case 2:
+                router.take_copy(generator.choice(routers))
+            case 3 if generator.random() < 0.1:
+                routers[number] = Router(clock)
+            case _:
+                router.read(store, generator)
+        for one in routers:
+            assert one.config.version >= one.highest
+            one.highest = one.config.version
+            check_prefix(one, store)
+    for one in routers:
+        for topic, follower in one.followers.items():
+            start = follower.offset or 0
+            follower.sink.update(store.topics[topic][start:], None)
+        assert one.config.version == store.version
+        assert one.ready() == expect_ready(store)
+
+
+def check_prefix(router, store):
+    """What a router takes for ready is what the log says up to its offset."""
+    offset = router.followers['servers'].offset
+    if offset is None:
+        assert router.ready() == set()
+        return
+    seen = {one.key: one for one in store.topics['servers'][:offset]}
+    ready = {
+        one.key
+        for one in seen.values()
+        if one.value and json.loads(one.value)['State'] == 'ready'
+    }
+    assert router.ready() == ready
+
+
+@pytest.mark.parametrize('seed', range(40))
+def test_suspicions_agree_in_any_order_of_messages(seed):
+    """A request is quarantined everywhere once two crashes are known."""
+    generator = random.Random(seed)
+    clock = helpers_edge.Clock()
+    tables = [suspects.SuspectTable(clock) for _ in range(ROUTERS)]
+    crashes = [f'e{number}/1' for number in range(4)]
+    for _ in range(40):
+        table = generator.choice(tables)
+        match generator.randrange(3):
+            case 0:
+                table.merge(b'p', [generator.choice(crashes)])
+            case 1:
+                table.clear(b'p')
+            case 2:
+                other = generator.choice(tables)
+                for fingerprint, one in other.list_newest():
+                    table.merge(fingerprint, one.crashes, one.cleared)
+    for _ in range(2):
+        for table in tables:
+            for other in tables:
+                for fingerprint, one in other.list_newest():
+                    table.merge(fingerprint, one.crashes, one.cleared)
+    states = set()
+    for table in tables:
+        found = table.find(b'p')
+        states.add(found is not None and found.quarantined)
+    assert len(states) == 1
