Copy system prompts between engines for new sessions; tell cache places at once

The chosen engine now copies the deepest part that another holds.

Suspicions told to peers now carry what cleared them.

--- a/arbutusvale/coordination/edgecall.py
+++ b/arbutusvale/coordination/edgecall.py
@@ -195,9 +195,9 @@
             order.request, sending, self.forwarded
         )
         self.parts.loads.begin(server.id)
-        if place.prompt:
-            if self.parts.prompts.note(place.prompt, server.id):
-                self.parts.peers.note_place(place.prompt, server.id)
+        for part in place.parts_read:
+            if self.parts.prompts.note(part, server.id):
+                self.parts.peers.note_place(part, server.id)
         complete = False
         try:
             sent_at = self.parts.clock()
--- a/arbutusvale/coordination/edgeplaces.py
+++ b/arbutusvale/coordination/edgeplaces.py
@@ -21,7 +21,7 @@
 class Place:
     """Hold a chosen server; ``cache_source`` is an address or empty.
 
-    ``prompt`` is the id under which the choice is remembered.
+    ``parts_read`` are the shared parts that the server will then hold.
     """
 
     server: directcall.BackendServer
@@ -29,7 +29,7 @@
     load: float
     bound: float
     cache_source: str
-    prompt: str
+    parts_read: tuple[str, ...]
 
 
 def place(
@@ -41,19 +41,23 @@
         _describe(parts, one) for one in ready if one.server.id not in tried
     ]
     servers = {one.server.id: one.server for one in ready}
-    prompt = find_prompt(order.traits)
-    if not prompt:
+    parts_read = list_shared_parts(order.traits)
+    if not parts_read:
         choice = engineplacement.choose_plain(
             candidates, parts.generator.random()
         )
+        source = ''
     else:
-        ranking = parts.ranking(order.pool, list(servers))
+        levels = [parts.prompts.holders(one) for one in parts_read]
+        ranking = parts.ranking(order.pool, list(servers)).rank(
+            parts_read[0], len(servers)
+        )
         choice = engineplacement.choose_engine(
-            candidates,
-            ranking.rank(prompt, len(servers)),
-            parts.prompts.holders(prompt),
-            parts.settings.bounds.load_factor,
+            candidates, ranking, levels[0], parts.settings.bounds.load_factor
         )
+        source = ''
+        if choice is not None:
+            source = engineplacement.find_source(ranking, levels, choice.id)
     if choice is None:
         return None
     return Place(
@@ -61,21 +65,19 @@
         reason=choice.reason,
         load=parts.loads.estimate(choice.id),
         bound=choice.bound,
-        cache_source=_find_address(parts, choice.cache_source),
-        prompt=prompt,
+        cache_source=_find_address(parts, source),
+        parts_read=parts_read,
     )
 
 
-def find_prompt(traits: directcall.RequestTraits) -> str:
-    """Return the id of the deepest part that requests share, or empty.
+def list_shared_parts(traits: directcall.RequestTraits) -> tuple[str, ...]:
+    """Return the ids of the parts that requests share, the deepest first.
 
-    The last part belongs to one request or session.
+    The last part belongs to one request or session; it counts only when it
+    is the only one.  A part is the same only under the same model.
     """
-    if len(traits.prompt) >= 2:
-        return f'{traits.model}/{traits.prompt[-2].id}'
-    if traits.prompt:
-        return f'{traits.model}/{traits.prompt[0].id}'
-    return ''
+    shared = traits.prompt[:-1] or traits.prompt
+    return tuple(f'{traits.model}/{part.id}' for part in reversed(shared))
 
 
 def _describe(
--- a/arbutusvale/coordination/engineplacement.py
+++ b/arbutusvale/coordination/engineplacement.py
@@ -2,6 +2,8 @@
 
 Load patterns answered:
 
+- *new sessions*: their first parts are system prompts that other engines have
+  read; the chosen engine copies what it lacks;
 - *returning prompts*: a request goes where the shared parts of its prompt
   were read last, so that they are not read again;
 - *hot prompt*: once an engine stands at its bound, the next engine of the
@@ -44,14 +46,11 @@
 class Choice:
     """Name the chosen server and why.
 
-    ``cache_source`` is the id of the engine that holds the prompt when the
-    chosen one doesn't; empty for none.  ``bound`` is the highest load at
-    which the server would have been chosen by its cache.
+    ``bound`` is the highest load at which an engine is chosen by its cache.
     """
 
     id: str
     reason: str
-    cache_source: str
     bound: float
 
 
@@ -75,14 +74,32 @@
     holding = [one for one in ranked if one.id in holders]
     for one in holding:
         if one.load + 1 <= bound:
-            return Choice(one.id, 'cached', '', bound)
-    source = _find_source(ranking, holders)
+            return Choice(one.id, 'cached', bound)
     for one in ranked:
         if one.load + 1 <= bound:
             reason = 'surplus' if holders else 'ranked'
-            return Choice(one.id, reason, source, bound)
+            return Choice(one.id, reason, bound)
     least = min(usable, key=lambda one: one.load)
-    return Choice(least.id, 'least-loaded', source, bound)
+    return Choice(least.id, 'least-loaded', bound)
+
+
+def find_source(
+    ranking: Sequence[str],
+    levels: Sequence[Mapping[str, float]],
+    chosen: str,
+) -> str:
+    """Return the engine to copy cached parts from; empty for none.
+
+    ``levels`` holds the engines that read each shared part of the prompt,
+    the deepest part first.  Copying beats reading: it costs a sixth, and a
+    tenth of the time.
+    """
+    for holders in levels:
+        if chosen in holders:
+            return ''
+        if holders:
+            return _best_holder(ranking, holders)
+    return ''
 
 
 def choose_plain(
@@ -100,8 +117,8 @@
     for one, weight in zip(usable, weights, strict=True):
         rest -= weight
         if rest < 0:
-            return Choice(one.id, 'drawn', '', 0.0)
-    return Choice(usable[-1].id, 'drawn', '', 0.0)
+            return Choice(one.id, 'drawn', 0.0)
+    return Choice(usable[-1].id, 'drawn', 0.0)
 
 
 def find_bound(candidates: Sequence[Candidate], load_factor: float) -> float:
@@ -116,11 +133,11 @@
     return candidate.slots * max(LEAST_WEIGHT, 1 - busy)
 
 
-def _find_source(ranking: Sequence[str], holders: Mapping[str, float]) -> str:
-    """Return the engine to copy from: the best ranked one that holds it.
+def _best_holder(ranking: Sequence[str], holders: Mapping[str, float]) -> str:
+    """Return the best ranked engine that holds a part.
 
     An engine that no longer takes requests isn't ranked but still serves
-    copies; the one that read the prompt last comes first among these.
+    copies; the one that read the part last comes first among these.
     """
     for one in ranking:
         if one in holders:
--- a/arbutusvale/coordination/peers.py
+++ b/arbutusvale/coordination/peers.py
@@ -31,10 +31,14 @@
 LIVE_SENDINGS = 4
 # Named peers are tried for this long before they count as gone.
 FORGET_S = 30.0
-MAX_PLACES = 16
+MAX_PLACES = 10
+# A new cache place is told after this time, together with others: until it is
+# known, other routers read the same part at other engines.
+PLACE_DELAY_S = 0.05
 MAX_PENDING_PLACES = 512
 MAX_NAMED = 8
 MAX_LOADS = 30
+MAX_SUSPECTS = 2
 
 
 @dataclasses.dataclass(slots=True)
@@ -78,6 +82,7 @@
         self.leaving = False
         self.malformed = 0
         self.turn = 0
+        self.has_places = asyncio.Event()
 
     def interval_s(self) -> float:
         """Return the time between two messages to one peer."""
@@ -92,8 +97,9 @@
         return list(dict.fromkeys([*self._live(), *self.peers, *self.seeds]))
 
     def note_place(self, prompt: str, server_id: str) -> None:
-        """Tell peers with the next messages that an engine reads a prompt."""
+        """Tell peers soon that an engine reads a prompt."""
         self.places.append(peernews.CachePlace(prompt, server_id))
+        self.has_places.set()
 
     def receive(self, data: bytes) -> None:
         """Take over a message."""
@@ -117,14 +123,22 @@
         if self.suspects is not None:
             for one in news.suspicions:
                 self.suspects.merge(
-                    bytes.fromhex(one.fingerprint), one.crashes
+                    bytes.fromhex(one.fingerprint), one.crashes, one.cleared
                 )
 
     async def run(self) -> None:
         """Send messages until cancelled."""
         while True:
             self.tell()
-            await asyncio.sleep(self.interval_s())
+            end = self.clock() + self.interval_s()
+            if not self.places:
+                self.has_places.clear()
+            try:
+                async with asyncio.timeout(end - self.clock()):
+                    await self.has_places.wait()
+            except TimeoutError:
+                continue
+            await asyncio.sleep(PLACE_DELAY_S)
 
     def tell(self) -> None:
         """Send one message to every peer, and to silent seeds now and then."""
@@ -165,8 +179,12 @@
         if self.suspects is None:
             return ()
         return tuple(
-            peernews.Suspicion(fingerprint.hex(), tuple(sorted(one.crashes)))
-            for fingerprint, one in self.suspects.list_newest()[:2]
+            peernews.Suspicion(
+                fingerprint.hex(),
+                tuple(sorted(one.crashes)),
+                tuple(sorted(one.cleared)),
+            )
+            for fingerprint, one in self.suspects.list_newest()[:MAX_SUSPECTS]
         )
 
     def _note_peer(self, news: peernews.PeerNews) -> None:
--- a/arbutusvale/protocol/peernews.py
+++ b/arbutusvale/protocol/peernews.py
@@ -24,10 +24,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Suspicion:
-    """Tell which crashes a request was in flight at."""
+    """Tell which crashes a request was in flight at.
+
+    ``cleared`` are those after which a server ran the request to its end.
+    """
 
     fingerprint: str
     crashes: tuple[str, ...]
+    cleared: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,7 +65,8 @@
             'peers': news.peers,
             'places': [[one.prompt, one.server_id] for one in news.places],
             'suspects': [
-                [one.fingerprint, *one.crashes] for one in news.suspicions
+                [one.fingerprint, one.crashes, one.cleared]
+                for one in news.suspicions
             ],
             'leaving': news.leaving,
         },
@@ -80,14 +85,14 @@
             host=_text(document['host']),
             offsets=_counts(document['at']),
             loads=_counts(document['load']),
-            peers=tuple(_text(one) for one in document['peers']),
+            peers=_texts(document['peers']),
             places=tuple(
                 CachePlace(_text(prompt), _text(server_id))
                 for prompt, server_id in document['places']
             ),
             suspicions=tuple(
-                Suspicion(_text(first), tuple(_text(one) for one in rest))
-                for first, *rest in document['suspects']
+                Suspicion(_text(fingerprint), _texts(crashes), _texts(cleared))
+                for fingerprint, crashes, cleared in document['suspects']
             ),
             leaving=document['leaving'] is True,
         )
@@ -104,6 +109,13 @@
     return value
 
 
+def _texts(value: object) -> tuple[str, ...]:
+    """Return texts or raise TypeError."""
+    if not isinstance(value, list):
+        raise TypeError('not a list')
+    return tuple(_text(one) for one in value)
+
+
 def _counts(value: object) -> dict[str, int]:
     """Return a map of counts or raise TypeError."""
     if not isinstance(value, dict):
--- a/arbutusvale/state/promptmap.py
+++ b/arbutusvale/state/promptmap.py
@@ -10,8 +10,7 @@
 class PromptMap:
     """Map a prompt to the engines that this router sent it to.
 
-    Soft state, bounded: the least recently used prompt yields.  A prompt is
-    known by the id of its deepest shared part.
+    Soft state, bounded: the least recently used part yields.
     """
 
     def __init__(self, clock: Callable[[], float]):
--- a/tests/coordination/test_engineplacement.py
+++ b/tests/coordination/test_engineplacement.py
@@ -32,8 +32,11 @@
             FACTOR,
         )
         held = self.holders.setdefault(prompt, {})
+        source = engineplacement.find_source(
+            list(self.loads), [held], choice.id
+        )
         if choice.id not in held:
-            if choice.cache_source in self.loads:
+            if source in self.loads:
                 self.copies += 1
             else:
                 self.reads += 1
@@ -97,10 +100,32 @@
 
 
 def test_a_prompt_of_a_leaving_engine_is_copied_from_it():
-    choice = engineplacement.choose_engine(
-        [make('e1'), make('e2')], ['e1', 'e2'], {'leaving': 5.0}, FACTOR
-    )
-    assert choice.cache_source == 'leaving'
+    levels = [{'leaving': 5.0, 'left': 2.0}]
+    source = engineplacement.find_source(['e1', 'e2'], levels, 'e1')
+    assert source == 'leaving'
+
+
+def test_a_new_prompt_copies_the_part_that_many_prompts_share():
+    """A new session begins with a system prompt that others have read.
+
+    Without a copy each engine of a pool reads each system prompt once more.
+    """
+    levels = [{}, {'e2': 1.0, 'e3': 2.0}]
+    source = engineplacement.find_source(['e1', 'e3', 'e2'], levels, 'e1')
+    assert source == 'e3'
+
+
+def test_what_an_engine_holds_itself_is_not_copied():
+    levels = [{'e1': 1.0}, {'e1': 1.0, 'e2': 1.0}]
+    assert engineplacement.find_source(['e1', 'e2'], levels, 'e1') == ''
+    levels = [{}, {'e1': 1.0, 'e2': 1.0}]
+    assert engineplacement.find_source(['e1', 'e2'], levels, 'e1') == ''
+
+
+def test_the_deepest_part_that_another_engine_holds_is_copied():
+    levels = [{'e2': 1.0}, {'e1': 1.0, 'e3': 1.0}]
+    ranking = ['e1', 'e3', 'e2']
+    assert engineplacement.find_source(ranking, levels, 'e1') == 'e2'
 
 
 def test_an_avoided_engine_is_passed_over_while_there_are_others():
@@ -108,7 +133,7 @@
     choice = engineplacement.choose_engine(
         [make('e1', avoided=True), make('e2')], ['e1', 'e2'], holders, FACTOR
     )
-    assert (choice.id, choice.cache_source) == ('e2', 'e1')
+    assert choice.id == 'e2'
     alone = engineplacement.choose_engine(
         [make('e1', avoided=True)], ['e1'], holders, FACTOR
     )
--- a/tests/coordination/test_peers.py
+++ b/tests/coordination/test_peers.py
@@ -1,6 +1,8 @@
 """Messages between edge routers, lost, odd and in any order."""
 
+import asyncio
 import random
+import time
 
 from arbutusvale.coordination import peers
 from arbutusvale.protocol import peernews
@@ -95,6 +97,26 @@
     assert not first.places
 
 
+def test_a_new_cache_place_does_not_wait_for_the_next_message(monkeypatch):
+    """In the first second of a day 32 routers meet the same new prompts."""
+    monkeypatch.setattr(peers, 'SEND_S', 3600.0)
+
+    async def run():
+        network = Network(2)
+        first, second = network.routers.values()
+        first.clock = time.monotonic
+        first.tell()
+        task = asyncio.create_task(first.run())
+        await asyncio.sleep(0)
+        first.note_place('p', 'e1')
+        async with asyncio.timeout(20):
+            while not second.prompts.holders('p'):
+                await asyncio.sleep(0.005)
+        task.cancel()
+
+    asyncio.run(run())
+
+
 def test_crashes_seen_by_two_routers_add_up():
     network = Network(3)
     network.run(2)
