--- a/tests/coordination/test_peers.py
+++ b/tests/coordination/test_peers.py
@@ -105,13 +105,20 @@
         network = Network(2)
         first, second = network.routers.values()
         first.clock = time.monotonic
+        told = asyncio.Event()
+
+        def send(host, data):
+            network.deliver(host, data)
+            if second.prompts.holders('p'):
+                told.set()
+
+        first.send = send
         first.tell()
         task = asyncio.create_task(first.run())
         await asyncio.sleep(0)
         first.note_place('p', 'e1')
         async with asyncio.timeout(20):
-            while not second.prompts.holders('p'):
-                await asyncio.sleep(0.005)
+            await told.wait()
         task.cancel()
 
     asyncio.run(run())
