--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -11,6 +11,7 @@
 import sys
 import time
 
+from arbutusvale import errors
 from arbutusvale.coordination import avoidance
 from arbutusvale.coordination import configview
 from arbutusvale.coordination import crashwatch
@@ -258,7 +259,7 @@
         """Read the settings again; addresses stay until a restart."""
         try:
             settings = bootfile.read(self.path)
-        except Exception as error:
+        except errors.DocumentError as error:
             self.events.write('reload-failed', error=str(error))
             return
         self.settings = settings
--- a/arbutusvale/coordination/edgecall.py
+++ b/arbutusvale/coordination/edgecall.py
@@ -268,6 +268,8 @@
                 return Failed('deadline'), None
             return Failed('silent'), None
         except errors.ServerFailed as error:
+            if not error.sent:
+                return NotRun(error.cause), None
             return Failed(error.cause), None
         now = self.parts.clock()
         self.parts.heard_at[server.id] = now
