Let a starting router learn cache places from a peer

Cause: a router that a rolling restart made forget placed returning prompts by rank alone, and read those again that had moved. Its first live peer now hands over its map of cache places with the lists.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -137,13 +137,14 @@
 
     def _wire_peers(self) -> None:
         """Let routers share what each of them knows."""
-        self.peer_copy = peercopy.PeerCopy(
+        lists = peercopy.Lists(
             self.config,
             self.server_view,
             self.config_follower,
             self.server_follower,
-            self.events,
+            self.parts.prompts,
         )
+        self.peer_copy = peercopy.PeerCopy(lists, self.events)
         self.peers.loads = self.parts.loads
         self.peers.prompts = self.parts.prompts
         self.peers.suspects = self.parts.crashes.table
@@ -182,6 +183,7 @@
                 self.peers.run(),
                 self.freeze_guard.run(),
                 self.peer_copy.run(self.peers.list_hosts, self._fetch),
+                self.peer_copy.learn_places(self.peers.list_live, self._fetch),
                 self._tick(),
             )
         ]
--- a/arbutusvale/coordination/peercopy.py
+++ b/arbutusvale/coordination/peercopy.py
@@ -10,6 +10,7 @@
 import binascii
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 import json
 
 from arbutusvale import errors
@@ -18,48 +19,72 @@
 from arbutusvale.coordination import serverview
 from arbutusvale.protocol import keyedlog
 from arbutusvale.state import eventlog
+from arbutusvale.state import promptmap
 
 PATH = '/snapshot'
 # Peers answer in a few milliseconds; the store itself is asked meanwhile.
 ASK_EACH_S = 0.3
+# Peers are heard within a second of a start.
+LEARN_S = 3.0
 
 Fetch = Callable[[str, str], Awaitable[bytes]]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lists:
+    """Hold what a router knows and may copy from a peer."""
+
+    config: configview.ConfigView
+    servers: serverview.ServerView
+    config_follower: logfollower.LogFollower
+    server_follower: logfollower.LogFollower
+    prompts: promptmap.PromptMap
+
+
 class PeerCopy:
     """Offer the own lists to peers, and take theirs when they are newer."""
 
-    def __init__(
-        self,
-        config: configview.ConfigView,
-        servers: serverview.ServerView,
-        config_follower: logfollower.LogFollower,
-        server_follower: logfollower.LogFollower,
-        events: eventlog.EventLog,
-    ):
-        self.config = config
-        self.servers = servers
-        self.config_follower = config_follower
-        self.server_follower = server_follower
+    def __init__(self, lists: Lists, events: eventlog.EventLog):
+        self.lists = lists
         self.events = events
 
     def offer(self) -> tuple[int, str]:
         """Return a status and what this router knows, as JSON."""
-        config_offset = self.config_follower.offset
-        server_offset = self.server_follower.offset
+        config_offset = self.lists.config_follower.offset
+        server_offset = self.lists.server_follower.offset
         if config_offset is None or server_offset is None:
             return 503, '{}'
         document = {
-            'config': base64.b64encode(self.config.newest).decode(),
+            'config': base64.b64encode(self.lists.config.newest).decode(),
             'config_offset': config_offset,
             'servers': {
                 server_id: base64.b64encode(data).decode()
-                for server_id, data in self.servers.newest.items()
+                for server_id, data in self.lists.servers.newest.items()
             },
             'server_offset': server_offset,
+            'places': {
+                part: list(holders)
+                for part, holders in self.lists.prompts.prompts.items()
+            },
         }
         return 200, json.dumps(document)
 
+    async def learn_places(
+        self, list_live: Callable[[], list[str]], fetch: Fetch
+    ) -> bool:
+        """Ask live peers at the start where prompts are cached.
+
+        Tell whether one knew any.
+        """
+        loop = asyncio.get_running_loop()
+        end = loop.time() + LEARN_S
+        while loop.time() < end:
+            for host in list_live():
+                if await self._ask(host, fetch) and self.lists.prompts.prompts:
+                    return True
+            await asyncio.sleep(ASK_EACH_S)
+        return False
+
     async def run(
         self, list_hosts: Callable[[], list[str]], fetch: Fetch
     ) -> None:
@@ -75,8 +100,8 @@
     def _needs_copy(self) -> bool:
         """Tell whether a peer's lists would help."""
         return (
-            self.config_follower.needs_copy()
-            or self.server_follower.needs_copy()
+            self.lists.config_follower.needs_copy()
+            or self.lists.server_follower.needs_copy()
         )
 
     async def _ask(self, host: str, fetch: Fetch) -> bool:
@@ -89,7 +114,7 @@
         return self.take(host, data)
 
     def take(self, host: str, data: bytes) -> bool:
-        """Take over what a peer offered, as far as it is newer."""
+        """Take over what a peer offered, as far as it is news."""
         try:
             document = json.loads(data)
             config = base64.b64decode(document['config'])
@@ -99,6 +124,11 @@
                 for server_id, entry in document['servers'].items()
             ]
             server_offset = int(document['server_offset'])
+            places = [
+                (str(part), str(server_id))
+                for part, holders in document['places'].items()
+                for server_id in holders
+            ]
         except (
             ValueError, KeyError, TypeError, AttributeError, binascii.Error,
         ) as error:  # fmt: skip
@@ -107,20 +137,23 @@
             )
             return False
         taken = False
-        if _is_ahead(config_offset, self.config_follower):
-            self.config.take(config, f'peer {host}')
-            self.config_follower.offset = config_offset
+        for part, server_id in places:
+            taken = self.lists.prompts.note(part, server_id) or taken
+        if _is_ahead(config_offset, self.lists.config_follower):
+            self.lists.config.take(config, f'peer {host}')
+            self.lists.config_follower.offset = config_offset
             taken = True
-        if _is_ahead(server_offset, self.server_follower):
-            self.servers.replace(records, None)
-            self.server_follower.offset = server_offset
+        if _is_ahead(server_offset, self.lists.server_follower):
+            self.lists.servers.replace(records, None)
+            self.lists.server_follower.offset = server_offset
             taken = True
         if taken:
             self.events.write(
                 'peer-copy-taken',
                 host=host,
-                version=self.config.version,
+                version=self.lists.config.version,
                 servers=len(records),
+                places=len(places),
             )
         return taken
 
--- a/arbutusvale/coordination/peers.py
+++ b/arbutusvale/coordination/peers.py
@@ -90,11 +90,20 @@
 
     def count_live(self) -> int:
         """Return the number of live routers, this one included."""
-        return 1 + len(self._live())
+        return 1 + len(self.list_live())
+
+    def list_live(self) -> list[str]:
+        """List the peers that were heard of late."""
+        limit = self.clock() - LIVE_SENDINGS * self.interval_s()
+        return sorted(
+            host for host, one in self.peers.items() if one.heard_at >= limit
+        )
 
     def list_hosts(self) -> list[str]:
         """List who may know what the store said, live peers first."""
-        return list(dict.fromkeys([*self._live(), *self.peers, *self.seeds]))
+        return list(
+            dict.fromkeys([*self.list_live(), *self.peers, *self.seeds])
+        )
 
     def note_place(self, prompt: str, server_id: str) -> None:
         """Tell peers soon that an engine reads a prompt."""
@@ -160,7 +169,7 @@
         places = []
         while self.places and len(places) < MAX_PLACES:
             places.append(self.places.popleft())
-        live = self._live()
+        live = self.list_live()
         start = self.turn % max(1, len(live))
         loads = self.loads.own() if self.loads is not None else {}
         return peernews.PeerNews(
@@ -207,13 +216,6 @@
             if host != self.host and host not in self.peers:
                 self.peers[host] = _Peer(now)
 
-    def _live(self) -> list[str]:
-        """List the peers that were heard of late."""
-        limit = self.clock() - LIVE_SENDINGS * self.interval_s()
-        return sorted(
-            host for host, one in self.peers.items() if one.heard_at >= limit
-        )
-
     def _forget(self) -> None:
         """Drop peers that were silent for long."""
         limit = self.clock() - FORGET_S
--- a/tests/coordination/test_edge_schedules.py
+++ b/tests/coordination/test_edge_schedules.py
@@ -15,6 +15,7 @@
 from arbutusvale.coordination import serverview
 from arbutusvale.platform import records
 from arbutusvale.protocol import keyedlog
+from arbutusvale.state import promptmap
 from arbutusvale.state import serverlist
 from arbutusvale.state import suspects
 from tests import helpers_edge
@@ -68,10 +69,13 @@
         for topic, sink in (('config', self.config), ('servers', self.view)):
             self.followers[topic] = Follower(topic, sink)
         self.copy = peercopy.PeerCopy(
-            self.config,
-            self.view,
-            self.followers['config'],
-            self.followers['servers'],
+            peercopy.Lists(
+                self.config,
+                self.view,
+                self.followers['config'],
+                self.followers['servers'],
+                promptmap.PromptMap(clock),
+            ),
             self.events,
         )
         self.highest = 0
--- a/tests/coordination/test_peercopy.py
+++ b/tests/coordination/test_peercopy.py
@@ -10,6 +10,7 @@
 from arbutusvale.coordination import serverview
 from arbutusvale.platform import records
 from arbutusvale.protocol import keyedlog
+from arbutusvale.state import promptmap
 from arbutusvale.state import serverlist
 from tests import helpers_edge
 
@@ -32,8 +33,12 @@
             logfollower.LogFollower(topic, None, sink, self.events, 0.5, clock)
             for topic, sink in (('c', self.config), ('s', self.view))
         ]
+        self.prompts = promptmap.PromptMap(clock)
         self.copy = peercopy.PeerCopy(
-            self.config, self.view, *self.followers, self.events
+            peercopy.Lists(
+                self.config, self.view, *self.followers, self.prompts
+            ),
+            self.events,
         )
         if version is not None:
             self.learn(version)
@@ -83,6 +88,33 @@
     assert set(router.servers.listed) == {'e8'}
 
 
+def test_a_starting_router_learns_where_prompts_are_cached():
+    """A router that a rolling restart made forget would read them again."""
+    router, peer = Router(5), Router(5)
+    peer.prompts.note('m/p1', 'e1')
+    peer.prompts.note('m/p1', 'e2')
+    peer.prompts.note('m/p2', 'e3')
+
+    async def fetch(host, path):
+        return peer.copy.offer()[1].encode()
+
+    asyncio.run(router.copy.learn_places(lambda: ['peer'], fetch))
+    assert set(router.prompts.holders('m/p1')) == {'e1', 'e2'}
+    assert set(router.prompts.holders('m/p2')) == {'e3'}
+
+
+def test_learning_places_ends_when_nobody_knows_any(monkeypatch):
+    monkeypatch.setattr(peercopy, 'LEARN_S', 0.05)
+    monkeypatch.setattr(peercopy, 'ASK_EACH_S', 0.01)
+    router = Router()
+
+    async def fetch(host, path):
+        raise errors.ServerFailed('status 503', True)
+
+    asyncio.run(router.copy.learn_places(lambda: ['peer'], fetch))
+    assert router.prompts.prompts == {}
+
+
 def test_nothing_is_asked_while_the_store_answers():
     router = Router(5)
     asyncio.run(ask(router, errors.ServerFailed('not to be asked', True)))
