--- a/arbutusvale/ui/main.py
+++ b/arbutusvale/ui/main.py
@@ -127,7 +127,9 @@
 def _dispatch_load(options: dict) -> int | None:
     """Run the named load program."""
     start_logging('warning')
-    name = _first(options, ('bench', 'measure', 'play', 'claims', 'slopes'))
+    name = _first(
+        options, ('bench', 'measure', 'play', 'claims', 'slopes', 'journal')
+    )
     return _command(f'load_{name}').run(options)
 
 
--- a/arbutusvale/ui/usage.py
+++ b/arbutusvale/ui/usage.py
@@ -109,6 +109,8 @@
   arbutusvale-load play ROUTERS --key=KEY [--seed=N] [--seconds=S] [--json]
   arbutusvale-load slopes [--seed=N] [--json]
   arbutusvale-load claims PLATFORM [--seconds=S] [--json]
+  arbutusvale-load journal FOLDER [--site=NAME] [--command=NAME] [--plot=FILE]
+                           [--json]
   arbutusvale-load --help
   arbutusvale-load --version
 
@@ -117,6 +119,9 @@
   --seconds=S  Length of the play [default: 10].
   --out=DIR    Directory for the results [default: docs/measurements].
   --key=KEY    API key to call with.
+  --site=NAME  Only rounds on this site of the users' bench.
+  --command=NAME  Only rounds of this command of the bench.
+  --plot=FILE  Draw the rounds as a PNG.
   --json       Print JSON in place of a table.
   -h --help    Print this text.
   --version    Print the version.
@@ -124,6 +129,7 @@
 FILE says in YAML which running processes to measure; `make bench` starts
 them and writes it.  ROUTERS are URLs of routers, with commas between.
 PLATFORM is the address
-of a log service, whose stream of claims the program fills.
+of a log service, whose stream of claims the program fills.  FOLDER is the
+journal that the users' bench keeps in the repository.
 
 {_CODES}"""
--- /dev/null
+++ b/tests/load/test_journal.py
@@ -0,0 +1,63 @@
+"""Reading and drawing the bench's journal."""
+
+import json
+
+import pytest
+
+from arbutusvale import errors
+from arbutusvale.load import journal
+from arbutusvale.load import journalplot
+
+
+def write_entry(folder, number, **changes):
+    day = {
+        'G': 0.7,
+        'slot': 'trouble',
+        'served': 0.9,
+        'parts': [['whole day', 1.0, 0.9]],
+        'prices': [['cloud calls', 10, 0.02], ['probes', 0.0, None]],
+        'rules': {},
+    }
+    entry = {
+        'id': f'id{number}',
+        'at': [f'2026-12-04T01:{number:02}:00Z', ''],
+        'cmd': 'score',
+        'site': 'one',
+        'why': 'a reason',
+        'days': [day, day | {'G': 0.8, 'rules': {'LOST': 1}}],
+    }
+    path = folder / f'{number}.json'
+    path.write_text(json.dumps(entry | changes))
+
+
+def test_rounds_hold_means_and_broken_rules(tmp_path):
+    write_entry(tmp_path, 1)
+    write_entry(tmp_path, 2, site='two', cmd='hunt', days=[])
+    first, second = journal.read(tmp_path)
+    assert first.worth == pytest.approx(0.75)
+    assert first.prices['cloud calls'] == pytest.approx(0.02)
+    assert first.prices['probes'] == 0.0
+    assert first.broken == {'LOST': 1}
+    assert second.worth is None
+    assert journal.filter_rounds([first, second], 'two', '') == [second]
+    assert journal.filter_rounds([first, second], '', 'score') == [first]
+    table = journal.format_table([first, second])
+    assert '0.750' in table
+    assert 'LOST 1' in table
+
+
+def test_rounds_are_drawn(tmp_path):
+    for number in range(3):
+        write_entry(tmp_path, number)
+    target = tmp_path / 'rounds.png'
+    journalplot.draw(journal.read(tmp_path), target)
+    assert target.read_bytes().startswith(b'\x89PNG')
+
+
+def test_an_empty_folder_and_an_odd_file_are_told(tmp_path):
+    with pytest.raises(errors.UsageError):
+        journal.read(tmp_path)
+    (tmp_path / '1.json').write_text('[]')
+    with pytest.raises(errors.DocumentError) as caught:
+        journal.read(tmp_path)
+    assert '1.json' in str(caught.value)
--- a/tests/variants.py
+++ b/tests/variants.py
@@ -26,6 +26,9 @@
         _drop_organisations,
         _vary_attempts,
         _vary_limits,
+        _vary_vms,
+        _vary_routes,
+        _vary_engines,
     ]
     for change in generator.sample(changes, generator.randint(2, 4)):
         text = change(text, generator)
@@ -41,6 +44,43 @@
     )
 
 
+def _vary_vms(text, generator):
+    """Give entry VMs other processors, links, memory and descriptors."""
+    changes = {
+        'cpu_share': generator.choice((0.25, 0.5, 2.0)),
+        'memory_mb': generator.choice((64, 128, 512)),
+        'fds': generator.choice((600, 4100)),
+        'link_mbps': generator.choice((5.0, 20.0, 1000.0)),
+    }
+    lines = text.split('\n')
+    for number, line in enumerate(lines):
+        if 'class = "front"' in line:
+            for name, value in changes.items():
+                line = re.sub(rf'{name} = [\d.]+', f'{name} = {value}', line)
+            lines[number] = line
+    return '\n'.join(lines)
+
+
+def _vary_routes(text, generator):
+    """Configure several hundred routes that nobody asks for, or few."""
+    count = generator.choice((0, 400, 900))
+    return re.sub(r'idle_routes = \d+', f'idle_routes = {count}', text)
+
+
+def _vary_engines(text, generator):
+    """Change engines' memory, connections and events."""
+    text = re.sub(
+        r'kv_tokens = \d+',
+        f'kv_tokens = {generator.choice((120000, 300000, 900000))}',
+        text,
+    )
+    cap = generator.choice((120, 370))
+    text = re.sub(r'conn_cap = 3\d\d', f'conn_cap = {cap}', text)
+    return re.sub(
+        r'stride = \d+', f'stride = {generator.choice((1, 4, 16))}', text
+    )
+
+
 def _vary_slots(text, generator):
     """Change slots and queues of plain services."""
     slots = generator.randint(2, 16)
