--- a/arbutusvale/coordination/edgerouter.py
+++ b/arbutusvale/coordination/edgerouter.py
@@ -7,6 +7,7 @@
 
 from arbutusvale.coordination import edgeadmission
 from arbutusvale.coordination import edgecall
+from arbutusvale.coordination import edgeoutcomes
 from arbutusvale.coordination import edgeparts
 from arbutusvale.protocol import directcall
 from arbutusvale.protocol import edgeports
@@ -59,11 +60,11 @@
         match admitted:
             case Refusal():
                 self._refuse(admitted, traits, request, caller)
-            case edgecall.Order():
+            case edgeoutcomes.Order():
                 await self._hold(admitted, caller)
 
     async def _hold(
-        self, order: edgecall.Order, caller: edgeports.CallerStream
+        self, order: edgeoutcomes.Order, caller: edgeports.CallerStream
     ) -> None:
         """Count a request as in flight while it runs."""
         holdings = self.parts.in_flight
@@ -81,7 +82,7 @@
             holdings.end(order.pool, organisation)
 
     async def _run(
-        self, order: edgecall.Order, caller: edgeports.CallerStream
+        self, order: edgeoutcomes.Order, caller: edgeports.CallerStream
     ) -> None:
         """Run a call; an error of our own ends it without a false claim."""
         call = edgecall.EdgeCall(self.parts, order, caller)
@@ -103,7 +104,7 @@
         self,
         request: directcall.CallerRequest,
         traits: directcall.RequestTraits,
-    ) -> edgecall.Order | Refusal:
+    ) -> edgeoutcomes.Order | Refusal:
         """Decide whether a request may go to a server."""
         table = self.parts.config.table
         if table is None:
@@ -123,7 +124,9 @@
             return Refusal(503, 'quarantined', _QUARANTINE_RETRY_S)
         return self._find_room(order)
 
-    def _find_room(self, order: edgecall.Order) -> edgecall.Order | Refusal:
+    def _find_room(
+        self, order: edgeoutcomes.Order
+    ) -> edgeoutcomes.Order | Refusal:
         """Refuse a request at once that no server can run in time."""
         parts = self.parts
         loads = [
@@ -183,7 +186,7 @@
         traits: directcall.RequestTraits,
         route: routing.Route,
         owner: routing.Organisation | None,
-    ) -> edgecall.Order:
+    ) -> edgeoutcomes.Order:
         """Bind a request to its pool and deadline."""
         left_s = traits.time_left_s
         limit_s = min(
@@ -192,7 +195,7 @@
         priority = route.priority
         if owner is not None and owner.priority is not None:
             priority = owner.priority
-        return edgecall.Order(
+        return edgeoutcomes.Order(
             request=request,
             traits=traits,
             route=route,
@@ -230,7 +233,7 @@
         headers = []
         if refusal.retry_after_s is not None:
             headers = [(b'retry-after', b'%.2f' % refusal.retry_after_s)]
-        body = b'{"error":"%s"}\n' % refusal.cause.encode('latin-1', 'replace')
+        body = edgeoutcomes.explain(refusal.cause)
         caller.answer(refusal.status, headers, body)
 
 
