Let routers tell at once how far they read the store; end stuck calls sooner

Peers told their offsets with the next message (1 s at 32 routers), and the hint then waited for as long as a follower may settle (1.2 s) though this one was waiting. Some four routers now tell new offsets after 50 ms, and the hint waits 0.3 s unless the follower settles.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -157,6 +157,7 @@
         self.peers.on_behind = self._note_behind
         for follower in (self.config_follower, self.server_follower):
             follower.count_readers = self.peers.count_live
+            follower.on_progress = self.peers.note_progress
 
     async def run(self) -> int:
         """Serve until stopped; return the exit code."""
--- a/arbutusvale/coordination/logfollower.py
+++ b/arbutusvale/coordination/logfollower.py
@@ -63,6 +63,10 @@
     regained_at: float = NEVER
 
 
+def _tell_nobody() -> None:
+    """Stand in for the peers until they are wired."""
+
+
 class LogFollower:
     """Keep a sink up to date with one topic.
 
@@ -88,6 +92,8 @@
         self.contact = Contact()
         self.failures = 0
         self.count_readers: Callable[[], int] = lambda: 1
+        self.on_progress: Callable[[], None] = _tell_nobody
+        self.settling = False
         self.hinted = False
         self.told_offset = 0
         self.at_once = False
@@ -142,7 +148,14 @@
                     await self._back_off(error)
             else:
                 if found:
-                    await asyncio.sleep(self.settle_s)
+                    self.on_progress()
+                    await self._settle()
+
+    async def _settle(self) -> None:
+        """Let records gather before the next call."""
+        self.settling = True
+        await asyncio.sleep(self.settle_s)
+        self.settling = False
 
     def look_again(self) -> None:
         """Drop a call in flight, as its answer may have been lost."""
@@ -158,8 +171,9 @@
         if self.contact.lost_at is not None:
             return
         self.hinted = True
+        delay_s = ANSWER_S + (self.settle_s if self.settling else 0.0)
         loop = asyncio.get_running_loop()
-        loop.call_later(self.settle_s + ANSWER_S, self._check_hint, offset)
+        loop.call_later(delay_s, self._check_hint, offset)
 
     def _check_hint(self, offset: int) -> None:
         """Drop the call in flight if it still hasn't brought the offset."""
--- a/arbutusvale/coordination/peers.py
+++ b/arbutusvale/coordination/peers.py
@@ -12,6 +12,7 @@
 import collections
 from collections.abc import Callable
 import dataclasses
+import random
 import time
 
 from arbutusvale import errors
@@ -32,9 +33,10 @@
 # Named peers are tried for this long before they count as gone.
 FORGET_S = 30.0
 MAX_PLACES = 10
-# A new cache place is told after this time, together with others: until it is
-# known, other routers read the same part at other engines.
-PLACE_DELAY_S = 0.05
+# News are told after this time, together with others.
+NEWS_DELAY_S = 0.05
+# So many routers, on average, tell at once how far they read the store.
+EARLY_TELLERS = 4
 MAX_PENDING_PLACES = 512
 MAX_NAMED = 8
 MAX_LOADS = 30
@@ -63,7 +65,9 @@
         seeds: tuple[str, ...],
         events: eventlog.EventLog,
         clock: Callable[[], float] = time.monotonic,
+        generator: random.Random | None = None,
     ):
+        self.generator = generator or random.Random()
         self.name = name
         self.host = host
         self.seeds = tuple(seed for seed in seeds if seed != host)
@@ -82,7 +86,7 @@
         self.leaving = False
         self.malformed = 0
         self.turn = 0
-        self.has_places = asyncio.Event()
+        self.has_news = asyncio.Event()
 
     def interval_s(self) -> float:
         """Return the time between two messages to one peer."""
@@ -108,7 +112,17 @@
     def note_place(self, prompt: str, server_id: str) -> None:
         """Tell peers soon that an engine reads a prompt."""
         self.places.append(peernews.CachePlace(prompt, server_id))
-        self.has_places.set()
+        self.has_news.set()
+
+    def note_progress(self) -> None:
+        """Tell peers soon how far the store was read.
+
+        Some routers do so each time: others may wait for an answer that was
+        lost, and need not hear it from all.
+        """
+        chance = EARLY_TELLERS / self.count_live()
+        if self.generator.random() < chance:
+            self.has_news.set()
 
     def receive(self, data: bytes) -> None:
         """Take over a message."""
@@ -141,13 +155,13 @@
             self.tell()
             end = self.clock() + self.interval_s()
             if not self.places:
-                self.has_places.clear()
+                self.has_news.clear()
             try:
                 async with asyncio.timeout(end - self.clock()):
-                    await self.has_places.wait()
+                    await self.has_news.wait()
             except TimeoutError:
                 continue
-            await asyncio.sleep(PLACE_DELAY_S)
+            await asyncio.sleep(NEWS_DELAY_S)
 
     def tell(self) -> None:
         """Send one message to every peer, and to silent seeds now and then."""
--- a/tests/coordination/test_logfollower.py
+++ b/tests/coordination/test_logfollower.py
@@ -139,6 +139,41 @@
     assert log.calls[-1] == ('read', 5, 0.0)
 
 
+def test_a_hint_ends_a_stuck_call_soon(monkeypatch):
+    """Seen on inc-faee of lembrete-sul-grown: CONFIG.
+
+    The hint waited for as long as a follower may settle, though this one
+    was waiting for an answer that was lost.
+    """
+    log = Log(page(5))
+
+    async def hint(follower):
+        follower.settle_s = 3600.0
+        follower.note_behind(7)
+        log.hanging.clear()
+        await asyncio.wait_for(log.hanging.wait(), 20)
+
+    _, _, events = asyncio.run(follow(log, steps=hint))
+    assert events.named('store-behind')
+
+
+def test_new_records_are_told_to_peers():
+    log = Log(page(5, 'a'), page(6, 'b'), page(6))
+    told = []
+
+    async def run():
+        follower = logfollower.LogFollower(
+            'topic', log, Sink(), helpers_edge.Events(), 0.1
+        )
+        follower.on_progress = lambda: told.append(follower.offset)
+        task = asyncio.create_task(follower.run())
+        await asyncio.wait_for(log.hanging.wait(), 20)
+        task.cancel()
+
+    asyncio.run(run())
+    assert told == [5, 6]
+
+
 def test_a_call_after_a_failed_one_does_not_wait_for_news():
     """Seen on hunt-81e8-3 of lembrete-sul-grown: CONFIG.
 
--- a/tests/coordination/test_peers.py
+++ b/tests/coordination/test_peers.py
@@ -32,6 +32,7 @@
             ('10.0.0.0', '10.0.0.1'),
             helpers_edge.Events(),
             self.clock,
+            random.Random(number),
         )
         one.loads = serverloads.ServerLoads(self.clock)
         one.prompts = promptmap.PromptMap(self.clock)
@@ -124,6 +125,22 @@
     asyncio.run(run())
 
 
+def test_some_routers_tell_at_once_how_far_they_read():
+    """All of them at once would be a thousand datagrams a change."""
+    network = Network(32)
+    network.run(5)
+    for one in network.routers.values():
+        one.has_news.clear()
+        one.note_progress()
+    early = sum(one.has_news.is_set() for one in network.routers.values())
+    assert 1 <= early <= 12
+    alone = Network(2)
+    alone.run(2)
+    first = alone.routers['10.0.0.0']
+    first.note_progress()
+    assert first.has_news.is_set()
+
+
 def test_crashes_seen_by_two_routers_add_up():
     network = Network(3)
     network.run(2)
