--- a/tests/coordination/test_engineplacement.py
+++ b/tests/coordination/test_engineplacement.py
@@ -176,11 +176,11 @@
 
 
 def test_many_routers_with_old_loads_do_not_crowd_one_server():
-    """Replays 78 calls a second of 90 ms at 3 servers of 6 slots, from 32
-    routers that hear of each other's calls a second late.
+    """Replays 78 calls a second of 90 ms at 3 servers of 6 slots.
 
-    Sending to the server that looked idle a second ago made 47 in 100 calls
-    wait; a random choice makes 3.
+    32 routers hear of each other's calls a second late.  Sending to the
+    server that looked idle a second ago made 47 in 100 calls wait; a random
+    choice makes 3.
     """
     generator = random.Random(11)
     running = {name: [] for name in 'abc'}
--- a/tests/test_composeedge.py
+++ b/tests/test_composeedge.py
@@ -31,8 +31,10 @@
 
 
 def test_a_large_pool_is_ranked_without_numpy(monkeypatch):
-    """The sweep at 30 VMs (101 engines in a pool) served 0.15: each model
-    request ended as internal-error, as numpy isn't shipped with the program.
+    """The sweep at 30 VMs, with 101 engines in a pool, served 0.15.
+
+    Each model request ended as internal-error, as numpy isn't shipped with
+    the program.
     """
     names = [f'e{number}' for number in range(200)]
     expected = rendezvous.Ranking(names).rank('p', 5)
