Keep the router's tasks running after an error; drop fields that nothing reads

Cause, by reading: a follower that met an error of its own (a record nested too deep raised RecursionError) would have ended in silence and left the router with old lists; an odd fingerprint from a peer raised outside the message's decoder. Tasks are supervised now, with a line for each failure; both inputs have tests. Idle connections to a server are bounded by its MaxConnections and the number of routers, not by a constant.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -24,6 +24,7 @@
 from arbutusvale.coordination import peercopy
 from arbutusvale.coordination import peers
 from arbutusvale.coordination import serverview
+from arbutusvale.coordination import supervisor
 from arbutusvale.platform import bootfile
 from arbutusvale.platform import headers
 from arbutusvale.platform import records
@@ -47,6 +48,8 @@
 BODY_SHARE = 0.25
 LISTEN_BACKLOG = 512
 TICK_S = 0.1
+# Stands in for a pool that the configuration doesn't describe.
+UNKNOWN_CONNECTIONS = 16
 
 
 class EdgeProgram:
@@ -59,7 +62,7 @@
         self.events = eventlog.EventLog(sys.stdout.fileno(), self.clock)
         self.measures = edgemeasures.EdgeMeasures()
         self.link = linkload.LinkLoad(settings.link_mbit_per_s, self.clock)
-        self.pool = serverpool.ServerPool(self.link.add)
+        self.pool = serverpool.ServerPool(self.link.add, self._limit_idle)
         self.stop_at: float | None = None
         self.stopped = asyncio.Event()
         self._wire_lists()
@@ -179,18 +182,18 @@
         )
         self.peers.send = peer_socket.send
         runners = [
-            asyncio.create_task(one)
+            asyncio.create_task(supervisor.keep_running(one, self.events))
             for one in (
-                self.config_follower.run(),
-                self.server_follower.run(),
-                self.pool.run(),
-                self.edge.run(),
-                self.events.run(),
-                self.peers.run(),
-                self.freeze_guard.run(),
-                self.peer_copy.run(self.peers.list_hosts, self._fetch),
-                self.peer_copy.learn_places(self.peers.list_live, self._fetch),
-                self._tick(),
+                self.config_follower.run,
+                self.server_follower.run,
+                self.pool.run,
+                self.edge.run,
+                self.events.run,
+                self.peers.run,
+                self.freeze_guard.run,
+                self._copy_lists,
+                self._learn_places,
+                self._tick,
             )
         ]
         await self.stopped.wait()
@@ -292,6 +295,14 @@
         """Fetch a page of a peer."""
         return await pagefetch.fetch(host, self.settings.peer_port, path)
 
+    async def _copy_lists(self) -> None:
+        """Copy lists from peers whenever they know more."""
+        await self.peer_copy.run(self.peers.list_hosts, self._fetch)
+
+    async def _learn_places(self) -> None:
+        """Learn cache places from a peer at the start."""
+        await self.peer_copy.learn_places(self.peers.list_live, self._fetch)
+
     async def _look_around(self) -> None:
         """Ask the store anew after this process stood still."""
         self.pool.close_all()
@@ -307,6 +318,17 @@
         """Drop what is remembered of a server that is gone."""
         self.parts.forget_server(server_id)
 
+    def _limit_idle(self, pool: str) -> int:
+        """Return how many idle connections to one server are kept.
+
+        Half of what a server takes from all routers is left for those in use.
+        """
+        most = UNKNOWN_CONNECTIONS
+        if self.config.table is not None:
+            known = self.config.table.configuration.pools.get(pool)
+            most = known.max_connections if known is not None else most
+        return max(1, most // (2 * self.peers.count_live()))
+
     def _limits(self) -> routing.CallerLimits:
         """Return the limits of callers in force."""
         if self.config.table is None:
--- a/arbutusvale/coordination/edgerouter.py
+++ b/arbutusvale/coordination/edgerouter.py
@@ -9,6 +9,7 @@
 from arbutusvale.coordination import edgecall
 from arbutusvale.coordination import edgeoutcomes
 from arbutusvale.coordination import edgeparts
+from arbutusvale.coordination import supervisor
 from arbutusvale.protocol import directcall
 from arbutusvale.protocol import edgeports
 from arbutusvale.protocol import routing
@@ -96,7 +97,7 @@
                 'internal-error',
                 id=order.traits.attempt_id,
                 error=repr(error),
-                at=_find_line(error),
+                at=supervisor.find_line(error),
             )
             caller.abort()
 
@@ -254,13 +255,3 @@
         if point < passed:
             return split.pool
     return splits[-1].pool
-
-
-def _find_line(error: Exception) -> str:
-    """Return where an error was raised."""
-    trace = error.__traceback__
-    while trace is not None and trace.tb_next is not None:
-        trace = trace.tb_next
-    if trace is None:
-        return '-'
-    return f'{trace.tb_frame.f_code.co_filename}:{trace.tb_lineno}'
--- a/arbutusvale/coordination/peers.py
+++ b/arbutusvale/coordination/peers.py
@@ -145,9 +145,7 @@
                 self.prompts.note(place.prompt, place.server_id)
         if self.suspects is not None:
             for one in news.suspicions:
-                self.suspects.merge(
-                    bytes.fromhex(one.fingerprint), one.crashes, one.cleared
-                )
+                self.suspects.merge(one.fingerprint, one.crashes, one.cleared)
 
     async def run(self) -> None:
         """Send messages until cancelled."""
@@ -203,7 +201,7 @@
             return ()
         return tuple(
             peernews.Suspicion(
-                fingerprint.hex(),
+                fingerprint,
                 tuple(sorted(one.crashes)),
                 tuple(sorted(one.cleared)),
             )
--- /dev/null
+++ b/arbutusvale/coordination/supervisor.py
@@ -0,0 +1,43 @@
+"""Keep the tasks of a program running when one meets an error of its own."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from arbutusvale.state import eventlog
+
+# Long enough that an error that repeats doesn't take the processor.
+PAUSE_S = 0.5
+
+
+async def keep_running(
+    run: Callable[[], Awaitable[object]], events: eventlog.EventLog
+) -> None:
+    """Run until it returns; log an error and run again after a pause.
+
+    A follower that ended in silence would leave the router with old lists
+    for good.
+    """
+    while True:
+        try:
+            await run()
+        except Exception as error:
+            events.write(
+                'task-failed',
+                task=run.__qualname__,
+                error=repr(error),
+                at=find_line(error),
+            )
+            await asyncio.sleep(PAUSE_S)
+        else:
+            return
+
+
+def find_line(error: Exception) -> str:
+    """Return file and line at which an error was raised."""
+    trace = error.__traceback__
+    while trace is not None and trace.tb_next is not None:
+        trace = trace.tb_next
+    if trace is None:
+        return '-'
+    return f'{trace.tb_frame.f_code.co_filename}:{trace.tb_lineno}'
--- a/arbutusvale/platform/bootfile.py
+++ b/arbutusvale/platform/bootfile.py
@@ -40,13 +40,11 @@
             host=self._text('Ip'),
             callers=self._address('Listen.Frontend'),
             readiness=self._address('Listen.Ready'),
-            control=self._optional_address('Listen.Control'),
             store=self._address('Platform.Address'),
             seeds=self._seeds(),
             peer_port=self._peer_port(),
             metrics_port=METRICS_PORT,
             memory_bytes=int(self._number('Limits.MemoryMb') * _MEBIBYTE),
-            cpu_share=self._number('Limits.CpuShare'),
             link_mbit_per_s=self._number('Limits.LinkMbps', 0.0),
             bounds=self._bounds(),
         )
@@ -65,7 +63,6 @@
             retry_window_s=self._number('Bounds.BudgetWindowS'),
             retry_reserve=self._number('Bounds.RetryBudgetSlack'),
             load_factor=self._number('Bounds.CapacityFactor', 2.0),
-            reuse_window_s=self._number('Bounds.ReuseWindowS', 10.0),
         )
 
     def _find(self, name: str) -> object:
@@ -103,12 +100,6 @@
             return vmsettings.Address('', 0)
         return address
 
-    def _optional_address(self, name: str) -> vmsettings.Address | None:
-        """Return an address, or None when the field is absent."""
-        if self._find(name) in (None, ''):
-            return None
-        return self._address(name)
-
     def _seeds(self) -> tuple[vmsettings.Address, ...]:
         """Return the seeds that can be read; they may be stale anyway."""
         seeds = self._find('Seeds')
--- a/arbutusvale/platform/headers.py
+++ b/arbutusvale/platform/headers.py
@@ -8,7 +8,6 @@
 DEADLINE_MS = b'x-arbutusvale-deadline-ms'
 LAST_EVENT_ID = b'last-event-id'
 MODEL_ID = b'x-arbutusvale-model-id'
-# Both the prompt's tokens and the most output tokens, despite the name.
 TOKEN_COUNT = b'x-arbutusvale-token-count'
 PROMPT_PREFIX = b'x-arbutusvale-prompt-prefix'
 ENGINE_SIGNATURE = b'x-arbutusvale-engine-signature'
@@ -85,7 +84,6 @@
         fault = 'header X-Arbutusvale-Attempt-Id is missing'
     if b'host' not in found:
         fault = 'header Host is missing'
-    prompt_tokens, output_tokens = _read_tokens(found.get(TOKEN_COUNT, b''))
     deadline = _read_number(found.get(DEADLINE_MS))
     return directcall.RequestTraits(
         attempt_id=attempt_id,
@@ -95,8 +93,6 @@
         last_event_id=_read_number(found.get(LAST_EVENT_ID)),
         model=found.get(MODEL_ID, b'').decode('latin-1'),
         prompt=_read_prompt(found.get(PROMPT_PREFIX, b'')),
-        prompt_tokens=prompt_tokens,
-        output_tokens=output_tokens,
         fault=fault,
     )
 
@@ -209,12 +205,6 @@
     return int(value)
 
 
-def _read_tokens(value: bytes) -> tuple[int, int]:
-    """Return the tokens of the prompt and the most output tokens."""
-    first, _, second = value.partition(b',')
-    return _read_number(first) or 0, _read_number(second) or 0
-
-
 def _read_prompt(value: bytes) -> tuple[directcall.PromptPart, ...]:
     """Return the parts of a prompt; none when one can't be read."""
     if not value:
--- a/arbutusvale/platform/records.py
+++ b/arbutusvale/platform/records.py
@@ -62,7 +62,6 @@
         data_centre=_text(document, 'Zone'),
         slots=max(1, _whole(document, 'Slots')),
         state=state,
-        warming=bool(document.get('WarmupLeftMs')),
         born=_whole(document, 'born', 0),
     )
 
@@ -71,7 +70,7 @@
     """Parse a JSON object."""
     try:
         document = json.loads(data)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise errors.RecordError(
             'the record', f'Write JSON: {error}.'
         ) from error
@@ -122,13 +121,9 @@
     """Decode one service."""
     if not isinstance(row, dict):
         raise errors.RecordError('Services', 'Write an object for each.')
-    # Misnamed on the wire: a table of what the engines of this model hold.
-    engine = row.get('EngineId')
-    tokens = engine.get('KvCapacityTokens') if isinstance(engine, dict) else 0
     return routing.Pool(
         name=_text(row, 'Name'),
         max_connections=_whole(row, 'MaxConnections', _DEFAULT_CONNECTIONS),
-        cache_tokens=tokens if isinstance(tokens, int) else 0,
     )
 
 
--- a/arbutusvale/protocol/directcall.py
+++ b/arbutusvale/protocol/directcall.py
@@ -25,7 +25,6 @@
     data_centre: str
     slots: int
     state: ServerState
-    warming: bool
     born: int
 
     @property
@@ -81,8 +80,6 @@
     last_event_id: int | None
     model: str
     prompt: tuple[PromptPart, ...]
-    prompt_tokens: int
-    output_tokens: int
     fault: str
 
 
--- a/arbutusvale/protocol/peernews.py
+++ b/arbutusvale/protocol/peernews.py
@@ -29,7 +29,7 @@
     ``cleared`` are those after which a server ran the request to its end.
     """
 
-    fingerprint: str
+    fingerprint: bytes
     crashes: tuple[str, ...]
     cleared: tuple[str, ...]
 
@@ -65,7 +65,7 @@
             'peers': news.peers,
             'places': [[one.prompt, one.server_id] for one in news.places],
             'suspects': [
-                [one.fingerprint, one.crashes, one.cleared]
+                [one.fingerprint.hex(), one.crashes, one.cleared]
                 for one in news.suspicions
             ],
             'leaving': news.leaving,
@@ -91,12 +91,18 @@
                 for prompt, server_id in document['places']
             ),
             suspicions=tuple(
-                Suspicion(_text(fingerprint), _texts(crashes), _texts(cleared))
+                Suspicion(
+                    bytes.fromhex(_text(fingerprint)),
+                    _texts(crashes),
+                    _texts(cleared),
+                )
                 for fingerprint, crashes, cleared in document['suspects']
             ),
             leaving=document['leaving'] is True,
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except (
+        ValueError, KeyError, TypeError, AttributeError, RecursionError,
+    ) as error:  # fmt: skip
         raise errors.FrameError(
             f'The message is malformed: {error!r}.'
         ) from error
--- a/arbutusvale/protocol/routing.py
+++ b/arbutusvale/protocol/routing.py
@@ -68,13 +68,11 @@
 class Pool:
     """Describe the backend servers of one service.
 
-    ``max_connections`` bounds the connections of all routers to one server;
-    ``cache_tokens`` is the prompt cache of an engine, 0 for plain services.
+    ``max_connections`` bounds the connections of all routers to one server.
     """
 
     name: str
     max_connections: int
-    cache_tokens: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/arbutusvale/protocol/vmsettings.py
+++ b/arbutusvale/protocol/vmsettings.py
@@ -28,7 +28,6 @@
     retry_window_s: float
     retry_reserve: float
     load_factor: float
-    reuse_window_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,12 +44,10 @@
     host: str
     callers: Address
     readiness: Address
-    control: Address | None
     store: Address
     seeds: tuple[Address, ...]
     peer_port: int
     metrics_port: int
     memory_bytes: int
-    cpu_share: float
     link_mbit_per_s: float
     bounds: Bounds
--- a/arbutusvale/transport/serverpool.py
+++ b/arbutusvale/transport/serverpool.py
@@ -13,17 +13,21 @@
 IDLE_SHARE = 0.8
 # A request that must not repeat is lost if its connection turns out closed.
 FRESH_SHARE = 0.3
-# A share of what a server takes from all routers together.
-MAX_IDLE = 16
 
 
 class ServerPool:
     """Open, lend and keep connections, by server incarnation.
 
-    ``count_sent`` is told how many bytes are written.
+    ``count_sent`` is told how many bytes are written; ``limit_idle`` returns
+    how many idle connections to one server of a pool are kept.
     """
 
-    def __init__(self, count_sent: Callable[[int], None]):
+    def __init__(
+        self,
+        count_sent: Callable[[int], None],
+        limit_idle: Callable[[str], int],
+    ):
+        self.limit_idle = limit_idle
         self.count_sent = count_sent
         self.idle: dict[str, list[httpconnection.HttpConnection]] = {}
         self.opened = 0
@@ -53,7 +57,7 @@
         named = keep_alive_s if keep_alive_s else UNNAMED_IDLE_S / IDLE_SHARE
         link.idle_limit_s = named
         kept = self.idle.setdefault(server.id, [])
-        if len(kept) >= MAX_IDLE:
+        if len(kept) >= self.limit_idle(server.pool):
             kept.pop(0).abort()
         kept.append(link)
 
--- a/tests/coordination/test_peers.py
+++ b/tests/coordination/test_peers.py
@@ -185,7 +185,17 @@
     network.run(2)
     one = network.routers['10.0.0.0']
     live = one.count_live()
-    for data in (b'', b'{}', b'[]', b'\xff', b'{"v":1}', b'{"v":9}', b'null'):
+    odd = (
+        b'', b'{}', b'[]', b'\xff', b'{"v":1}', b'{"v":9}', b'null',
+        b'[' * 100_000,
+        peernews.encode(
+            peernews.PeerNews(
+                'x', '10.0.0.9', {}, {}, (), (),
+                (peernews.Suspicion(b'f', (), ()),),
+            )
+        ).replace(b'"66"', b'"no hex"'),
+    )  # fmt: skip
+    for data in odd:
         one.receive(data)
-    assert one.malformed == 7
+    assert one.malformed == len(odd)
     assert one.count_live() == live
--- /dev/null
+++ b/tests/coordination/test_supervisor.py
@@ -0,0 +1,38 @@
+"""A task that fails is logged and runs again."""
+
+import asyncio
+
+from arbutusvale.coordination import supervisor
+from tests import helpers_edge
+
+
+def test_a_task_that_fails_is_logged_and_runs_again(monkeypatch):
+    monkeypatch.setattr(supervisor, 'PAUSE_S', 0.0)
+    events = helpers_edge.Events()
+    runs = []
+
+    async def run():
+        runs.append(1)
+        if len(runs) < 3:
+            raise RecursionError('too deep')
+
+    asyncio.run(supervisor.keep_running(run, events))
+    assert len(runs) == 3
+    failures = events.named('task-failed')
+    assert len(failures) == 2
+    assert 'too deep' in failures[0]['error']
+    assert 'test_supervisor.py' in failures[0]['at']
+
+
+def test_a_task_that_is_cancelled_ends():
+    async def scenario():
+        events = helpers_edge.Events()
+        task = asyncio.create_task(
+            supervisor.keep_running(asyncio.Event().wait, events)
+        )
+        await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.wait([task], timeout=5)
+        assert task.cancelled()
+
+    asyncio.run(scenario())
--- a/tests/helpers_edge.py
+++ b/tests/helpers_edge.py
@@ -37,7 +37,6 @@
         'data_centre': 'north',
         'slots': 8,
         'state': directcall.ServerState.READY,
-        'warming': False,
         'born': 1,
     }
     return directcall.BackendServer(**(fields | changes))
@@ -53,7 +52,6 @@
         'retry_window_s': 10.0,
         'retry_reserve': 50.0,
         'load_factor': 2.0,
-        'reuse_window_s': 10.0,
     }
     return vmsettings.Bounds(**(fields | changes))
 
--- a/tests/platform/test_bootfile.py
+++ b/tests/platform/test_bootfile.py
@@ -43,7 +43,6 @@
     assert settings.bounds.drain_s == 2.0
     assert settings.bounds.load_factor == 2.0
     assert [seed.port for seed in settings.seeds] == [8229]
-    assert settings.control is None
     assert settings.memory_bytes == 300 << 20
 
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -34,7 +34,6 @@
     assert traits.host == 'fleet.example'
     assert traits.attempt_id == 'a1'
     assert traits.time_left_s == 1.5
-    assert (traits.prompt_tokens, traits.output_tokens) == (1460, 80)
     assert traits.prompt[1] == directcall.PromptPart('91', 410)
     assert traits.last_event_id == 12
     assert traits.api_key == 'key'
@@ -45,7 +44,6 @@
     [
         {'x_arbutusvale_deadline_ms': b'soon'},
         {'x_arbutusvale_prompt_prefix': b'no,tokens'},
-        {'x_arbutusvale_token_count': b','},
         {'last_event_id': b'-3'},
         {'authorization': b'Basic key'},
     ],
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -69,7 +69,7 @@
 
 
 def test_bytes_that_are_no_object_are_malformed():
-    for data in (b'', b'[]', b'\xff\xfe', b'"x"'):
+    for data in (b'', b'[]', b'\xff\xfe', b'"x"', b'[' * 100_000):
         with pytest.raises(errors.RecordError):
             records.read_configuration(data)
 
