Keep queues short enough for the objective when work exceeds the servers

Cause: admission bounded the expected wait by the deadline only (12 to 15 s), and took the usual time of the request's own route for the time of a place. At six times the traffic nearly all was admitted, answers came late, and 40 % of the short requests passed their deadline in queues of engines. 773 of 1,015 refusals hit organisations above twice the mean, though all had surged alike.

Now the wait for the whole pool, by its loads and rate of completions, stays below half of the pool's shortest objective, less for lower priorities; hardly admitted routes are raised; fair shares follow usual shares; the refused return in the second half of what callers wait. Full engines no longer attract work by their cache.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -33,6 +33,7 @@
 from arbutusvale.protocol import vmsettings
 from arbutusvale.state import edgemeasures
 from arbutusvale.state import eventlog
+from arbutusvale.state import holdings
 from arbutusvale.state import linkload
 from arbutusvale.state import promptmap
 from arbutusvale.state import serverlist
@@ -127,6 +128,7 @@
             peers=self.peers,
             store_age_s=self._store_age,
             link=self.link,
+            throughput=holdings.Throughput(self.clock),
         )
         self.freeze_guard = freeze.FreezeGuard(
             self._look_around, _read_boot_clock, self._note_gap
--- a/arbutusvale/coordination/edgeadmission.py
+++ b/arbutusvale/coordination/edgeadmission.py
@@ -2,44 +2,56 @@
 
 Requests wait in the queues of their servers and not in routers: a server
 sees all that wait for it and admits the most urgent first, while each of
-many routers would order only its own sliver.  A router refuses what the
-shortest of these queues can't serve in time.
+many routers would order only its own sliver.  A router keeps these queues
+so short that what it admits is still on time: an answer that comes late
+takes as many places as one on time, so a long queue only makes all late.
 
 Load patterns answered:
 
-- *burst, or servers lost*: when the expected wait passes the time that a
-  request has, it is refused at once with the time after which there is
-  probably room, spread so that the refused don't come back together;
+- *more work than the servers can do, for long*: when the expected wait
+  passes a share of the time in which an answer is aimed at, requests are
+  refused at once; the least urgent have the smallest share and go first;
+- *urgent work alone fills the servers*: a route that was admitted far more
+  seldom than the others is judged like the most urgent one, so that no kind
+  of request starves;
+- *the refused return*: they are spread over the time for which callers wait,
+  so that they don't come back together, and into the same overload;
 - *a thin link gets more than it can carry*: requests are refused while what
   was written waits at the VM's own link, and readiness fails;
 - *one organisation surges*: while all servers are full, an organisation
-  that holds more than its fair share of what this router has in flight is
-  refused first, so that quiet organisations find room.
+  that holds far more than its usual share of what this router has in flight
+  is refused first, so that others find room; a large one that only keeps
+  its share of a surge of all isn't.
 """
 
-from collections.abc import Sequence
 import dataclasses
 
-# Above this share of slots in use at every server the pool counts as full.
-FULL_SHARE = 1.0
-# An organisation may hold this many times the mean of the active ones.
+# The most urgent requests may spend this share of their objective waiting;
+# the rest is left to the prompt's reading and to counts that are stale.
+WAIT_SHARE = 0.5
+# Each less urgent priority may wait for this share of the one before it.
+RANK_SHARE = 0.7
+# An organisation may hold this many times its usual share.
 FAIR_FACTOR = 2.0
 # Below this many in flight no organisation is refused for its share.
 FAIR_LEAST = 4
-# Loads are estimates: what is refused must be hopeless, not just doubtful.
-WAIT_MARGIN = 1.5
+# A request that has less time than it usually takes may still be quicker.
+LATE_MARGIN = 1.5
 LEAST_RETRY_S = 0.1
-MOST_RETRY_S = 2.0
+# Callers honour a Retry-After up to a third of the time that they have left.
+RETURN_SHARE = 0.33
 # A caller that waits for its request to be read leaves after a second, and
 # each request crosses the link at least twice.
 MOST_LINK_WAIT_S = 0.25
-# Refused requests return within this share of their delay around it.
-SPREAD = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Load:
-    """Hold a server's estimated requests and its slots."""
+class PoolLoad:
+    """Hold the estimated requests and the slots of a pool's servers.
+
+    Placement keeps the queues of full servers equally long, so the pool is
+    judged as a whole.
+    """
 
     requests: float
     slots: int
@@ -47,17 +59,25 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ask:
-    """Describe a request that asks for a place.
-
-    ``service_s`` is the usual time that a request of its route holds a
-    slot, 0 when not known.  ``held`` and ``mean_held`` count what its
-    organisation, and an active one on average, have in flight here.
+    """Describe a request that asks for a place; times are in seconds.
+
+    ``target_s`` is the time to an answer, or to its first event, that the
+    route aims at.  ``service_s`` is the usual time that a request of the
+    route holds a slot, ``pool_service_s`` that of all requests of the pool;
+    0 when not known.  ``rank`` counts the priorities in use that are more
+    urgent.  ``held`` counts what its organisation has in flight here,
+    ``fair_held`` is its usual share of all that is.  ``deprived`` tells that
+    its route was admitted far more seldom than others.
     """
 
     time_left_s: float
+    target_s: float
     service_s: float
+    pool_service_s: float
+    rank: int
     held: int
-    mean_held: float
+    fair_held: float
+    deprived: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,37 +96,48 @@
     retry_after_s: float
 
 
-def decide_link(wait_s: float, spread: float) -> TurnedAway | None:
+def decide_link(
+    wait_s: float, time_left_s: float, spread: float
+) -> TurnedAway | None:
     """Turn a request away that would wait too long at this VM's link."""
     if wait_s <= MOST_LINK_WAIT_S:
         return None
-    return TurnedAway('link', wait_s, _spread_out(wait_s, spread))
+    retry_after_s = _plan_return(wait_s, time_left_s, spread)
+    return TurnedAway('link', wait_s, retry_after_s)
 
 
-def decide(
-    loads: Sequence[Load], ask: Ask, spread: float
-) -> Admitted | TurnedAway:
+def decide(load: PoolLoad, ask: Ask, spread: float) -> Admitted | TurnedAway:
     """Admit a request or turn it away; ``spread`` is between 0 and 1."""
-    if not loads:
+    if not load.slots:
         return Admitted(0.0)
-    wait_s = min(_expect_wait(load, ask.service_s) for load in loads)
+    wait_s = _expect_wait(load, ask.pool_service_s)
     if wait_s <= 0 or ask.service_s <= 0:
         return Admitted(max(0.0, wait_s))
-    late_s = wait_s + ask.service_s - ask.time_left_s * WAIT_MARGIN
-    if late_s > 0:
-        return TurnedAway('overload', wait_s, _spread_out(late_s, spread))
-    if ask.held >= FAIR_LEAST and ask.held > FAIR_FACTOR * ask.mean_held:
-        return TurnedAway('share', wait_s, _spread_out(wait_s, spread))
-    return Admitted(wait_s)
-
-
-def _expect_wait(load: Load, service_s: float) -> float:
-    """Return how long a new request probably waits at a server."""
-    ahead = load.requests + 1 - FULL_SHARE * load.slots
-    return ahead / load.slots * service_s
-
-
-def _spread_out(delay_s: float, spread: float) -> float:
-    """Bound a delay and spread it around itself."""
-    bounded = min(MOST_RETRY_S, max(LEAST_RETRY_S, delay_s))
-    return bounded * (1 - SPREAD / 2 + SPREAD * spread)
+    if ask.held >= FAIR_LEAST and ask.held > FAIR_FACTOR * ask.fair_held:
+        cause = 'share'
+    elif wait_s > find_wait_limit(ask):
+        cause = 'overload'
+    elif wait_s + ask.service_s > ask.time_left_s * LATE_MARGIN:
+        cause = 'deadline'
+    else:
+        return Admitted(wait_s)
+    retry_after_s = _plan_return(wait_s, ask.time_left_s, spread)
+    return TurnedAway(cause, wait_s, retry_after_s)
+
+
+def find_wait_limit(ask: Ask) -> float:
+    """Return for how long a request may be expected to wait, in seconds."""
+    rank = 0 if ask.deprived else ask.rank
+    return ask.target_s * WAIT_SHARE * RANK_SHARE**rank
+
+
+def _expect_wait(load: PoolLoad, service_s: float) -> float:
+    """Return how long a new request probably waits for a slot."""
+    return (load.requests + 1 - load.slots) / load.slots * service_s
+
+
+def _plan_return(wait_s: float, time_left_s: float, spread: float) -> float:
+    """Spread returns from the first room until callers no longer wait."""
+    last_s = max(LEAST_RETRY_S, time_left_s * RETURN_SHARE)
+    first_s = last_s / 2
+    return first_s + spread * (last_s - first_s)
--- a/arbutusvale/coordination/edgeparts.py
+++ b/arbutusvale/coordination/edgeparts.py
@@ -45,6 +45,7 @@
     peers: peers.Peers
     store_age_s: Callable[[], float]
     link: linkload.LinkLoad
+    throughput: holdings.Throughput
     budgets: dict[str, retries.WindowBudget] = dataclasses.field(
         default_factory=dict
     )
@@ -58,6 +59,12 @@
     usual_times: holdings.UsualTimes = dataclasses.field(
         default_factory=holdings.UsualTimes
     )
+    admitted_shares: holdings.AdmittedShares = dataclasses.field(
+        default_factory=holdings.AdmittedShares
+    )
+    demand: holdings.PoolDemand = dataclasses.field(
+        default_factory=holdings.PoolDemand
+    )
 
     def budget(self, pool: str) -> retries.WindowBudget:
         """Return the retry budget of a pool."""
--- a/arbutusvale/coordination/edgerouter.py
+++ b/arbutusvale/coordination/edgerouter.py
@@ -75,12 +75,13 @@
         began_at = self.parts.clock()
         try:
             await self._run(order, caller)
-            self.parts.usual_times.note(
-                order.route.name, self.parts.clock() - began_at
-            )
+            took_s = self.parts.clock() - began_at
+            self.parts.usual_times.note(order.route.name, took_s)
+            self.parts.usual_times.note(order.pool, took_s)
         finally:
             self.active -= 1
             holdings.end(order.pool, organisation)
+            self.parts.throughput.note_end(order.pool)
 
     async def _run(
         self, order: edgeoutcomes.Order, caller: edgeports.CallerStream
@@ -130,23 +131,13 @@
     ) -> edgeoutcomes.Order | Refusal:
         """Refuse a request at once that no server can run in time."""
         parts = self.parts
-        loads = [
-            edgeadmission.Load(
-                parts.loads.estimate(one.server.id), one.server.slots
-            )
-            for one in parts.servers.ready(order.pool)
-            if not parts.avoidance.is_avoided(one.server.id)
-        ]
-        ask = edgeadmission.Ask(
-            time_left_s=order.deadline - parts.clock(),
-            service_s=parts.usual_times.find(order.route.name),
-            held=parts.in_flight.count(order.pool, order.organisation or ''),
-            mean_held=parts.in_flight.mean(order.pool),
-        )
+        ask = self._describe(order)
         spread = parts.generator.random()
         decision = edgeadmission.decide_link(
-            parts.link.wait_s(), spread
-        ) or edgeadmission.decide(loads, ask, spread)
+            parts.link.wait_s(), ask.time_left_s, spread
+        ) or edgeadmission.decide(self._sum_loads(order.pool), ask, spread)
+        admitted = isinstance(decision, edgeadmission.Admitted)
+        parts.admitted_shares.note(order.pool, order.route.name, admitted)
         match decision:
             case edgeadmission.TurnedAway(cause, wait_s, retry_after_s):
                 parts.events.write(
@@ -155,14 +146,55 @@
                     pool=order.pool,
                     cause=cause,
                     wait=wait_s,
+                    limit=edgeadmission.find_wait_limit(ask),
                     left=ask.time_left_s,
                     usual=ask.service_s,
+                    pool_usual=ask.pool_service_s,
+                    rank=ask.rank,
                     held=ask.held,
-                    mean_held=ask.mean_held,
+                    fair_held=ask.fair_held,
                 )
                 return Refusal(503, cause, retry_after_s)
         return order
 
+    def _sum_loads(self, pool: str) -> edgeadmission.PoolLoad:
+        """Add up the loads of the servers that a request may go to."""
+        parts = self.parts
+        servers = [
+            one.server
+            for one in parts.servers.ready(pool)
+            if not parts.avoidance.is_avoided(one.server.id)
+        ]
+        requests = sum(parts.loads.estimate(one.id) for one in servers)
+        slots = sum(one.slots for one in servers)
+        return edgeadmission.PoolLoad(requests, slots)
+
+    def _describe(self, order: edgeoutcomes.Order) -> edgeadmission.Ask:
+        """Gather what admission needs to know of a request."""
+        parts = self.parts
+        pool = order.pool
+        route = order.route
+        organisation = order.organisation or ''
+        parts.in_flight.note_arrival(pool, organisation)
+        parts.demand.note(pool, order.priority, route.target_latency_s)
+        return edgeadmission.Ask(
+            time_left_s=order.deadline - parts.clock(),
+            target_s=parts.demand.least_target(pool),
+            service_s=parts.usual_times.find(route.name),
+            pool_service_s=self._find_pool_time(pool),
+            rank=parts.demand.rank(pool, order.priority),
+            held=parts.in_flight.count(pool, organisation),
+            fair_held=parts.in_flight.fair(pool, organisation),
+            deprived=parts.admitted_shares.is_deprived(pool, route.name),
+        )
+
+    def _find_pool_time(self, pool: str) -> float:
+        """Return how long requests to a pool take now, 0 if not known."""
+        parts = self.parts
+        return parts.throughput.estimate(
+            pool, parts.in_flight.total(pool), parts.usual_times.find(pool)
+        )
+
     def _find_owner(
         self,
         table: routetable.RouteTable,
--- a/arbutusvale/coordination/engineplacement.py
+++ b/arbutusvale/coordination/engineplacement.py
@@ -9,6 +9,8 @@
 - *hot prompt*: once an engine stands at its bound, the next engine of the
   prompt's own ranking takes the surplus, the same one at every router, and
   copies the cached parts from the first instead of reading them;
+- *more work than all engines can do*: an engine whose slots are taken gets no
+  request for its cache while another has free slots, or a shorter queue;
 - *join and return of engines*: prompts stay where they are cached; only
   new prompts and surplus reach an empty engine;
 - *plain calls from many routers*: a call is over before its router's count
@@ -23,6 +25,9 @@
 # Stays below the users' bound of factor x mean + 3, as counts are stale.
 BOUND_MARGIN = 0.1
 BOUND_RESERVE = 2.0
+# Once slots are all taken a request waits: queues may differ by so much, in
+# shares of the mean load, before the cache gives way.
+QUEUE_MARGIN = 0.1
 # A server with this many times its slots in requests is drawn hardly ever; a
 # steeper slope would follow loads that are a second old.
 QUEUE_SLOTS = 4
@@ -69,16 +74,19 @@
     if not usable:
         return None
     bound = find_bound(usable, load_factor)
+    queue_bound = find_queue_bound(usable)
     by_id = {one.id: one for one in usable}
-    ranked = [by_id[one] for one in ranking if one in by_id]
-    holding = [one for one in ranked if one.id in holders]
-    for one in holding:
-        if one.load + 1 <= bound:
-            return Choice(one.id, 'cached', bound)
+    ranked = [
+        by_id[name]
+        for name in ranking
+        if name in by_id and _has_room(by_id[name], bound, queue_bound)
+    ]
     for one in ranked:
-        if one.load + 1 <= bound:
-            reason = 'surplus' if holders else 'ranked'
-            return Choice(one.id, reason, bound)
+        if one.id in holders:
+            return Choice(one.id, 'cached', bound)
+    if ranked:
+        reason = 'surplus' if holders else 'ranked'
+        return Choice(ranked[0].id, reason, bound)
     least = min(usable, key=lambda one: one.load)
     return Choice(least.id, 'least-loaded', bound)
 
@@ -127,6 +135,18 @@
     return (load_factor - BOUND_MARGIN) * mean + BOUND_RESERVE
 
 
+def find_queue_bound(candidates: Sequence[Candidate]) -> float:
+    """Return the load up to which an engine without free slots is chosen."""
+    mean = sum(one.load for one in candidates) / len(candidates)
+    return (1 + QUEUE_MARGIN) * mean + 1
+
+
+def _has_room(candidate: Candidate, bound: float, queue_bound: float) -> bool:
+    """Tell whether an engine may be chosen by its place in the ranking."""
+    load = candidate.load + 1
+    return load <= bound and load <= max(candidate.slots, queue_bound)
+
+
 def _weigh_plain(candidate: Candidate) -> float:
     """Return the weight of a server in a draw."""
     busy = candidate.load / (candidate.slots * QUEUE_SLOTS)
--- a/tests/coordination/test_engineplacement.py
+++ b/tests/coordination/test_engineplacement.py
@@ -201,3 +201,24 @@
         begin = ends[-6] if len(ends) >= 6 else now
         running[name].append(begin + 0.09)
     assert waited < calls / 10
+
+
+def test_an_engine_without_free_slots_yields_though_it_holds_the_prompt():
+    """Twice the work that engines can do, most of it for one prompt.
+
+    Bounds on the mean alone let one engine queue while another had slots.
+    """
+    candidates = [make('a', 10, slots=8), make('b', 4), make('c', 4)]
+    choice = engineplacement.choose_engine(
+        candidates, ['a', 'b', 'c'], {'a': 1.0}, FACTOR
+    )
+    assert choice.id == 'b'
+    assert choice.reason == 'surplus'
+
+
+def test_queues_of_full_engines_stay_of_one_length():
+    pool = Pool(6)
+    for turn in range(6 * 20):
+        pool.place('hot' if turn % 2 else f'p{turn}')
+    mean = pool.mean()
+    assert max(pool.loads.values()) <= 1.1 * mean + 2
