Keep to the usual time where a router has few calls in flight

One of 32 routers has two of these calls in flight and ends two a second; Little's law then makes 0.4 s of 0.1 s.

Ruled out: a longer window, which would tell of a burst of streams too late.

Now the rate of completions counts from eight requests in flight on. The new test fails without it.

--- a/arbutusvale/state/holdings.py
+++ b/arbutusvale/state/holdings.py
@@ -15,6 +15,8 @@
 # An engine with all slots taken makes a token in three times the time of a
 # quiet one.
 _MOST_SLOWDOWN = 4.0
+# One request more or less must not change an estimate by more than an eighth.
+_LEAST_IN_FLIGHT = 8
 # An organisation's usual share must outlast its surge: at 20 requests a
 # second and router, a minute.
 _USUAL_SMOOTHING = 0.001
@@ -152,10 +154,10 @@
         """Return the time that a request probably takes, in seconds.
 
         It is at least ``usual_s`` and a bounded multiple of it, as a few
-        completions say little.
+        completions say little; with little in flight it is ``usual_s``.
         """
         ends = self.ends.get(pool)
-        if ends is None:
+        if ends is None or in_flight < _LEAST_IN_FLIGHT:
             return usual_s
         _expire(ends, self.clock())
         now_s = in_flight * _WINDOW_S / max(1, len(ends))
--- a/tests/state/test_holdings.py
+++ b/tests/state/test_holdings.py
@@ -77,6 +77,20 @@
     assert throughput.estimate('chat', 50, 1.0) == 4.0
 
 
+def test_a_router_with_few_calls_keeps_to_their_usual_time():
+    """One of 32 routers has two calls in flight and ends two a second.
+
+    Little's law made 0.4 s of calls that take 0.1 s, and calls were refused
+    at servers that had places.
+    """
+    clock = helpers_edge.Clock()
+    throughput = holdings.Throughput(clock)
+    for _ in range(10):
+        clock.now += 0.5
+        throughput.note_end('plain')
+    assert throughput.estimate('plain', 2, 0.1) == 0.1
+
+
 def test_a_route_that_is_hardly_admitted_is_deprived():
     shares = holdings.AdmittedShares()
     assert not shares.is_deprived('chat', 'r')
