Let three routers read the server list for all

Ruled out: passing configurations on, as they don't fit a datagram; choosing readers by agreement.

Now three of eight or more routers read; the others take over records that change what they know, and read by themselves after 1.5 s without news, beside a gap, after an outage until entries have returned, and all entries each 30 s.

Twenty seeds of an explorer (deaths, cuts, a third of the datagrams lost) keep each router at a prefix of the log.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -20,6 +20,7 @@
 from arbutusvale.coordination import edgeparts
 from arbutusvale.coordination import edgerouter
 from arbutusvale.coordination import freeze
+from arbutusvale.coordination import listrelay
 from arbutusvale.coordination import logfollower
 from arbutusvale.coordination import peercopy
 from arbutusvale.coordination import peers
@@ -160,8 +161,18 @@
         self.peers.suspects = self.parts.crashes.table
         self.peers.read_offsets = self._read_offsets
         self.peers.on_behind = self._note_behind
+        self.relay = listrelay.ListRelay(
+            self.settings.host,
+            self.server_follower,
+            self.peers.list_live,
+            self.events,
+            self.clock,
+        )
+        self.server_follower.relay = self.relay
+        self.peers.on_list_news = self.relay.take
+        self.config_follower.count_readers = self.peers.count_live
+        self.server_follower.count_readers = self.relay.count_readers
         for follower in (self.config_follower, self.server_follower):
-            follower.count_readers = self.peers.count_live
             follower.on_progress = self.peers.note_progress
 
     async def run(self) -> int:
@@ -183,6 +194,7 @@
             self.settings.host, self.settings.peer_port, self.peers.receive
         )
         self.peers.send = peer_socket.send
+        self.relay.send = peer_socket.send
         runners = [
             asyncio.create_task(supervisor.keep_running(one, self.events))
             for one in (
--- a/arbutusvale/coordination/configview.py
+++ b/arbutusvale/coordination/configview.py
@@ -49,12 +49,14 @@
 
     def update(
         self, records: list[keyedlog.Record], return_by: float | None
-    ) -> None:
+    ) -> list[keyedlog.Record]:
         """Take over the last configuration among the records."""
+        before = self.version
         for record in reversed(records):
             if record.key == self.source.key and record.value:
                 if self.take(record.value, 'store'):
-                    return
+                    return [record] if self.version > before else []
+        return []
 
     def take(self, data: bytes, origin: str) -> bool:
         """Take a configuration over if it is valid and newer."""
--- a/arbutusvale/coordination/logfollower.py
+++ b/arbutusvale/coordination/logfollower.py
@@ -14,6 +14,7 @@
 
 from arbutusvale import errors
 from arbutusvale.protocol import keyedlog
+from arbutusvale.protocol import listnews
 from arbutusvale.state import eventlog
 from arbutusvale.state import serverlist
 
@@ -52,8 +53,36 @@
 
     def update(
         self, records: list[keyedlog.Record], return_by: float | None
+    ) -> list[keyedlog.Record]:
+        """Take over records in their order.
+
+        Return those that changed what is known.
+        """
+
+
+class Relay(typing.Protocol):
+    """Share what is read among routers."""
+
+    def rest_s(self) -> float:
+        """Return for how long no call is needed; 0 when one is due."""
+
+    def note_read(
+        self, since: int | None, until: int, changed: list[keyedlog.Record]
+    ) -> None:
+        """Take over how far was read; ``since`` is None for all entries."""
+
+
+class NoRelay:
+    """Let a router read all by itself."""
+
+    def rest_s(self) -> float:
+        """Return that a call is due."""
+        return 0.0
+
+    def note_read(
+        self, since: int | None, until: int, changed: list[keyedlog.Record]
     ) -> None:
-        """Take over records in their order."""
+        """Tell nobody."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -101,6 +130,9 @@
         self.catching_up = False
         self.dropped = False
         self.wait_s = 0.0
+        self.relay: Relay = NoRelay()
+        self.calling = False
+        self.wake = asyncio.Event()
 
     def needs_copy(self) -> bool:
         """Tell whether the store is away and a peer knows more."""
@@ -132,6 +164,7 @@
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         while True:
+            await self._rest()
             try:
                 found = await self._read()
             except errors.StoreHistoryGone as error:
@@ -153,6 +186,38 @@
                     self.on_progress()
                     await self._settle()
 
+    async def _rest(self) -> None:
+        """Make no call while peers that read tell what changes."""
+        while self.offset is not None and not self.catching_up:
+            rest_s = self.relay.rest_s()
+            if rest_s <= 0:
+                return
+            self.wake.clear()
+            try:
+                async with asyncio.timeout(rest_s):
+                    await self.wake.wait()
+            except TimeoutError:
+                continue
+
+    def take_over(self, news: listnews.ListNews) -> bool:
+        """Take over what a peer read; tell whether all is known up to there.
+
+        A call of this router's own that is under way brings its news itself.
+        """
+        if self.offset is None or self.calling or self.catching_up:
+            return False
+        if self.contact.lost_at is not None:
+            return False
+        if not news.since <= self.offset <= news.until:
+            return False
+        records = [one for one in news.records if one.offset >= self.offset]
+        if records:
+            self.sink.update(records, None)
+        self.offset = news.until
+        heard_at = self.clock() - news.age_s
+        self.contact.heard_at = max(self.contact.heard_at, heard_at)
+        return True
+
     async def _settle(self) -> None:
         """Let records gather before the next call."""
         self.settling = True
@@ -163,6 +228,7 @@
         """Drop a call in flight, as its answer may have been lost."""
         self.dropped = True
         self.catching_up = True
+        self.wake.set()
         self.log.disconnect()
 
     def note_behind(self, offset: int) -> None:
@@ -173,7 +239,9 @@
         if self.contact.lost_at is not None:
             return
         self.hinted = True
-        delay_s = ANSWER_S + (self.settle_s if self.settling else 0.0)
+        # Who rests hears with the next read of a peer.
+        pausing = self.settling or not self.calling
+        delay_s = ANSWER_S + (self.settle_s if pausing else 0.0)
         loop = asyncio.get_running_loop()
         loop.call_later(delay_s, self._check_hint, offset)
 
@@ -198,21 +266,42 @@
 
     async def _read(self) -> bool:
         """Make one call; tell whether it brought records."""
-        if self.offset is None or self.catching_up:
-            self.wait_s = 0.0
-            self.dropped = False
-            page = await self.log.read_newest()
-            return_by = self._note_answer()
-            self.sink.replace(page.records, return_by)
-        else:
-            self.wait_s = self._poll_s()
-            self.dropped = False
-            page = await self.log.read_on(self.offset, self.wait_s)
-            return_by = self._note_answer()
-            self.sink.update(page.records, return_by)
+        self.calling = True
+        try:
+            if self.offset is None or self.catching_up:
+                return await self._read_newest()
+            return await self._read_on(self.offset)
+        finally:
+            self.calling = False
+
+    async def _read_newest(self) -> bool:
+        """Read all entries anew."""
+        self.wait_s = 0.0
+        self.dropped = False
+        page = await self.log.read_newest()
+        self.sink.replace(page.records, self._note_answer())
+        self._advance(None, page, [])
+        return bool(page.records)
+
+    async def _read_on(self, offset: int) -> bool:
+        """Read the records from an offset on."""
+        self.wait_s = self._poll_s()
+        self.dropped = False
+        page = await self.log.read_on(offset, self.wait_s)
+        changed = self.sink.update(page.records, self._note_answer())
+        self._advance(offset, page, changed)
+        return bool(page.records)
+
+    def _advance(
+        self,
+        since: int | None,
+        page: keyedlog.Page,
+        changed: list[keyedlog.Record],
+    ) -> None:
+        """Go on from the end of a page."""
         self.offset = page.next_offset
         self.catching_up = False
-        return bool(page.records)
+        self.relay.note_read(since, page.next_offset, changed)
 
     def _note_answer(self) -> float | None:
         """Note contact; return until when lapsed entries may return."""
--- a/arbutusvale/coordination/peers.py
+++ b/arbutusvale/coordination/peers.py
@@ -16,6 +16,7 @@
 import time
 
 from arbutusvale import errors
+from arbutusvale.protocol import listnews
 from arbutusvale.protocol import peernews
 from arbutusvale.state import eventlog
 from arbutusvale.state import promptmap
@@ -79,6 +80,7 @@
         )
         self.send: Callable[[str, bytes], None] = _send_nowhere
         self.on_behind: Callable[[str, int], None] = _ignore_offset
+        self.on_list_news: Callable[[listnews.ListNews], None] = _ignore_news
         self.read_offsets: Callable[[], dict[str, int]] = dict
         self.loads: serverloads.ServerLoads | None = None
         self.prompts: promptmap.PromptMap | None = None
@@ -127,6 +129,10 @@
     def receive(self, data: bytes) -> None:
         """Take over a message."""
         try:
+            list_news = listnews.decode(data)
+            if list_news is not None:
+                self.on_list_news(list_news)
+                return
             news = peernews.decode(data)
         except errors.FrameError as error:
             self.malformed += 1
@@ -243,3 +249,7 @@
 
 def _ignore_offset(topic: str, offset: int) -> None:
     """Stand in for the followers until they are wired."""
+
+
+def _ignore_news(news: listnews.ListNews) -> None:
+    """Stand in for the relay until it is wired."""
--- a/arbutusvale/coordination/serverview.py
+++ b/arbutusvale/coordination/serverview.py
@@ -41,23 +41,28 @@
 
     def update(
         self, records: list[keyedlog.Record], return_by: float | None
-    ) -> None:
-        """Take over records in their order."""
-        for record in records:
-            if record.value is None:
-                if self.servers.remove(record.key, return_by):
-                    self._note_removal(record.key, return_by is not None)
-            else:
-                self._put(record.key, record.value)
+    ) -> list[keyedlog.Record]:
+        """Take over records in their order; return those that changed."""
+        changed = [one for one in records if self._apply(one, return_by)]
         self.expire()
+        return changed
+
+    def _apply(self, record: keyedlog.Record, return_by: float | None) -> bool:
+        """Take over one record; tell whether it changed what is known."""
+        if record.value is not None:
+            return self._put(record.key, record.value)
+        if not self.servers.remove(record.key, return_by):
+            return False
+        self._note_removal(record.key, return_by is not None)
+        return True
 
     def expire(self) -> None:
         """Drop servers that didn't return after an outage."""
         for server_id in self.servers.expire():
             self._note_removal(server_id, False)
 
-    def _put(self, server_id: str, data: bytes) -> None:
-        """Take one entry over unless it is malformed."""
+    def _put(self, server_id: str, data: bytes) -> bool:
+        """Take one entry over unless it is malformed or brings no change."""
         try:
             server = self.decode(server_id, data)
         except errors.RecordError as error:
@@ -68,11 +73,11 @@
                 field=error.field,
                 remedy=error.remedy,
             )
-            return
+            return False
         self.newest[server_id] = data
         known = self.servers.listed.get(server_id)
         if not self.servers.put(server):
-            return
+            return False
         if known is not None and known.server.born != server.born:
             self.on_gone(server_id)
         self.events.write(
@@ -83,6 +88,7 @@
             state=server.state.value,
             born=server.born,
         )
+        return True
 
     def _note_removal(self, server_id: str, pending: bool) -> None:
         """Log a removal and forget what the server remembered."""
--- a/arbutusvale/platform/store.py
+++ b/arbutusvale/platform/store.py
@@ -70,7 +70,7 @@
         first = int.from_bytes(data[8:16], 'big')
         if end < offset or first > offset:
             raise errors.StoreHistoryGone(self.topic, offset)
-        records, count = _decode_records(data[_HEADER_BYTES:])
+        records, count = _decode_records(data[_HEADER_BYTES:], offset)
         return keyedlog.Page(records, offset + count)
 
     def is_receiving(self) -> bool:
@@ -159,8 +159,13 @@
     return keyedlog.Record(row['Key'], value or None)
 
 
-def _decode_records(data: bytes) -> tuple[list[keyedlog.Record], int]:
-    """Decode raw keyed records and count them, odd ones included."""
+def _decode_records(
+    data: bytes, first: int
+) -> tuple[list[keyedlog.Record], int]:
+    """Decode raw keyed records and count them, odd ones included.
+
+    ``first`` is the offset of the first one.
+    """
     records = []
     count = 0
     position = 0
@@ -178,5 +183,6 @@
             continue
         key = body[1 : 1 + body[0]].decode('utf-8', 'replace')
         value = body[1 + body[0] :]
-        records.append(keyedlog.Record(key, value or None))
+        offset = first + count - 1
+        records.append(keyedlog.Record(key, value or None, offset))
     return records, count
--- a/arbutusvale/protocol/keyedlog.py
+++ b/arbutusvale/protocol/keyedlog.py
@@ -6,10 +6,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Record:
-    """Hold one record; a value of None drops the key."""
+    """Hold one record; a value of None drops the key.
+
+    ``offset`` is its place in the topic, -1 if not known.
+    """
 
     key: str
     value: bytes | None
+    offset: int = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/coordination/test_listrelay.py
@@ -0,0 +1,367 @@
+"""A few routers read a busy topic for all, whatever gets lost."""
+
+import asyncio
+import json
+import random
+
+import pytest
+
+from arbutusvale.coordination import listrelay
+from arbutusvale.coordination import logfollower
+from arbutusvale.coordination import serverview
+from arbutusvale.platform import records
+from arbutusvale.protocol import keyedlog
+from arbutusvale.protocol import listnews
+from arbutusvale.protocol import peernews
+from arbutusvale.state import serverlist
+from tests import helpers_edge
+
+TOPIC = 'servers'
+APPLY_S = 3.0
+ROUTERS = 12
+SERVERS = 6
+HEARTBEAT_S = 0.2
+STEP_S = 0.05
+
+
+class Store:
+    """A log of server entries that heartbeats keep busy."""
+
+    def __init__(self, seed=1):
+        self.log = []
+        self.states = {f's{n}': 'ready' for n in range(SERVERS)}
+        self.sequence = 0
+        self.idle = False
+        self.generator = random.Random(seed)
+        for name in list(self.states):
+            self.write(name)
+
+    def write(self, name):
+        self.sequence += 1
+        state = self.states[name]
+        value = None
+        if state != 'gone':
+            value = helpers_edge.make_entry(
+                '1.1.1.1:1', State=state, Sequence=self.sequence
+            )
+        self.log.append(keyedlog.Record(name, value, len(self.log)))
+
+    def beat(self):
+        name = self.generator.choice(sorted(self.states))
+        if self.idle:
+            return
+        if self.states[name] != 'gone':
+            self.write(name)
+
+    def change(self, name, state):
+        self.states[name] = state
+        self.write(name)
+
+    def list_ready(self, end=None):
+        newest = {one.key: one for one in self.log[:end]}
+        return {
+            one.key
+            for one in newest.values()
+            if one.value and json.loads(one.value)['State'] == 'ready'
+        }
+
+
+class Router:
+    """Follow the store step by step, as the follower's task would."""
+
+    def __init__(self, fleet, number):
+        self.fleet = fleet
+        self.host = f'10.0.0.{number}'
+        self.events = helpers_edge.Events()
+        self.servers = serverlist.ServerList(fleet.clock)
+        view = serverview.ServerView(
+            self.servers, records.read_server, self.events, lambda one: None
+        )
+        self.follower = logfollower.LogFollower(
+            TOPIC, None, view, self.events, APPLY_S, fleet.clock
+        )
+        self.relay = listrelay.ListRelay(
+            self.host, self.follower, self.list_live, self.events, fleet.clock
+        )
+        self.follower.relay = self.relay
+        self.relay.send = fleet.send
+        self.next_read = 0.0
+        self.calls = 0
+        self.cut = False
+
+    def list_live(self):
+        return [
+            one.host
+            for one in self.fleet.routers
+            if one is not self and one.host not in self.fleet.dead
+        ]
+
+    def step(self):
+        now = self.fleet.clock.now
+        follower = self.follower
+        if now < self.next_read:
+            return
+        if follower.offset is not None and self.relay.rest_s() > 0:
+            return
+        self.calls += 1
+        if self.cut:
+            follower.contact.lost_at = follower.contact.lost_at or now
+            self.next_read = now + 0.4
+            return
+        log = self.fleet.store.log
+        if follower.offset is None or follower.catching_up:
+            newest = {one.key: one for one in log}
+            listed = [one for one in newest.values() if one.value]
+            follower.sink.replace(listed, follower._note_answer())
+            follower._advance(None, keyedlog.Page([], len(log)), [])
+        else:
+            start = follower.offset
+            changed = follower.sink.update(
+                log[start:], follower._note_answer()
+            )
+            follower._advance(start, keyedlog.Page([], len(log)), changed)
+        quiet = self.fleet.store.idle
+        pause_s = logfollower.POLL_S if quiet else follower.settle_s
+        self.next_read = now + pause_s
+
+    def list_ready(self):
+        return {one.server.id for one in self.servers.ready('chat')}
+
+
+class Fleet:
+    """Routers, a store, and a network that loses some datagrams."""
+
+    def __init__(self, loss=0.0, seed=1, count=ROUTERS):
+        self.clock = helpers_edge.Clock()
+        self.store = Store(seed)
+        self.generator = random.Random(seed)
+        self.loss = loss
+        self.dead = set()
+        self.routers = []
+        self.routers.extend(Router(self, number) for number in range(count))
+
+    def send(self, host, data):
+        assert len(data) <= peernews.MAX_BYTES
+        if host in self.dead or self.generator.random() < self.loss:
+            return
+        for one in self.routers:
+            if one.host == host:
+                one.relay.take(listnews.decode(data))
+
+    def run(self, seconds):
+        end = self.clock.now + seconds
+        while self.clock.now < end:
+            self.clock.now += STEP_S
+            if self.generator.random() < STEP_S / HEARTBEAT_S:
+                self.store.beat()
+            for one in self.list_alive():
+                one.step()
+
+    def list_alive(self):
+        return [one for one in self.routers if one.host not in self.dead]
+
+    def list_readers(self):
+        return [one for one in self.list_alive() if one.relay._is_reader()]
+
+
+@pytest.mark.parametrize('idle', [False, True])
+def test_three_of_many_routers_call_the_store(idle):
+    fleet = Fleet()
+    fleet.store.idle = idle
+    fleet.run(20)
+    assert len(fleet.list_readers()) == listrelay.READERS
+    listeners = [one for one in fleet.routers if not one.relay.reading]
+    assert len(listeners) == ROUTERS - listrelay.READERS
+    assert max(one.calls for one in listeners) <= 3
+    assert listeners[0].events.named('list-listener')
+
+
+def test_a_few_routers_all_read():
+    fleet = Fleet(count=listrelay.LEAST_ROUTERS - 1)
+    fleet.run(10)
+    assert min(one.calls for one in fleet.routers) >= 9
+
+
+def test_each_router_still_reads_all_entries_now_and_then():
+    fleet = Fleet()
+    fleet.run(2 * listrelay.SELF_READ_S + 5)
+    listeners = [one for one in fleet.routers if not one.relay.reading]
+    assert all(3 <= one.calls <= 6 for one in listeners)
+
+
+@pytest.mark.parametrize('idle', [False, True])
+@pytest.mark.parametrize('loss', [0.0, 0.3])
+def test_a_leaving_server_is_known_everywhere_within_the_bound(loss, idle):
+    fleet = Fleet(loss)
+    fleet.store.idle = idle
+    fleet.run(10)
+    fleet.store.change('s0', 'draining')
+    fleet.run(0.7 * APPLY_S)
+    for one in fleet.routers:
+        assert 's0' not in one.list_ready()
+
+
+def test_readers_that_die_at_once_are_replaced_within_the_bound():
+    """Their last news hold for a moment; then each reads by itself."""
+    fleet = Fleet()
+    fleet.run(10)
+    dead = {one.host for one in fleet.list_readers()}
+    live = fleet.list_alive()
+    fleet.dead = dead
+    for one in live:
+        # Peers count as live for seconds after they died.
+        one.list_live = lambda own=one: [
+            other.host for other in fleet.routers if other is not own
+        ]
+        one.relay.list_live = one.list_live
+    fleet.store.change('s1', 'draining')
+    fleet.run(0.7 * APPLY_S)
+    for one in fleet.list_alive():
+        assert 's1' not in one.list_ready()
+
+
+def test_readers_cut_from_the_store_do_not_hold_the_others_back():
+    fleet = Fleet()
+    fleet.run(10)
+    for one in fleet.list_readers():
+        one.cut = True
+    fleet.store.change('s2', 'gone')
+    fleet.run(0.7 * APPLY_S)
+    for one in fleet.routers:
+        assert one.cut or 's2' not in one.list_ready()
+
+
+def test_who_missed_records_reads_by_itself():
+    fleet = Fleet()
+    fleet.run(5)
+    listener = next(one for one in fleet.routers if not one.relay.reading)
+    end = len(fleet.store.log)
+    gap = listnews.ListNews('10.0.0.9', TOPIC, end + 5, end + 9, 0.0, ())
+    covered_at = listener.relay.covered_at
+    listener.relay.take(gap)
+    assert listener.relay.covered_at == covered_at
+    assert listener.follower.offset <= end
+
+
+def test_records_that_are_known_are_not_taken_again():
+    fleet = Fleet()
+    fleet.run(5)
+    listener = next(one for one in fleet.routers if not one.relay.reading)
+    offset = listener.follower.offset
+    old = keyedlog.Record('s3', None, offset - 1)
+    new = keyedlog.Record('s4', None, offset)
+    news = listnews.ListNews(
+        '10.0.0.9', TOPIC, offset - 2, offset + 1, 0.1, (old, new)
+    )
+    listener.relay.take(news)
+    assert 's3' in listener.list_ready()
+    assert 's4' not in listener.list_ready()
+    assert listener.follower.offset == offset + 1
+
+
+def test_news_do_not_interfere_with_an_own_call():
+    fleet = Fleet()
+    fleet.run(5)
+    listener = next(one for one in fleet.routers if not one.relay.reading)
+    offset = listener.follower.offset
+    listener.follower.calling = True
+    listener.relay.take(
+        listnews.ListNews('10.0.0.9', TOPIC, offset, offset + 4, 0.0, ())
+    )
+    assert listener.follower.offset == offset
+
+
+def test_after_an_outage_each_router_reads_until_entries_have_returned():
+    fleet = Fleet()
+    fleet.run(5)
+    listener = next(one for one in fleet.routers if not one.relay.reading)
+    listener.follower.contact.regained_at = fleet.clock.now
+    assert listener.relay.rest_s() <= 0
+    fleet.clock.now += serverlist.RETURN_GRACE_S + 1.1
+    listener.relay.covered_at = fleet.clock.now
+    assert listener.relay.rest_s() > 0
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_routers_agree_with_a_prefix_of_the_log_whatever_is_lost(seed):
+    """Deaths, cuts, lost datagrams and changes in any order."""
+    fleet = Fleet(loss=0.3, seed=seed)
+    generator = random.Random(seed)
+    for _ in range(60):
+        fleet.run(generator.uniform(0.1, 1.0))
+        name = generator.choice(sorted(fleet.store.states))
+        match generator.randrange(6):
+            case 0 | 1:
+                state = generator.choice(['ready', 'draining', 'gone'])
+                fleet.store.change(name, state)
+            case 2:
+                one = generator.choice(fleet.routers)
+                one.cut = not one.cut
+                if not one.cut and one.follower.contact.lost_at is not None:
+                    one.follower.offset = None
+            case 3:
+                host = generator.choice(fleet.routers).host
+                fleet.dead ^= {host}
+        for one in fleet.list_alive():
+            offset = one.follower.offset
+            if offset is not None and not one.servers.expire():
+                pending = {
+                    server_id
+                    for server_id, listed in one.servers.listed.items()
+                    if listed.gone_at is not None
+                }
+                expected = fleet.store.list_ready(offset)
+                assert one.list_ready() - pending == expected - pending
+    for one in fleet.routers:
+        if one.cut:
+            one.cut = False
+            one.follower.offset = None
+    fleet.dead = set()
+    fleet.run(serverlist.RETURN_GRACE_S + APPLY_S + 2)
+    for one in fleet.routers:
+        assert one.list_ready() == fleet.store.list_ready()
+
+
+def test_a_resting_follower_makes_no_call_and_wakes_for_a_look():
+    class Log:
+        def __init__(self):
+            self.calls = []
+            self.called = asyncio.Event()
+
+        async def read_newest(self):
+            self.calls.append('newest')
+            self.called.set()
+            return keyedlog.Page([], 5)
+
+        async def read_on(self, offset, wait_s):
+            self.calls.append('on')
+            return keyedlog.Page([], offset)
+
+        def disconnect(self):
+            pass
+
+        def is_receiving(self):
+            return False
+
+    class Relay(logfollower.NoRelay):
+        def rest_s(self):
+            return 60.0
+
+    async def follow():
+        log, events = Log(), helpers_edge.Events()
+        servers = serverlist.ServerList(helpers_edge.Clock())
+        view = serverview.ServerView(
+            servers, records.read_server, events, lambda one: None
+        )
+        follower = logfollower.LogFollower(TOPIC, log, view, events, APPLY_S)
+        follower.relay = Relay()
+        task = asyncio.create_task(follower.run())
+        await asyncio.wait_for(log.called.wait(), 10)
+        for _ in range(10):
+            await asyncio.sleep(0)
+        assert log.calls == ['newest']
+        await follower.refresh()
+        assert log.calls == ['newest', 'newest']
+        task.cancel()
+
+    asyncio.run(follow())
--- a/tests/fuzz/test_edge_border.py
+++ b/tests/fuzz/test_edge_border.py
@@ -1,6 +1,7 @@
 """No bytes from outside crash the edge router or mix answers."""
 
 import asyncio
+import itertools
 import json
 
 from hypothesis import given
@@ -11,6 +12,8 @@
 from arbutusvale.platform import headers
 from arbutusvale.platform import records
 from arbutusvale.platform import store
+from arbutusvale.protocol import keyedlog
+from arbutusvale.protocol import listnews
 from arbutusvale.protocol import peernews
 from arbutusvale.protocol import routing
 from arbutusvale.transport import edgeserver
@@ -75,8 +78,11 @@
 
 @given(strategies.binary(max_size=200))
 def test_raw_records_are_decoded_or_skipped(data):
-    decoded, count = store._decode_records(data)
+    decoded, count = store._decode_records(data, 7)
     assert len(decoded) <= count
+    offsets = [one.offset for one in decoded]
+    assert offsets == sorted(offsets)
+    assert all(7 <= offset < 7 + count for offset in offsets)
 
 
 @given(JSON)
@@ -87,6 +93,50 @@
         pass
 
 
+LIST_NEWS_ROWS = strategies.lists(
+    strategies.tuples(JSON, JSON, JSON).map(list) | JSON, max_size=3
+)
+
+
+@given(JSON, JSON, JSON, JSON, LIST_NEWS_ROWS)
+def test_list_news_are_decoded_or_refused(since, until, age, topic, rows):
+    document = {
+        'kind': 'list', 'host': '10.0.0.1', 'topic': topic, 'since': since,
+        'until': until, 'age_ms': age, 'records': rows,
+    }  # fmt: skip
+    data = json.dumps(document, separators=(',', ':')).encode()
+    try:
+        news = listnews.decode(data)
+    except errors.FrameError:
+        return
+    assert news.since <= news.until
+    assert news.age_s >= 0
+
+
+@given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.text(max_size=20),
+            strategies.none() | strategies.binary(min_size=1, max_size=400),
+        ),
+        max_size=20,
+    )
+)
+def test_list_news_survive_their_cut_into_datagrams(entries):
+    records = tuple(
+        keyedlog.Record(key, value, 10 + 3 * index)
+        for index, (key, value) in enumerate(entries)
+    )
+    news = listnews.ListNews('10.0.0.1', 'topic', 4, 90, 0.0, records)
+    parts = [
+        listnews.decode(listnews.encode(one)) for one in listnews.split(news)
+    ]
+    assert [parts[0].since, parts[-1].until] == [4, 90]
+    for before, after in itertools.pairwise(parts):
+        assert before.until == after.since
+    assert sum((one.records for one in parts), ()) == records
+
+
 @given(
     strategies.lists(
         strategies.tuples(
@@ -196,7 +246,8 @@
         data = corrupt(REQUEST, edits)
         for start in range(0, len(data), size):
             connection.data_received(data[start : start + size])
-            await asyncio.sleep(0)
+            for _ in range(3):
+                await asyncio.sleep(0)
         for request in seen:
             assert len(request.body) <= len(data)
         refused = transport.written.startswith(b'HTTP/1.1 4')
