Divide a VM's sockets between callers and servers

Without descriptors the event loop's server fails a backlog's worth of accepts, writes a traceback for each and stands still for a second; then it passes on requests whose callers had left meanwhile, as the end of a connection is read one turn after its request.

Tests failed first: 6 of 6 requests served of which 5 had no caller any more; a crowd of idle connections left no room.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -39,7 +39,9 @@
 from arbutusvale.state import promptmap
 from arbutusvale.state import serverlist
 from arbutusvale.state import serverloads
+from arbutusvale.state import socketbudget
 from arbutusvale.state import suspects
+from arbutusvale.transport import acceptor
 from arbutusvale.transport import edgeserver
 from arbutusvale.transport import pagefetch
 from arbutusvale.transport import peersocket
@@ -64,7 +66,10 @@
         self.events = eventlog.EventLog(sys.stdout.fileno(), self.clock)
         self.measures = edgemeasures.EdgeMeasures()
         self.link = linkload.LinkLoad(settings.link_mbit_per_s, self.clock)
-        self.pool = serverpool.ServerPool(self.link.add, self._limit_idle)
+        self.sockets = socketbudget.divide(settings.max_sockets)
+        self.pool = serverpool.ServerPool(
+            self.link.add, self._limit_idle, self.sockets.servers
+        )
         self.stop_at: float | None = None
         self.stopped = asyncio.Event()
         self._wire_lists()
@@ -144,7 +149,12 @@
             int(self.settings.memory_bytes * BODY_SHARE),
             self.events.write,
             self.link.add,
+            self.sockets.callers,
+        )
+        self.acceptor = acceptor.Acceptor(
+            self.edge.connect, self.edge.has_room, self.events.write
         )
+        self.edge.on_room = self.acceptor.resume
 
     def _wire_peers(self) -> None:
         """Let routers share what each of them knows."""
@@ -219,7 +229,7 @@
         self.events.flush()
         return 0
 
-    async def _listen(self) -> list[asyncio.Server]:
+    async def _listen(self) -> list[asyncio.Server | acceptor.Acceptor]:
         """Open the listening sockets."""
         loop = asyncio.get_running_loop()
         callers = self.settings.callers
@@ -227,13 +237,9 @@
         pages = {bootfile.READINESS_PATH: self._show_readiness}
         metrics = {'/metrics': self._show_metrics}
         shared = {peercopy.PATH: self.peer_copy.offer}
+        self.acceptor.listen(callers.host, callers.port, LISTEN_BACKLOG)
         return [
-            await loop.create_server(
-                self.edge.connect,
-                callers.host,
-                callers.port,
-                backlog=LISTEN_BACKLOG,
-            ),
+            self.acceptor,
             await loop.create_server(
                 lambda: plainpages.PageConnection(pages),
                 readiness.host,
@@ -359,6 +365,7 @@
             self.stop_at is None
             and self.config.table is not None
             and self.server_follower.offset is not None
+            and not self.edge.is_full()
             and self.link.wait_s() <= edgeadmission.MOST_LINK_WAIT_S
         )
 
--- a/arbutusvale/platform/bootfile.py
+++ b/arbutusvale/platform/bootfile.py
@@ -10,6 +10,10 @@
 # Named by `metrics` in deploy/system.toml; lies outside the internal ports.
 METRICS_PORT = 9464
 _MEBIBYTE = 1 << 20
+# The platform keeps these of MaxFds for files; sockets share the rest.
+_FILE_DESCRIPTORS = 200
+# What Linux gives a process unless it is told otherwise.
+_USUAL_DESCRIPTORS = 1024.0
 
 
 def read(path: str) -> vmsettings.EdgeSettings:
@@ -46,12 +50,18 @@
             metrics_port=METRICS_PORT,
             memory_bytes=int(self._number('Limits.MemoryMb') * _MEBIBYTE),
             link_mbit_per_s=self._number('Limits.LinkMbps', 0.0),
+            max_sockets=self._max_sockets(),
             bounds=self._bounds(),
         )
         if self.faults:
             raise errors.DocumentError(self.path, self.faults)
         return settings
 
+    def _max_sockets(self) -> int:
+        """Return what is left of the descriptors for sockets."""
+        descriptors = int(self._number('Limits.MaxFds', _USUAL_DESCRIPTORS))
+        return max(1, descriptors - _FILE_DESCRIPTORS)
+
     def _bounds(self) -> vmsettings.Bounds:
         """Return the bounds, times in seconds."""
         return vmsettings.Bounds(
--- a/arbutusvale/protocol/vmsettings.py
+++ b/arbutusvale/protocol/vmsettings.py
@@ -37,6 +37,7 @@
     ``seeds`` are the addresses of up to three routers; ``peer_port`` is the
     port that routers use among themselves, the same on every VM;
     ``link_mbit_per_s`` is the rate of the VM's link, 0 if it isn't told.
+    ``max_sockets`` is the number of sockets that the process may hold open.
     """
 
     name: str
@@ -50,4 +51,5 @@
     metrics_port: int
     memory_bytes: int
     link_mbit_per_s: float
+    max_sockets: int
     bounds: Bounds
--- a/arbutusvale/transport/edgeserver.py
+++ b/arbutusvale/transport/edgeserver.py
@@ -57,7 +57,10 @@
         body_budget: int,
         note: Callable[..., None],
         count_sent: Callable[[int], None],
+        most_connections: int,
     ):
+        self.most_connections = most_connections
+        self.on_room: Callable[[], None] = _tell_nobody
         self.serve = serve
         self.limits = limits
         self.body_budget = body_budget
@@ -80,6 +83,30 @@
             for connection in list(self.connections):
                 connection.check_time(now)
 
+    def has_room(self, opening: int) -> bool:
+        """Tell whether a connection may be opened beside those just opening.
+
+        Idle connections count as room, as they give way.
+        """
+        surplus = len(self.connections) + opening + 1 - self.most_connections
+        if surplus <= 0:
+            return True
+        return sum(one.is_idle() for one in self.connections) >= surplus
+
+    def make_room(self) -> None:
+        """Close the connection that has idled longest if there is no room."""
+        if len(self.connections) < self.most_connections:
+            return
+        idle = [one for one in self.connections if one.is_idle()]
+        if idle:
+            min(idle, key=lambda one: one.idle_since).give_way()
+
+    def is_full(self) -> bool:
+        """Tell whether each connection that may be open has a request."""
+        return len(self.connections) >= self.most_connections and not any(
+            one.is_idle() for one in self.connections
+        )
+
     def close_idle(self) -> None:
         """Close the connections that wait for no answer."""
         for connection in list(self.connections):
@@ -116,6 +143,7 @@
         """Register the connection."""
         self.transport = typing.cast(asyncio.Transport, transport)
         sockets.harden(transport, sockets.CALLER_PROBING)
+        self.server.make_room()
         self.server.connections.add(self)
 
     def data_received(self, data: bytes) -> None:
@@ -137,6 +165,7 @@
         self.lost = True
         self.server.connections.discard(self)
         self._free_body()
+        self.server.on_room()
         if self.writable is not None and not self.writable.done():
             self.writable.set_result(None)
         if self.task is not None:
@@ -168,11 +197,23 @@
         elif now - self.idle_since > self.idle_limit_s:
             self._end()
 
+    def is_idle(self) -> bool:
+        """Tell whether no request is being received or answered."""
+        return (
+            self.task is None and self.received_at is None and not self.ending
+        )
+
     def close_if_idle(self) -> None:
         """Close unless a request is being received or answered."""
-        if self.task is None and self.received_at is None:
+        if self.is_idle():
             self._end()
 
+    def give_way(self) -> None:
+        """Close at once for another connection."""
+        self.ending = True
+        self.server.connections.discard(self)
+        self.transport.close()
+
     # Called by the parser.
 
     def on_message_begin(self) -> None:
@@ -353,6 +394,7 @@
     async def _serve(self, request: directcall.CallerRequest) -> None:
         """Have one request answered and go on with the next."""
         try:
+            await self._notice_end()
             await self.server.serve(request, self)
         finally:
             self.task = None
@@ -360,6 +402,16 @@
             if not self.lost:
                 self._go_on()
 
+    async def _notice_end(self) -> None:
+        """Let the end of a connection that came with a request be seen.
+
+        A request may have waited for this process until its caller left.
+        The event loop reads the end in its next turn and reports it in the
+        one after; both come before the request is served.
+        """
+        for _ in range(2):
+            await asyncio.sleep(0)
+
     def _go_on(self) -> None:
         """Take up the next request, or end the connection."""
         if not self.finished:
@@ -380,6 +432,7 @@
             data, self.backlog = self.backlog, b''
             self.transport.resume_reading()
             self._feed(data)
+        self.server.on_room()
 
     def _note_refusal(self, status: int) -> None:
         """Remember the first reason to refuse the request."""
@@ -449,3 +502,7 @@
         """Close the connection at last."""
         if not self.lost:
             self.transport.close()
+
+
+def _tell_nobody() -> None:
+    """Stand in for the acceptor until it is wired."""
--- a/arbutusvale/transport/serverpool.py
+++ b/arbutusvale/transport/serverpool.py
@@ -19,14 +19,18 @@
     """Open, lend and keep connections, by server incarnation.
 
     ``count_sent`` is told how many bytes are written; ``limit_idle`` returns
-    how many idle connections to one server of a pool are kept.
+    how many idle connections to one server of a pool are kept.  At most
+    ``most_open`` are open, idle ones included.
     """
 
     def __init__(
         self,
         count_sent: Callable[[int], None],
         limit_idle: Callable[[str], int],
+        most_open: int,
     ):
+        self.most_open = most_open
+        self.open = 0
         self.limit_idle = limit_idle
         self.count_sent = count_sent
         self.idle: dict[str, list[httpconnection.HttpConnection]] = {}
@@ -39,9 +43,13 @@
         kept = self._take(server.id, fresh)
         if kept is not None:
             return kept
+        if self.open >= self.most_open:
+            self._close_longest_idle()
         host, port = server.endpoint
         self.opened += 1
         link = await httpconnection.open_connection(host, port, timeout_s)
+        self.open += 1
+        link.on_close = self._note_closed
         link.count_sent = self.count_sent
         return link
 
@@ -82,6 +90,17 @@
                 one.abort()
         self.idle.clear()
 
+    def _note_closed(self) -> None:
+        """Count a connection that ended."""
+        self.open -= 1
+
+    def _close_longest_idle(self) -> None:
+        """Close the connection that has idled longest, of any server."""
+        queues = [kept for kept in self.idle.values() if kept]
+        if queues:
+            oldest = min(queues, key=lambda kept: kept[0].idle_since)
+            oldest.pop(0).abort()
+
     async def run(self) -> None:
         """Prune until cancelled."""
         while True:
--- a/tests/edgefleet.py
+++ b/tests/edgefleet.py
@@ -145,6 +145,7 @@
         self.caller_port, self.ready_port, self.peer_port = find_ports(3)
         self.ids = 0
         self.version = 0
+        self.max_descriptors = 4100
 
     async def _make_store(self):
         made = edgestore.StoreStandin()
@@ -216,6 +217,7 @@
 [Limits]
 CpuShare = 1.0
 MemoryMb = 200
+MaxFds = {self.max_descriptors}
 [Bounds]
 ContactMs = 3000
 DrainMs = 2000
--- a/tests/fuzz/test_edge_border.py
+++ b/tests/fuzz/test_edge_border.py
@@ -238,7 +238,7 @@
             caller.answer(200, [], b'')
 
         server = edgeserver.EdgeServer(
-            serve, routing.CallerLimits, 1 << 20, _ignore, _ignore
+            serve, routing.CallerLimits, 1 << 20, _ignore, _ignore, 100
         )
         connection = server.connect()
         transport = Transport()
