--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -34,8 +34,8 @@
 from arbutusvale.protocol import vmsettings
 from arbutusvale.state import edgemeasures
 from arbutusvale.state import eventlog
-from arbutusvale.state import holdings
 from arbutusvale.state import linkload
+from arbutusvale.state import pooltimes
 from arbutusvale.state import promptmap
 from arbutusvale.state import serverlist
 from arbutusvale.state import serverloads
@@ -134,7 +134,7 @@
             peers=self.peers,
             store_age_s=self._store_age,
             link=self.link,
-            throughput=holdings.Throughput(self.clock),
+            throughput=pooltimes.Throughput(self.clock),
         )
         self.freeze_guard = freeze.FreezeGuard(
             self._look_around, _read_boot_clock, self._note_gap
--- a/arbutusvale/coordination/edgeparts.py
+++ b/arbutusvale/coordination/edgeparts.py
@@ -15,6 +15,8 @@
 from arbutusvale.state import eventlog
 from arbutusvale.state import holdings
 from arbutusvale.state import linkload
+from arbutusvale.state import pooldemand
+from arbutusvale.state import pooltimes
 from arbutusvale.state import promptmap
 from arbutusvale.state import rendezvous
 from arbutusvale.state import serverlist
@@ -45,7 +47,7 @@
     peers: peers.Peers
     store_age_s: Callable[[], float]
     link: linkload.LinkLoad
-    throughput: holdings.Throughput
+    throughput: pooltimes.Throughput
     budgets: dict[str, retries.WindowBudget] = dataclasses.field(
         default_factory=dict
     )
@@ -56,14 +58,14 @@
     in_flight: holdings.Holdings = dataclasses.field(
         default_factory=holdings.Holdings
     )
-    usual_times: holdings.UsualTimes = dataclasses.field(
-        default_factory=holdings.UsualTimes
+    usual_times: pooltimes.UsualTimes = dataclasses.field(
+        default_factory=pooltimes.UsualTimes
     )
-    admitted_shares: holdings.AdmittedShares = dataclasses.field(
-        default_factory=holdings.AdmittedShares
+    admitted_shares: pooldemand.AdmittedShares = dataclasses.field(
+        default_factory=pooldemand.AdmittedShares
     )
-    demand: holdings.PoolDemand = dataclasses.field(
-        default_factory=holdings.PoolDemand
+    demand: pooldemand.PoolDemand = dataclasses.field(
+        default_factory=pooldemand.PoolDemand
     )
 
     def budget(self, pool: str) -> retries.WindowBudget:
--- a/arbutusvale/coordination/edgerouter.py
+++ b/arbutusvale/coordination/edgerouter.py
@@ -9,6 +9,7 @@
 from arbutusvale.coordination import edgecall
 from arbutusvale.coordination import edgeoutcomes
 from arbutusvale.coordination import edgeparts
+from arbutusvale.coordination import edgeroom
 from arbutusvale.coordination import supervisor
 from arbutusvale.protocol import directcall
 from arbutusvale.protocol import edgeports
@@ -124,77 +125,11 @@
         order = self._make_order(request, traits, route, owner)
         if self.parts.crashes.is_quarantined(order.fingerprint):
             return Refusal(503, 'quarantined', _QUARANTINE_RETRY_S)
-        return self._find_room(order)
-
-    def _find_room(
-        self, order: edgeoutcomes.Order
-    ) -> edgeoutcomes.Order | Refusal:
-        """Refuse a request at once that no server can run in time."""
-        parts = self.parts
-        ask = self._describe(order)
-        spread = parts.generator.random()
-        decision = edgeadmission.decide_link(
-            parts.link.wait_s(), ask.time_left_s, spread
-        ) or edgeadmission.decide(self._sum_loads(order.pool), ask, spread)
-        admitted = isinstance(decision, edgeadmission.Admitted)
-        parts.admitted_shares.note(order.pool, order.route.name, admitted)
-        match decision:
-            case edgeadmission.TurnedAway(cause, wait_s, retry_after_s):
-                parts.events.write(
-                    'turned-away',
-                    id=order.traits.attempt_id,
-                    pool=order.pool,
-                    cause=cause,
-                    wait=wait_s,
-                    limit=edgeadmission.find_wait_limit(ask),
-                    left=ask.time_left_s,
-                    usual=ask.service_s,
-                    pool_usual=ask.pool_service_s,
-                    rank=ask.rank,
-                    held=ask.held,
-                    fair_held=ask.fair_held,
-                )
+        match edgeroom.find_room(self.parts, order):
+            case edgeadmission.TurnedAway(cause, _, retry_after_s):
                 return Refusal(503, cause, retry_after_s)
         return order
 
-    def _sum_loads(self, pool: str) -> edgeadmission.PoolLoad:
-        """Add up the loads of the servers that a request may go to."""
-        parts = self.parts
-        servers = [
-            one.server
-            for one in parts.servers.ready(pool)
-            if not parts.avoidance.is_avoided(one.server.id)
-        ]
-        requests = sum(parts.loads.estimate(one.id) for one in servers)
-        slots = sum(one.slots for one in servers)
-        return edgeadmission.PoolLoad(requests, slots)
-
-    def _describe(self, order: edgeoutcomes.Order) -> edgeadmission.Ask:
-        """Gather what admission needs to know of a request."""
-        parts = self.parts
-        pool = order.pool
-        route = order.route
-        organisation = order.organisation or ''
-        parts.in_flight.note_arrival(pool, organisation)
-        parts.demand.note(pool, order.priority, route.target_latency_s)
-        return edgeadmission.Ask(
-            time_left_s=order.deadline - parts.clock(),
-            target_s=parts.demand.least_target(pool),
-            service_s=parts.usual_times.find(route.name),
-            pool_service_s=self._find_pool_time(pool),
-            rank=parts.demand.rank(pool, order.priority),
-            held=parts.in_flight.count(pool, organisation),
-            fair_held=parts.in_flight.fair(pool, organisation),
-            deprived=parts.admitted_shares.is_deprived(pool, route.name),
-        )
-
-    def _find_pool_time(self, pool: str) -> float:
-        """Return how long requests to a pool take now, 0 if not known."""
-        parts = self.parts
-        return parts.throughput.estimate(
-            pool, parts.in_flight.total(pool), parts.usual_times.find(pool)
-        )
-
     def _find_owner(
         self,
         table: routetable.RouteTable,
--- /dev/null
+++ b/arbutusvale/state/pooltimes.py
@@ -0,0 +1,80 @@
+"""Know how long requests take, usually and now.
+
+All of it is this router's own sliver of what servers do.
+"""
+
+import collections
+from collections.abc import Callable
+
+from arbutusvale.state import recentmap
+
+# Routes come and go with configurations; far more than are in use at a time.
+MAX_KEYS = 4096
+# Some dozens of requests decide an average, so that it follows a change of
+# load within seconds.
+_SMOOTHING = 0.1
+# Holds the ends of some dozens of requests at a router's usual traffic.
+_WINDOW_S = 1.0
+# An engine with all slots taken makes a token in three times the time of a
+# quiet one.
+_MOST_SLOWDOWN = 4.0
+# One request more or less must not change an estimate by more than an eighth.
+_LEAST_IN_FLIGHT = 8
+
+
+class UsualTimes:
+    """Average how long requests hold their slot, in seconds.
+
+    A key is a route or a pool.
+    """
+
+    def __init__(self) -> None:
+        self.times: recentmap.RecentMap[float] = recentmap.RecentMap(MAX_KEYS)
+
+    def note(self, key: str, seconds: float) -> None:
+        """Take one request's time into the average."""
+        usual = self.times.get(key, seconds)
+        self.times.put(key, usual + _SMOOTHING * (seconds - usual))
+
+    def find(self, key: str) -> float:
+        """Return the usual time, 0 when nothing is known."""
+        return self.times.get(key, 0.0)
+
+
+class Throughput:
+    """Tell how long a pool takes for what this router has there.
+
+    By Little's law that is what is in flight over the rate of completions.
+    It follows a burst at once, when the average of the times that requests
+    took still tells of the quiet before.
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.clock = clock
+        self.ends: dict[str, collections.deque[float]] = {}
+
+    def note_end(self, pool: str) -> None:
+        """Count the end of a request."""
+        now = self.clock()
+        ends = self.ends.setdefault(pool, collections.deque())
+        ends.append(now)
+        _expire(ends, now)
+
+    def estimate(self, pool: str, in_flight: int, usual_s: float) -> float:
+        """Return the time that a request probably takes, in seconds.
+
+        It is at least ``usual_s`` and a bounded multiple of it, as a few
+        completions say little; with little in flight it is ``usual_s``.
+        """
+        ends = self.ends.get(pool)
+        if ends is None or in_flight < _LEAST_IN_FLIGHT:
+            return usual_s
+        _expire(ends, self.clock())
+        now_s = in_flight * _WINDOW_S / max(1, len(ends))
+        return max(usual_s, min(now_s, _MOST_SLOWDOWN * usual_s))
+
+
+def _expire(times: collections.deque[float], now: float) -> None:
+    """Drop times that are older than the window."""
+    while times and times[0] <= now - _WINDOW_S:
+        times.popleft()
--- a/arbutusvale/state/promptmap.py
+++ b/arbutusvale/state/promptmap.py
@@ -1,8 +1,9 @@
 """Remember which engines have read which shared parts of prompts."""
 
-import collections
 from collections.abc import Callable
 
+from arbutusvale.state import recentmap
+
 # Some bytes an entry; 59 to a few thousand prompts are live on a fleet.
 MAX_PROMPTS = 4096
 
@@ -15,18 +16,16 @@
 
     def __init__(self, clock: Callable[[], float]):
         self.clock = clock
-        self.prompts: collections.OrderedDict[str, dict[str, float]] = (
-            collections.OrderedDict()
+        self.prompts: recentmap.RecentMap[dict[str, float]] = (
+            recentmap.RecentMap(MAX_PROMPTS)
         )
 
     def note(self, prompt: str, server_id: str) -> bool:
         """Remember that an engine reads a prompt; tell whether it's news."""
-        holders = self.prompts.setdefault(prompt, {})
+        holders = self.prompts.get(prompt, {})
         new = server_id not in holders
         holders[server_id] = self.clock()
-        self.prompts.move_to_end(prompt)
-        if len(self.prompts) > MAX_PROMPTS:
-            self.prompts.popitem(last=False)
+        self.prompts.put(prompt, holders)
         return new
 
     def holders(self, prompt: str) -> dict[str, float]:
--- a/tests/coordination/test_edgeadmission.py
+++ b/tests/coordination/test_edgeadmission.py
@@ -5,6 +5,7 @@
 
 from arbutusvale.coordination import edgeadmission
 from arbutusvale.state import holdings
+from arbutusvale.state import pooltimes
 from arbutusvale.state import serverloads
 from tests import helpers_edge
 
@@ -160,8 +161,8 @@
     def __init__(self, clock):
         self.loads = serverloads.ServerLoads(clock)
         self.held = holdings.Holdings()
-        self.usual = holdings.UsualTimes()
-        self.throughput = holdings.Throughput(clock)
+        self.usual = pooltimes.UsualTimes()
+        self.throughput = pooltimes.Throughput(clock)
         self.usual.note('chat', 1.0)
 
     def admits(self, slots):
