Let what one VM or one server refused return at once, spread out

Cause: a refusal for the VM's own link waited like one for a full pool, though the next try comes by another VM; a server's refusal that was passed on named 0.25 s to all, so that they came back together.

Now both name 0.1 to 0.3 s, drawn at random.

--- a/arbutusvale/coordination/edgeadmission.py
+++ b/arbutusvale/coordination/edgeadmission.py
@@ -14,8 +14,9 @@
 - *urgent work alone fills the servers*: a route that was admitted far more
   seldom than the others is judged like the most urgent one, so that no kind
   of request starves;
-- *the refused return*: they are spread over the time for which callers wait,
-  so that they don't come back together, and into the same overload;
+- *the refused return*: they come late in the time for which callers wait, and
+  spread over it, so that they meet neither each other nor the same overload;
+  what only this VM or one server refused may return by another way at once;
 - *a thin link gets more than it can carry*: requests are refused while what
   was written waits at the VM's own link, and readiness fails;
 - *one organisation surges*: while all servers are full, an organisation
@@ -37,6 +38,7 @@
 FAIR_LEAST = 4
 # A request that has less time than it usually takes may still be quicker.
 LATE_MARGIN = 1.5
+# A new connection by another VM takes some milliseconds; this spreads them.
 LEAST_RETRY_S = 0.1
 # Callers honour a Retry-After up to a third of the time that they have left.
 RETURN_SHARE = 0.33
@@ -96,14 +98,11 @@
     retry_after_s: float
 
 
-def decide_link(
-    wait_s: float, time_left_s: float, spread: float
-) -> TurnedAway | None:
+def decide_link(wait_s: float, spread: float) -> TurnedAway | None:
     """Turn a request away that would wait too long at this VM's link."""
     if wait_s <= MOST_LINK_WAIT_S:
         return None
-    retry_after_s = _plan_return(wait_s, time_left_s, spread)
-    return TurnedAway('link', wait_s, retry_after_s)
+    return TurnedAway('link', wait_s, plan_other_way(spread))
 
 
 def decide(load: PoolLoad, ask: Ask, spread: float) -> Admitted | TurnedAway:
@@ -121,7 +120,7 @@
         cause = 'deadline'
     else:
         return Admitted(wait_s)
-    retry_after_s = _plan_return(wait_s, ask.time_left_s, spread)
+    retry_after_s = plan_return(ask.time_left_s, spread)
     return TurnedAway(cause, wait_s, retry_after_s)
 
 
@@ -136,8 +135,15 @@
     return (load.requests + 1 - load.slots) / load.slots * service_s
 
 
-def _plan_return(wait_s: float, time_left_s: float, spread: float) -> float:
-    """Spread returns from the first room until callers no longer wait."""
+def plan_return(time_left_s: float, spread: float) -> float:
+    """Return when to come back to a pool that is full, in seconds.
+
+    Callers return once; the later they do, the likelier the surge is over.
+    """
     last_s = max(LEAST_RETRY_S, time_left_s * RETURN_SHARE)
-    first_s = last_s / 2
-    return first_s + spread * (last_s - first_s)
+    return last_s * (1 + spread) / 2
+
+
+def plan_other_way(spread: float) -> float:
+    """Return when to come back by another VM or to another server."""
+    return LEAST_RETRY_S * (1 + 2 * spread)
--- a/arbutusvale/coordination/edgecall.py
+++ b/arbutusvale/coordination/edgecall.py
@@ -8,6 +8,7 @@
 import asyncio
 
 from arbutusvale import errors
+from arbutusvale.coordination import edgeadmission
 from arbutusvale.coordination import edgeoutcomes
 from arbutusvale.coordination import edgeparts
 from arbutusvale.coordination import edgeplaces
@@ -20,8 +21,6 @@
 # A connect inside a region takes a few milliseconds.
 CONNECT_TIMEOUT_S = 0.25
 MAX_CONNECT_FAILURES = 4
-# The usual time until a slot is free, when nothing better is known.
-RETRY_AFTER_S = 0.25
 # Less time than this serves no request.
 LEAST_TIME_S = 0.01
 
@@ -210,7 +209,9 @@
         headers = []
         if not self.may_have_run:
             status = _SERVICE_UNAVAILABLE
-            headers = [(b'retry-after', b'%.2f' % RETRY_AFTER_S)]
+            spread = self.parts.generator.random()
+            retry_after_s = edgeadmission.plan_other_way(spread)
+            headers = [(b'retry-after', b'%.2f' % retry_after_s)]
         elif cause == 'deadline':
             status = _GATEWAY_TIMEOUT
         else:
--- a/arbutusvale/coordination/edgeroom.py
+++ b/arbutusvale/coordination/edgeroom.py
@@ -12,7 +12,7 @@
     ask = _describe(parts, order)
     spread = parts.generator.random()
     decision = edgeadmission.decide_link(
-        parts.link.wait_s(), ask.time_left_s, spread
+        parts.link.wait_s(), spread
     ) or edgeadmission.decide(_sum_loads(parts, order.pool), ask, spread)
     turned_away = isinstance(decision, edgeadmission.TurnedAway)
     parts.admitted_shares.note(order.pool, order.route.name, not turned_away)
