--- a/tests/coordination/test_gate.py
+++ b/tests/coordination/test_gate.py
@@ -131,6 +131,7 @@
         await sidecar.submit('a1')
         await sidecar.submit('a2')
         await sidecar.answer('a2', messages.Accepted)
+        await helpers_runs.until(lambda: sidecar.server.runs)
         assert [run.request_id for run in sidecar.server.runs] == [
             'request-a2'
         ]
