--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -116,6 +116,7 @@
         server = placement.server
         self.attempts += 1
         self.reporter.log_placement(placement, self.attempts)
+        self.reporter.reset_response()
         if self.attempts == 1:
             self.context.retry_budget(self.request.pool).add_request()
         self._record_cached_parts(placement)
@@ -137,6 +138,7 @@
         finally:
             self.context.loads.record_end(server.id)
             self._release_connection(server, connection, relay_result)
+        self.reporter.partial_bytes = len(self.event_buffer.partial)
         self.reporter.record_outcome(
             server,
             relay_result.outcome,
--- a/arbutusvale/coordination/edge_relay.py
+++ b/arbutusvale/coordination/edge_relay.py
@@ -73,7 +73,9 @@
         )
         try:
             head = await self._await_head(exchange, sent_at)
-            self.reporter.record_response_head(self.server, head, sent_at)
+            self.reporter.record_response_head(
+                self.server, head, exchange.framing, sent_at
+            )
             return await self._relay(exchange, head)
         except TimeoutError:
             cause = 'deadline' if self._time_left_s() <= 0 else 'silent'
@@ -231,9 +233,10 @@
             )
             if not self.caller.started:
                 self.caller.start(head.status, head.headers)
-            complete = self.event_buffer.feed(data) if resumable else data
-            if complete:
-                self.caller.write(complete)
+            complete = self.event_buffer.feed(data)
+            passed_on = complete if resumable else data
+            if passed_on:
+                self.caller.write(passed_on)
                 await self.caller.wait_until_drained()
         if resumable and self.event_buffer.partial:
             return RelayResult(edge_requests.Failed('event broken off'))
--- a/arbutusvale/coordination/edge_reporter.py
+++ b/arbutusvale/coordination/edge_reporter.py
@@ -4,6 +4,7 @@
 from arbutusvale.coordination import edge_context
 from arbutusvale.coordination import edge_placement
 from arbutusvale.coordination import edge_requests
+from arbutusvale.protocol import edge_ports
 from arbutusvale.protocol import proxying
 
 MIN_SERVER_ERROR_STATUS = 500
@@ -20,6 +21,9 @@
         self.context = context
         self.request = request
         self.first_byte_s: float | None = None
+        self.framing: edge_ports.Framing | None = None
+        # Length of the incomplete event at the end of an event stream.
+        self.partial_bytes = 0
 
     def write(self, event: str, **fields: object) -> None:
         """Write a log line that begins with the request's attempt id."""
@@ -43,6 +47,11 @@
             attempt=attempt,
         )
 
+    def reset_response(self) -> None:
+        """Forget the response to the attempt before."""
+        self.framing = None
+        self.partial_bytes = 0
+
     def record_unreachable(
         self, server: proxying.BackendServer, error: errors.ServerFailed
     ) -> None:
@@ -55,10 +64,12 @@
         self,
         server: proxying.BackendServer,
         head: proxying.ResponseHead,
+        framing: edge_ports.Framing | None,
         sent_at: float,
     ) -> None:
         """Record the time to a response head and the load it reports."""
         now = self.context.clock()
+        self.framing = framing
         self.context.last_received_at[server.id] = now
         self.context.metrics.observe_first_byte(
             self.request.pool, now - sent_at
@@ -111,6 +122,8 @@
             cause=outcome.cause,
             attempt=attempt,
             events_to=last_event_id,
+            framing=self.framing or '-',
+            partial=self.partial_bytes,
         )
 
     def record_end(
@@ -134,6 +147,8 @@
             age=age_s,
             left=request.deadline - now,
             config=request.version,
+            framing=self.framing or '-',
+            partial=self.partial_bytes,
         )
 
     def _update_server_health(
--- a/arbutusvale/protocol/edge_ports.py
+++ b/arbutusvale/protocol/edge_ports.py
@@ -1,5 +1,6 @@
 """Interfaces of the edge router to callers, backend servers and encoding."""
 
+import enum
 import typing
 
 from arbutusvale.protocol import proxying
@@ -7,6 +8,14 @@
 Headers = list[tuple[bytes, bytes]]
 
 
+class Framing(enum.StrEnum):
+    """What marks the end of a response's body."""
+
+    LENGTH = 'length'
+    CHUNKED = 'chunked'
+    CLOSE = 'close'
+
+
 class CallerStream(typing.Protocol):
     """The response to one request of a caller."""
 
@@ -34,9 +43,13 @@
 
 
 class ServerExchange(typing.Protocol):
-    """A request's pending response; await its ``head`` before the body."""
+    """A request's pending response; await its ``head`` before the body.
+
+    ``framing`` is known from the head on.
+    """
 
     head: typing.Any
+    framing: Framing | None
 
 
 class ServerConnection(typing.Protocol):
--- a/arbutusvale/transport/http_connection.py
+++ b/arbutusvale/transport/http_connection.py
@@ -9,6 +9,7 @@
 import httptools
 
 from arbutusvale import errors
+from arbutusvale.protocol import edge_ports
 from arbutusvale.transport import socket_options
 
 # With more unread data than this, reading from the server pauses.
@@ -37,6 +38,16 @@
     return StatusHead(status)
 
 
+def find_framing(status: int, headers: Headers) -> edge_ports.Framing:
+    """Return what marks the end of a body; header names are lower-case."""
+    names = {name for name, _ in headers}
+    if b'transfer-encoding' in names:
+        return edge_ports.Framing.CHUNKED
+    if b'content-length' in names or status in _BODILESS_STATUSES:
+        return edge_ports.Framing.LENGTH
+    return edge_ports.Framing.CLOSE
+
+
 class Exchange:
     """One request's response, as far as it has arrived.
 
@@ -52,6 +63,7 @@
         self.decode = decode
         self.bodiless = bodiless
         self.head: asyncio.Future = asyncio.get_running_loop().create_future()
+        self.framing: edge_ports.Framing | None = None
         self.chunks: list[bytes] = []
         self.buffered_bytes = 0
         self.ended = False
@@ -114,8 +126,7 @@
         self.exchange: Exchange | None = None
         self.headers: Headers = []
         self.reason = b''
-        # Whether the body's end is marked, by a length, chunks or the status.
-        self.is_framed = False
+        self.framing = edge_ports.Framing.CLOSE
         self.skip_response = False
         self.in_body = False
         # Whether data has arrived since the request was sent.
@@ -174,7 +185,9 @@
         if exchange is None:
             return
         ends_at_close = (
-            self.in_body and not self.is_framed and not self.skip_response
+            self.in_body
+            and self.framing is edge_ports.Framing.CLOSE
+            and not self.skip_response
         )
         if ends_at_close and error is None:
             exchange.finish()
@@ -250,7 +263,7 @@
         """Start a response; after an unsolicited one, don't reuse."""
         self.headers = []
         self.reason = b''
-        self.is_framed = False
+        self.framing = edge_ports.Framing.CLOSE
         self.skip_response = False
         self.in_body = False
         if self.exchange is None or self.exchange.ended:
@@ -276,16 +289,17 @@
             self.skip_response = True
             return
         self.in_body = True
-        self.is_framed = status in _BODILESS_STATUSES or any(
-            name in (b'content-length', b'transfer-encoding')
-            for name, _ in self.headers
-        )
+        self.framing = find_framing(status, self.headers)
         head = exchange.decode(status, self.reason, self.headers)
         if head is None:
             self.skip_response = True
             self.reusable = False
             return
-        if not self.is_framed or not self.parser.should_keep_alive():
+        exchange.framing = self.framing
+        if (
+            self.framing is edge_ports.Framing.CLOSE
+            or not self.parser.should_keep_alive()
+        ):
             self.reusable = False
         if not exchange.head.done():
             exchange.head.set_result(head)
