--- a/arbutusvale/standins/edge_engine.py
+++ b/arbutusvale/standins/edge_engine.py
@@ -13,6 +13,7 @@
 EXPECTED_INSTANCE_HEADER = headers.EXPECTED_INSTANCE.decode()
 TENANT_HEADER = headers.TENANT.decode()
 EVENT_INTERVAL_S = 0.02
+_LAST_CHUNK = b'0\r\n\r\n'
 
 
 @dataclasses.dataclass(slots=True)
@@ -35,9 +36,14 @@
     Faults: 'error' (500), 'shed' (503 without execution), 'reset' (before
     the response), 'hang', 'truncate', 'extra' (a second response),
     'foreign' (first a response to another attempt), 'unsigned' (no
-    signature header), 'garbage' (no HTTP), 'unframed' (no content length),
-    'encoded' (Content-Encoding: gzip), 'stream-cut' and 'stream-hang' (at
-    the third event), 'slow' (by a second), 'not-mine' (421).
+    signature header), 'garbage' (no HTTP), 'unframed' (neither length nor
+    chunks), 'unframed-reset' (the same, reset within the body or the third
+    event), 'unframed-cut' (the same, a plain answer whole, a stream closed
+    within the third event), 'unframed-empty' (the same, a stream closed
+    before the first event), 'encoded' (Content-Encoding: gzip), 'stream-cut'
+    and 'stream-hang' (at the third event), 'stream-end-early' (its last
+    chunk follows a part of the third event), 'slow' (by a second),
+    'not-mine' (421).
 
     Paths that start with ``stream_prefix`` are answered with
     ``event_count`` server-sent events.
@@ -158,11 +164,11 @@
             return await self._stream_events(
                 received_request, fault, response_headers, writer
             )
-        return self._send_response(
+        return await self._send_response(
             received_request, fault, response_headers, writer
         )
 
-    def _send_response(
+    async def _send_response(
         self,
         received_request: ReceivedRequest,
         fault: str,
@@ -175,10 +181,14 @@
             response = raw_server.format_response(200, response_headers, body)
             writer.write(response[:-2])
             return False
-        if fault == 'unframed':
-            writer.write(
-                raw_server.format_response(200, response_headers, body, False)
+        if fault.startswith('unframed'):
+            response = raw_server.format_response(
+                200, response_headers, body, False
             )
+            if fault == 'unframed-reset':
+                await self._send_and_reset(response[:-2], writer)
+                return False
+            writer.write(response)
             received_request.finished = True
             return False
         writer.write(raw_server.format_response(200, response_headers, body))
@@ -196,29 +206,54 @@
         response_headers: dict[str, str],
         writer: asyncio.StreamWriter,
     ) -> bool:
-        """Stream events in chunks, from the one after ``Last-Event-ID`` on."""
-        response_headers['Transfer-Encoding'] = 'chunked'
+        """Stream events, from the one after ``Last-Event-ID`` on."""
+        is_chunked = not fault.startswith('unframed')
+        if is_chunked:
+            response_headers['Transfer-Encoding'] = 'chunked'
         writer.write(
             raw_server.format_response(200, response_headers, b'', False)
         )
+        if fault == 'unframed-empty':
+            return False
         first_number = (
             int(received_request.request.headers.get('last-event-id', '0')) + 1
         )
         for number in range(first_number, self.event_count + 1):
             event = f'id: {number}\ndata: piece {number}\n\n'.encode()
-            if number == first_number + 2 and fault == 'stream-cut':
-                writer.write(_encode_chunk(event[:9]))
-                await writer.drain()
-                writer.transport.abort()
-                return False
-            if number == first_number + 2 and fault == 'stream-hang':
-                await asyncio.sleep(3600)
-            writer.write(_encode_chunk(event))
+            if number == first_number + 2:
+                match fault:
+                    case 'stream-cut':
+                        writer.write(_encode_chunk(event[:9]))
+                        await writer.drain()
+                        writer.transport.abort()
+                        return False
+                    case 'stream-hang':
+                        await asyncio.sleep(3600)
+                    case 'stream-end-early':
+                        writer.write(_encode_chunk(event[:9]) + _LAST_CHUNK)
+                        return True
+                    case 'unframed-cut':
+                        writer.write(event[:9])
+                        return False
+                    case 'unframed-reset':
+                        await self._send_and_reset(event[:9], writer)
+                        return False
+            writer.write(_encode_chunk(event) if is_chunked else event)
             await writer.drain()
             await asyncio.sleep(EVENT_INTERVAL_S)
-        writer.write(b'0\r\n\r\n')
+        if is_chunked:
+            writer.write(_LAST_CHUNK)
         received_request.finished = True
-        return True
+        return is_chunked
+
+    async def _send_and_reset(
+        self, data: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        """Send data, then reset the connection once it has left."""
+        writer.write(data)
+        await writer.drain()
+        await asyncio.sleep(EVENT_INTERVAL_S)
+        raw_server.reset_connection(writer)
 
     def response_body(self, received_request: ReceivedRequest) -> bytes:
         """Return a body that repeats the request's attempt id and content."""
--- a/arbutusvale/standins/raw_server.py
+++ b/arbutusvale/standins/raw_server.py
@@ -4,6 +4,8 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import socket
+import struct
 import threading
 import urllib.parse
 
@@ -125,6 +127,15 @@
     )
 
 
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset (RST), discarding unsent data."""
+    connected_socket = writer.get_extra_info('socket')
+    connected_socket.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+    writer.transport.abort()
+
+
 def format_response(
     status: int, headers: dict[str, str], body: bytes, with_length: bool = True
 ) -> bytes:
--- a/tests/platform/test_edge_path.py
+++ b/tests/platform/test_edge_path.py
@@ -19,6 +19,9 @@
     TimeoutMs=8000,
     TargetLatencyMs=800,
 )
+TALK = helpers_edge.make_route(
+    'talk', '/talk/', RouteType='streaming', MaxAttempts=1, TimeoutMs=8000
+)
 ONCE = helpers_edge.make_route(
     'once', '/once/', RouteType='non_idempotent', MaxAttempts=2
 )
@@ -29,7 +32,7 @@
 @pytest.fixture
 def edge(fleet):
     """A configured fleet of one router, two engines and a store."""
-    fleet.publish_config(routes=[PLAIN, STREAM, ONCE])
+    fleet.publish_config(routes=[PLAIN, STREAM, TALK, ONCE])
     fleet.add_engine('e1')
     fleet.add_engine('e2')
     fleet.router = fleet.add_router()
@@ -188,6 +191,15 @@
         edge.router.send_request('/stream/x', 'POST', b'p')
 
 
+# The end of its connection was taken for the end of the stream.
+def test_unframed_stream_that_ends_inside_an_event_never_looks_complete(edge):
+    for engine in edge.engines.values():
+        engine.stream_prefix = '/talk/'
+        engine.faults = ['unframed-cut']
+    with pytest.raises((http.client.IncompleteRead, ConnectionError)):
+        edge.router.send_request('/talk/x', 'POST', b'p')
+
+
 def test_request_gets_504_at_the_timeout_of_its_route(edge):
     set_engine_faults(edge, 'hang', 'hang')
     started_at = time.monotonic()
