--- a/arbutusvale/coordination/edge_relay.py
+++ b/arbutusvale/coordination/edge_relay.py
@@ -238,8 +238,10 @@
             if passed_on:
                 self.caller.write(passed_on)
                 await self.caller.wait_until_drained()
-        if resumable and self.event_buffer.partial:
-            return RelayResult(edge_requests.Failed('event broken off'))
+        if self._is_broken_off(exchange):
+            ends_at_close = exchange.framing is edge_ports.Framing.CLOSE
+            cause = 'connection closed' if ends_at_close else 'event cut'
+            return RelayResult(edge_requests.Failed(cause))
         if not self.caller.started:
             self.caller.start(head.status, head.headers)
         self.caller.finish()
@@ -247,6 +249,21 @@
             edge_requests.Delivered('answered', head.status), head
         )
 
+    def _is_broken_off(self, exchange: edge_ports.ServerExchange) -> bool:
+        """Check whether an ended event stream lacks its rest.
+
+        A stream that ends with its connection looks the same whether its
+        server finished or failed, unless it ends inside an event or before
+        the first one.
+        """
+        if self.event_buffer.partial:
+            return True
+        return (
+            exchange.framing is edge_ports.Framing.CLOSE
+            and not self.caller.started
+            and self.event_buffer.last_event_id is None
+        )
+
     def _event_gap_timeout_s(self) -> float:
         """Return how long to wait for the next event, in seconds."""
         timeout_s = self._time_left_s() + DEADLINE_SLACK_S
--- a/tests/platform/test_edge_path.py
+++ b/tests/platform/test_edge_path.py
@@ -163,7 +163,16 @@
     assert (status, body) == (200, EVENTS)
 
 
-@pytest.mark.parametrize('fault', ['stream-cut', 'stream-hang'])
+@pytest.mark.parametrize(
+    'fault',
+    [
+        'stream-cut',
+        'stream-hang',
+        'stream-end-early',
+        'unframed-cut',
+        'unframed-reset',
+    ],
+)
 def test_broken_stream_is_resumed_on_another_engine(edge, fault):
     for engine in edge.engines.values():
         engine.stream_prefix = '/stream/'
@@ -200,6 +209,46 @@
         edge.router.send_request('/talk/x', 'POST', b'p')
 
 
+@pytest.mark.parametrize('fault', ['stream-end-early', 'unframed-reset'])
+def test_stream_broken_off_inside_an_event_never_looks_complete(edge, fault):
+    for engine in edge.engines.values():
+        engine.stream_prefix = '/talk/'
+        engine.faults = [fault]
+    with pytest.raises((http.client.IncompleteRead, ConnectionError)):
+        edge.router.send_request('/talk/x', 'POST', b'p')
+
+
+def test_unframed_stream_without_an_event_is_not_answered(edge):
+    for engine in edge.engines.values():
+        engine.stream_prefix = '/talk/'
+        engine.faults = ['unframed-empty']
+    assert edge.router.send_request('/talk/x', 'POST', b'p')[0] == 502
+
+
+@pytest.mark.parametrize('path', ['/stream/x', '/talk/x'])
+def test_unframed_stream_is_forwarded_whole(edge, path):
+    for engine in edge.engines.values():
+        engine.stream_prefix = path
+        engine.faults = ['unframed']
+    status, _, body = edge.router.send_request(path, 'POST', b'p')
+    assert (status, body) == (200, EVENTS)
+
+
+def test_unframed_stream_resumed_after_its_last_event_is_complete(edge):
+    for engine in edge.engines.values():
+        engine.stream_prefix = '/stream/'
+        engine.faults = ['unframed']
+    status, _, body = edge.router.send_request(
+        '/stream/x', 'POST', b'p', Last_Event_Id='5'
+    )
+    assert (status, body) == (200, b'')
+
+
+def test_reset_within_an_unframed_body_is_not_answered(edge):
+    set_engine_faults(edge, 'unframed-reset')
+    assert edge.router.send_request('/once/x', 'POST', b'b')[0] == 502
+
+
 def test_request_gets_504_at_the_timeout_of_its_route(edge):
     set_engine_faults(edge, 'hang', 'hang')
     started_at = time.monotonic()
