--- a/arbutusvale/coordination/edge_relay.py
+++ b/arbutusvale/coordination/edge_relay.py
@@ -256,7 +256,7 @@
         server finished or failed, unless it ends inside an event or before
         the first one.
         """
-        if self.event_buffer.partial:
+        if self.event_buffer.is_inside_event:
             return True
         return (
             exchange.framing is edge_ports.Framing.CLOSE
--- a/arbutusvale/coordination/event_stream.py
+++ b/arbutusvale/coordination/event_stream.py
@@ -1,7 +1,10 @@
 """Splitting of an event stream into whole events, so that it can resume."""
 
-_EVENT_END = b'\n\n'
-_EVENT_END_CRLF = b'\r\n\r\n'
+import re
+
+# A line may end with CRLF, LF or CR; an empty line ends an event.
+_EVENT_END = re.compile(rb'(?>\r\n|\n|\r)(?>\r\n|\n|\r)')
+_LF_EVENT_END = b'\n\n'
 
 
 class EventBuffer:
@@ -16,17 +19,15 @@
         self.last_event_id = last_event_id
         self.partial = b''
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the bytes so far end inside an event."""
+        return bool(self.partial.strip(b'\r\n'))
+
     def feed(self, data: bytes) -> bytes:
         """Add bytes of the stream and return the events that are complete."""
         data = self.partial + data
-        end = max(
-            data.rfind(_EVENT_END) + len(_EVENT_END)
-            if _EVENT_END in data
-            else 0,
-            data.rfind(_EVENT_END_CRLF) + len(_EVENT_END_CRLF)
-            if _EVENT_END_CRLF in data
-            else 0,
-        )
+        end = _find_last_event_end(data)
         self.partial = data[end:]
         complete = data[:end]
         if complete:
@@ -39,6 +40,8 @@
 
     def _update_last_event_id(self, complete: bytes) -> None:
         """Set the last event id from the last id field, if there is one."""
+        if b'\r' in complete:
+            complete = complete.replace(b'\r\n', b'\n').replace(b'\r', b'\n')
         start = complete.rfind(b'\nid:')
         if start >= 0:
             start += 1
@@ -49,3 +52,14 @@
         line = complete[start + 3 :].split(b'\n', 1)[0].strip()
         if line.isdigit():
             self.last_event_id = int(line)
+
+
+def _find_last_event_end(data: bytes) -> int:
+    """Return the index after the last complete event; 0 without one."""
+    if b'\r' not in data:
+        start = data.rfind(_LF_EVENT_END)
+        return start + len(_LF_EVENT_END) if start >= 0 else 0
+    end = 0
+    for match in _EVENT_END.finditer(data):
+        end = match.end()
+    return end
--- a/tests/coordination/test_event_stream.py
+++ b/tests/coordination/test_event_stream.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given
 from hypothesis import strategies
+import pytest
 
 from arbutusvale.coordination import event_stream
 
@@ -45,6 +46,35 @@
     assert event_buffer.last_event_id == 5
 
 
+@pytest.mark.parametrize('size', [1, 2, 3, 50])
+@pytest.mark.parametrize(
+    'event',
+    [
+        b'id: 7\ndata: x\n\n',
+        b'id: 7\r\ndata: x\r\n\r\n',
+        b'id: 7\rdata: x\r\r',
+        b'id: 7\ndata: x\n\r\n',
+        b'id: 7\r\ndata: x\r\n\n',
+    ],
+)
+def test_every_kind_of_line_end_ends_an_event(event, size):
+    event_buffer = event_stream.EventBuffer(None)
+    output = b''
+    for start in range(0, len(event), size):
+        output += event_buffer.feed(event[start : start + size])
+    assert not event_buffer.is_inside_event
+    assert event_buffer.last_event_id == 7
+    assert output + event_buffer.partial == event
+
+
+def test_stream_that_ends_inside_an_event_is_noticed():
+    event_buffer = event_stream.EventBuffer(None)
+    event_buffer.feed(b'id: 1\r\ndata: x\r\n\r')
+    assert not event_buffer.is_inside_event
+    event_buffer.feed(b'\nid: 2\r\n')
+    assert event_buffer.is_inside_event
+
+
 def test_id_inside_a_data_field_is_ignored():
     event_buffer = event_stream.EventBuffer(None)
     event_buffer.feed(b'id: 1\ndata: say id: 9\n\n')
