--- a/arbutusvale/standins/raw_server.py
+++ b/arbutusvale/standins/raw_server.py
@@ -4,11 +4,11 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
-import socket
-import struct
 import threading
 import urllib.parse
 
+from arbutusvale.transport import socket_options
+
 CALL_TIMEOUT_S = 10.0
 
 
@@ -129,10 +129,7 @@
 
 def reset_connection(writer: asyncio.StreamWriter) -> None:
     """Close a connection with a reset (RST), discarding unsent data."""
-    connected_socket = writer.get_extra_info('socket')
-    connected_socket.setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
-    )
+    socket_options.reset_on_close(writer.transport)
     writer.transport.abort()
 
 
--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -352,8 +352,11 @@
             self._write(b'0\r\n\r\n')
 
     def abort(self) -> None:
-        """Reset the connection, so no response looks complete."""
+        """Close the connection, so that no response looks complete."""
         if self.transport is not None and not self.disconnected:
+            if self.started and not self.chunked:
+                # Only a reset differs from the end of such a body.
+                socket_options.reset_on_close(self.transport)
             self.transport.abort()
 
     async def wait_until_drained(self) -> None:
--- a/arbutusvale/transport/socket_options.py
+++ b/arbutusvale/transport/socket_options.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import socket
+import struct
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,6 +30,21 @@
 CALLER_KEEPALIVE = KeepaliveOptions(5, 2, 3, None)
 
 
+_LINGER_ON = 1
+_LINGER_S = 0
+
+
+def reset_on_close(transport: asyncio.BaseTransport) -> None:
+    """Make the close of a connection a reset, and discard unsent data."""
+    raw_socket = transport.get_extra_info('socket')
+    if raw_socket is not None:
+        raw_socket.setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_LINGER,
+            struct.pack('ii', _LINGER_ON, _LINGER_S),
+        )
+
+
 def apply(
     transport: asyncio.BaseTransport, keepalive: KeepaliveOptions
 ) -> None:
--- a/tests/platform/test_edge_path.py
+++ b/tests/platform/test_edge_path.py
@@ -218,6 +218,22 @@
         edge.router.send_request('/talk/x', 'POST', b'p')
 
 
+# The end of the connection is all that marks an answer to HTTP/1.0.
+def test_broken_stream_to_http_1_0_is_reset(edge):
+    for engine in edge.engines.values():
+        engine.stream_prefix = '/talk/'
+        engine.faults = ['unframed-cut']
+    with edge.router.connect() as connection:
+        connection.sendall(
+            b'POST /talk/x HTTP/1.0\r\nHost: fleet.example\r\n'
+            b'X-Arbutusvale-Attempt-Id: old\r\n'
+            b'Authorization: Bearer key-1\r\n\r\n'
+        )
+        with pytest.raises(ConnectionResetError):
+            while connection.recv(4096):
+                pass
+
+
 def test_unframed_stream_without_an_event_is_not_answered(edge):
     for engine in edge.engines.values():
         engine.stream_prefix = '/talk/'
