--- a/arbutusvale/protocol/streaming_client.py
+++ b/arbutusvale/protocol/streaming_client.py
@@ -55,11 +55,17 @@
     def __init__(self):
         self.parts: asyncio.Queue = asyncio.Queue(MAX_QUEUED_PARTS)
         self.is_complete = False
+        # Whether only the end of the connection marks the end of the body.
+        self.ends_at_close = False
 
     def headers_received(self, start_line, headers):
         """Queue the head of the response, unless it is informational."""
         if start_line.code < 200:
             return None
+        self.ends_at_close = (
+            'Content-Length' not in headers
+            and 'Transfer-Encoding' not in headers
+        )
         pairs = [[name, value] for name, value in headers.get_all()]
         return self.parts.put(
             ports.ServerResponseHead(start_line.code, drop_hop_by_hop(pairs))
@@ -77,6 +83,9 @@
         """Read one response, queueing its parts and its end."""
         with contextlib.suppress(iostream.StreamClosedError):
             await connection.read_response(self)
+        if self.ends_at_close and connection.stream.error is not None:
+            # tornado takes a reset for a normal end.
+            self.is_complete = False
         await self.parts.put(_End(self.is_complete))
 
 
--- a/tests/protocol/test_servers.py
+++ b/tests/protocol/test_servers.py
@@ -9,6 +9,7 @@
 from arbutusvale.protocol import ports
 from arbutusvale.protocol import streaming_client
 from arbutusvale.standins import engine as engine_standin
+from arbutusvale.standins import raw_server
 from arbutusvale.standins import service as service_standin
 from tests import helpers_standins as helpers
 
@@ -237,23 +238,54 @@
 ]
 
 
-@pytest.mark.parametrize('answer', MALFORMED_RESPONSES)
-def test_malformed_response_raises_server_broken_at_once(answer):
-    async def send_malformed(reader, writer):
+def read_from_raw_server(answer, end_connection):
+    """Read the body of an answer whose server then ends the connection."""
+
+    async def send_answer(reader, writer):
         await reader.readuntil(b'\r\n\r\n')
         writer.write(answer)
-        writer.close()
+        await writer.drain()
+        # The client reads what was sent before the connection ends.
+        await asyncio.sleep(0.05)
+        end_connection(writer)
 
-    async def check():
-        server = await asyncio.start_server(send_malformed, '127.0.0.1', 0)
+    async def read():
+        server = await asyncio.start_server(send_answer, '127.0.0.1', 0)
         port = server.sockets[0].getsockname()[1]
         parts = streaming_client.stream_response(
             f'127.0.0.1:{port}', 'GET', '/', [], b'', 30.0
         )
-        async with asyncio.timeout(5):
-            with pytest.raises(errors.ServerResponseError):
-                async for _ in parts:
-                    pass
-        server.close()
+        try:
+            async with asyncio.timeout(5):
+                return [part async for part in parts][1:]
+        finally:
+            server.close()
 
-    asyncio.run(check())
+    return asyncio.run(read())
+
+
+@pytest.mark.parametrize('answer', MALFORMED_RESPONSES)
+def test_malformed_response_raises_server_broken_at_once(answer):
+    with pytest.raises(errors.ServerResponseError):
+        read_from_raw_server(answer, lambda writer: writer.close())
+
+
+def test_unframed_response_ends_with_its_connection():
+    answer = b'HTTP/1.1 200 OK\r\n\r\nabc'
+    assert read_from_raw_server(answer, lambda writer: writer.close()) == [
+        b'abc'
+    ]
+
+
+# A reset was taken for the end of the answer.
+def test_unframed_response_that_is_reset_is_incomplete():
+    answer = b'HTTP/1.1 200 OK\r\n\r\nabc'
+    with pytest.raises(errors.ServerResponseError):
+        read_from_raw_server(answer, raw_server.reset_connection)
+
+
+def test_framed_response_is_complete_though_reset_afterwards():
+    answer = b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc'
+    assert read_from_raw_server(answer, raw_server.reset_connection) == [
+        b'abc'
+    ]
