--- a/arbutusvale/coordination/server_call.py
+++ b/arbutusvale/coordination/server_call.py
@@ -9,12 +9,14 @@
 from arbutusvale import errors
 from arbutusvale.coordination import answer_fanout
 from arbutusvale.coordination import crash_detector
+from arbutusvale.coordination import event_stream
 from arbutusvale.coordination import quarantine
 from arbutusvale.protocol import caller_api
 from arbutusvale.protocol import messages
 from arbutusvale.protocol import ports
 
 MIN_NON_IDEMPOTENT_TIMEOUT_S = 60.0
+_EVENT_STREAM = 'text/event-stream'
 
 
 class ServerCaller:
@@ -52,7 +54,7 @@
                         return answer_fanout.Incomplete(
                             messages.Outcome.QUARANTINED, 'quarantined'
                         )
-                    await self._relay(run)
+                    is_whole = await self._relay(run)
         except errors.ServerUnreachable as error:
             logging.warning(
                 'event=server-unreachable cause="%s"', error.problem
@@ -67,11 +69,18 @@
         except asyncio.CancelledError:
             await self.server.cancel(run.submit.request_id)
             raise
+        if not is_whole:
+            logging.warning('event=server-broken cause="event broken off"')
+            return await self._classify_broken(run, in_flight)
         self.quarantine.clear(fingerprint)
         return answer_fanout.Complete()
 
-    async def _relay(self, run: answer_fanout.Run) -> None:
-        """Send the request to the server and add the answer to the run."""
+    async def _relay(self, run: answer_fanout.Run) -> bool:
+        """Send the request to the server and add the answer to the run.
+
+        Return False if the answer is an event stream that ends inside an
+        event; that event isn't added.
+        """
         submit = run.submit
         request = ports.ServerRequest(
             submit.request_id,
@@ -84,13 +93,20 @@
             _get_timeout_s(run),
         )
         run.sent_to_server = True
+        event_buffer: event_stream.EventBuffer | None = None
         async with contextlib.aclosing(self.server.run(request)) as pieces:
             async for piece in pieces:
                 match piece:
                     case ports.ServerResponseHead():
                         run.set_head(self._add_claim_window(run, piece))
+                        if _is_event_stream(piece):
+                            event_buffer = event_stream.EventBuffer(None)
+                    case bytes() if event_buffer is not None:
+                        if complete := event_buffer.feed(piece):
+                            await run.add_piece(complete)
                     case bytes():
                         await run.add_piece(piece)
+        return event_buffer is None or not event_buffer.is_inside_event
 
     def _add_claim_window(
         self, run: answer_fanout.Run, head: ports.ServerResponseHead
@@ -147,6 +163,14 @@
         return answer_fanout.Incomplete(messages.Outcome.UNKNOWN, 'timeout')
 
 
+def _is_event_stream(head: ports.ServerResponseHead) -> bool:
+    """Return whether the body consists of events, not encoded otherwise."""
+    values = {name.lower(): value for name, value in head.headers}
+    if values.get('content-encoding', 'identity').lower() != 'identity':
+        return False
+    return values.get('content-type', '').lower().startswith(_EVENT_STREAM)
+
+
 def _get_timeout_s(run: answer_fanout.Run) -> float:
     """Return the seconds that the server may take."""
     if run.submit.idempotent:
--- a/tests/coordination/test_runs.py
+++ b/tests/coordination/test_runs.py
@@ -48,6 +48,40 @@
     run_case(case)
 
 
+# The end of its connection was taken for the end of the stream.
+def test_event_stream_that_ends_inside_an_event_is_incomplete():
+    async def case(bench):
+        bench.start(key=b'k')
+        bench.server.feed(
+            'q1', helpers_runs.EVENTS_HEAD, b'data: 1\n\ndata: 2\n', None
+        )
+        await helpers_runs.wait_until(lambda: bench.finished)
+        assert bench.link.body == b'data: 1\n\n'
+        [failed] = bench.link.list_sent(messages.Failed)
+        assert failed.outcome == messages.Outcome.UNKNOWN.value
+        assert not bench.link.list_sent(messages.End)
+        assert bench.table.find_by_key(b'k') is None
+
+    run_case(case)
+
+
+def test_event_stream_split_inside_an_event_is_relayed_completely():
+    async def case(bench):
+        bench.start()
+        bench.server.feed(
+            'q1',
+            helpers_runs.EVENTS_HEAD,
+            b'data: 1\n\nda',
+            b'ta: 2\n\n',
+            None,
+        )
+        await helpers_runs.wait_until(lambda: bench.finished)
+        assert bench.link.body == b'data: 1\n\ndata: 2\n\n'
+        assert bench.link.list_sent(messages.End)
+
+    run_case(case)
+
+
 def test_reattach_sends_the_rest_over_a_new_link():
     async def case(bench):
         bench.start()
--- a/tests/helpers_runs.py
+++ b/tests/helpers_runs.py
@@ -102,6 +102,9 @@
 
 
 HEAD = ports.ServerResponseHead(200, [['Content-Type', 'text/plain']])
+EVENTS_HEAD = ports.ServerResponseHead(
+    200, [['Content-Type', 'text/event-stream; charset=utf-8']]
+)
 
 
 def whole_answer(*pieces: bytes) -> list:
