--- a/arbutusvale/standins/edge_engine.py
+++ b/arbutusvale/standins/edge_engine.py
@@ -33,6 +33,7 @@
 class EngineStandin:
     """HTTP server that consumes one entry of ``faults`` per request.
 
+    Without an entry ``default_fault`` applies, empty for none.
     Faults: 'error' (500), 'shed' (503 without execution), 'reset' (before
     the response), 'hang', 'truncate', 'extra' (a second response),
     'foreign' (first a response to another attempt), 'unsigned' (no
@@ -52,6 +53,7 @@
     def __init__(self, name: str):
         self.name = name
         self.faults: list[str] = []
+        self.default_fault = ''
         self.received: list[ReceivedRequest] = []
         self.event_count = 5
         self.stream_prefix = ''
@@ -73,7 +75,7 @@
         """
         received_request = ReceivedRequest(request)
         self.received.append(received_request)
-        fault = self.faults.pop(0) if self.faults else ''
+        fault = self.faults.pop(0) if self.faults else self.default_fault
         if (
             request.headers.get(EXPECTED_INSTANCE_HEADER, self.name)
             != self.name
--- a/arbutusvale/standins/fault_proxy.py
+++ b/arbutusvale/standins/fault_proxy.py
@@ -7,6 +7,7 @@
 import enum
 
 from arbutusvale import settings
+from arbutusvale.standins import raw_server
 from arbutusvale.standins import web_server
 
 MAX_READ_BYTES = 65536
@@ -115,6 +116,11 @@
         for connection in list(self.connections):
             connection.close()
 
+    def reset_connections(self) -> None:
+        """Reset all connections."""
+        for connection in list(self.connections):
+            connection.reset()
+
     def freeze_connections(self, direction: str = Direction.BOTH) -> None:
         """Stop relaying on the open connections without closing them."""
         for connection in self.connections:
@@ -163,6 +169,13 @@
             if direction in (name, Direction.BOTH):
                 pipe.frozen = True
 
+    def reset(self) -> None:
+        """Reset both ends."""
+        for writer in self.writers:
+            raw_server.reset_connection(writer)
+        if self.task is not None:
+            self.task.cancel()
+
     def close(self) -> None:
         """Close both ends."""
         for writer in self.writers:
@@ -188,13 +201,16 @@
         await asyncio.gather(self.read(), self.write())
 
     async def read(self) -> None:
-        """Queue each chunk read with the time at which it is due."""
+        """Queue each chunk read with the time at which it is due.
+
+        The last one is empty at the end of the stream, None after a reset.
+        """
         loop = asyncio.get_running_loop()
         while True:
             try:
                 data = await self.reader.read(MAX_READ_BYTES)
             except OSError:
-                data = b''
+                data = None
             due = loop.time() + self.proxy.faults.delay_s
             await self.chunks.put((due, data))
             if not data:
@@ -210,6 +226,9 @@
             if self.frozen:
                 # Never done: waits until the connection's task is cancelled.
                 await loop.create_future()
+            if data is None:
+                raw_server.reset_connection(self.writer)
+                return
             if not data:
                 self.forward_eof()
                 return
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -17,7 +17,9 @@
     """One request sent and its response; ``status`` 0 if it is incomplete."""
 
     id: str
+    method: str
     path: str
+    sent_body: bytes
     key: str
     started_at: float
     status: int = 0
@@ -55,24 +57,30 @@
         """Send one random request and record it with its outcome."""
         path, method, body = self.rng.choice(
             (
-                ('/chat/read', 'GET', None),
+                ('/chat/read', 'GET', b''),
                 ('/once/book', 'POST', b'x' * self.rng.randint(0, 900)),
                 ('/stream/talk', 'POST', b'prompt'),
+                ('/stream/once/talk', 'POST', b'prompt'),
             )
         )
         key = API_KEY if self.rng.random() < 0.8 else REVOKED_KEY
         attempt = Attempt(
-            f'c{self.number}-{len(self.attempts)}', path, key, time.monotonic()
+            id=f'c{self.number}-{len(self.attempts)}',
+            method=method,
+            path=path,
+            sent_body=body,
+            key=key,
+            started_at=time.monotonic(),
         )
         self.attempts.append(attempt)
         try:
-            self.send_and_receive(attempt, method, body)
+            self.send_and_receive(attempt)
         except (OSError, http.client.HTTPException):
             attempt.status = 0
             self.close_connection()
         attempt.ended_at = time.monotonic()
 
-    def send_and_receive(self, attempt, method, body):
+    def send_and_receive(self, attempt):
         """Send the request, connecting first if needed; read the response."""
         if self.connection is None:
             self.connection = http.client.HTTPConnection(
@@ -82,9 +90,9 @@
             )
         part = self.rng.randrange(6)
         self.connection.request(
-            method,
+            attempt.method,
             attempt.path,
-            body,
+            attempt.sent_body or None,
             {
                 'Host': 'fleet.example',
                 'X-Arbutusvale-Attempt-Id': attempt.id,
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -46,9 +46,9 @@
                     f'{attempt.id}: incomplete or altered stream: '
                     f'{attempt.body[-60:]!r}'
                 )
-        elif not attempt.body.startswith(f'{attempt.id} '.encode()):
+        elif attempt.body != expected_body(attempt):
             yield (
-                f'{attempt.id}: response of another attempt: '
+                f'{attempt.id}: incomplete response, or of another attempt: '
                 f'{attempt.body[:60]!r}'
             )
 
@@ -68,7 +68,7 @@
                 or 'authorization' in execution.request.headers
             ):
                 yield f'{attempt_id}: executed for {organisation}'
-        if attempt.path.startswith('/once/'):
+        if attempt.path.startswith(('/once/', '/stream/once/')):
             if len(executions) > 1:
                 yield (
                     f'{attempt_id}: non-idempotent, '
@@ -135,6 +135,13 @@
         yield f'after the faults {served} of {len(late)} were served'
 
 
+def expected_body(attempt):
+    return (
+        f'{attempt.id} {attempt.method} {attempt.path} acme '.encode()
+        + attempt.sent_body
+    )
+
+
 def expected_stream():
     return b''.join(
         b'id: %d\ndata: piece %d\n\n' % (n, n)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -15,7 +15,8 @@
 RECOVERY_PERIOD_S = 2.0
 ENGINE_FAULT_KINDS = (
     'error', 'shed', 'reset', 'hang', 'truncate', 'extra', 'foreign',
-    'unsigned', 'garbage', 'slow',
+    'unsigned', 'garbage', 'slow', 'stream-cut', 'stream-end-early',
+    'unframed-cut', 'unframed-reset', 'unframed-empty',
 )  # fmt: skip
 ROUTES = [
     helpers_edge.make_route(),
@@ -29,7 +30,16 @@
         StreamResume=True,
         TimeoutMs=3000,
     ),
+    helpers_edge.make_route(
+        'talk',
+        '/stream/once/',
+        RouteType='streaming',
+        MaxAttempts=1,
+        TimeoutMs=3000,
+    ),
 ]
+# The answers of this engine end with their connection.
+UNFRAMED_ENGINE = 'e1'
 ORGANISATIONS = [{'Name': 'acme', 'ApiKeys': ['key-1', 'key-2']}]
 
 
@@ -81,6 +91,7 @@
         """Start an engine and list it with the address of its proxy."""
         engine = self.fleet.add_engine(name, State='draining')
         engine.stream_prefix = '/stream/'
+        engine.default_fault = 'unframed' if name == UNFRAMED_ENGINE else ''
         self.all_engines.append(engine)
         self.engine_proxies[name] = self.open_proxy(engine.server.port)
         self.fleet.register_engine(name, self.engine_proxies[name].port)
@@ -202,7 +213,7 @@
 
     def inject_reset_engine_connections(self, fault):
         self.call_in_loop(
-            self.engine_proxies[self.pick_engine(fault).name].close_connections
+            self.engine_proxies[self.pick_engine(fault).name].reset_connections
         )
         return 0.5
 
@@ -266,7 +277,7 @@
     def inject_crash_engine(self, fault):
         engine = self.pick_engine(fault)
         proxy = self.engine_proxies[engine.name]
-        self.call_in_loop(proxy.close_connections)
+        self.call_in_loop(proxy.reset_connections)
         self.fleet.event_loop.run(proxy.set_refusing(True))
         time.sleep(fault.duration_s)
         self.fleet.event_loop.run(proxy.set_refusing(False))
