--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,6 +1,7 @@
 """A soak run: routers, store and engines behind fault proxies, callers."""
 
 import contextlib
+import random
 import signal
 import time
 
@@ -38,8 +39,12 @@
         TimeoutMs=3000,
     ),
 ]
-# The answers of this engine end with their connection.
+# The answers of this engine end with their connection, some of them early.
 UNFRAMED_ENGINE = 'e1'
+UNFRAMED_FAULT_WEIGHTS = {
+    'unframed': 30, 'unframed-cut': 1, 'unframed-reset': 1,
+}  # fmt: skip
+MAX_UNFRAMED_ANSWERS = 5000
 ORGANISATIONS = [{'Name': 'acme', 'ApiKeys': ['key-1', 'key-2']}]
 
 
@@ -91,7 +96,13 @@
         """Start an engine and list it with the address of its proxy."""
         engine = self.fleet.add_engine(name, State='draining')
         engine.stream_prefix = '/stream/'
-        engine.default_fault = 'unframed' if name == UNFRAMED_ENGINE else ''
+        if name == UNFRAMED_ENGINE:
+            engine.default_fault = 'unframed'
+            engine.faults = random.Random(self.seed).choices(
+                list(UNFRAMED_FAULT_WEIGHTS),
+                list(UNFRAMED_FAULT_WEIGHTS.values()),
+                k=MAX_UNFRAMED_ANSWERS,
+            )
         self.all_engines.append(engine)
         self.engine_proxies[name] = self.open_proxy(engine.server.port)
         self.fleet.register_engine(name, self.engine_proxies[name].port)
@@ -263,7 +274,7 @@
     def inject_engine_fault(self, fault):
         kind = ENGINE_FAULT_KINDS[fault.target_index % len(ENGINE_FAULT_KINDS)]
         for engine in self.all_engines[:2]:
-            engine.faults.extend([kind] * 3)
+            engine.faults[:0] = [kind] * 3
         return 0.0
 
     def inject_drain_engine(self, fault):
