--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -115,7 +115,9 @@
         """Make one attempt: send the request and relay the response."""
         server = placement.server
         self.attempts += 1
-        self.reporter.log_placement(placement, self.attempts)
+        self.reporter.log_placement(
+            placement, self.attempts, self.event_buffer.last_event_id
+        )
         self.reporter.reset_response()
         if self.attempts == 1:
             self.context.retry_budget(self.request.pool).add_request()
--- a/arbutusvale/coordination/edge_reporter.py
+++ b/arbutusvale/coordination/edge_reporter.py
@@ -32,7 +32,10 @@
         )
 
     def log_placement(
-        self, placement: edge_placement.Placement, attempt: int
+        self,
+        placement: edge_placement.Placement,
+        attempt: int,
+        last_event_id: int | None,
     ) -> None:
         """Log the chosen server and the reason."""
         self.write(
@@ -44,6 +47,9 @@
             bound=placement.bound,
             source=placement.cache_source or '-',
             list=self.context.servers.version,
+            version=placement.server.software_version,
+            resumes=self.request.metadata.resumes or '-',
+            events_to=last_event_id,
             attempt=attempt,
         )
 
--- a/arbutusvale/coordination/server_view.py
+++ b/arbutusvale/coordination/server_view.py
@@ -94,6 +94,7 @@
             address=server.address,
             state=server.state.value,
             born=server.started_at_ms,
+            version=server.software_version,
         )
         return True
 
--- a/arbutusvale/platform/headers.py
+++ b/arbutusvale/platform/headers.py
@@ -7,6 +7,7 @@
 ATTEMPT_ID = b'x-arbutusvale-attempt-id'
 DEADLINE_MS = b'x-arbutusvale-deadline-ms'
 LAST_EVENT_ID = b'last-event-id'
+RESUMES = b'resumes'
 MODEL_ID = b'x-arbutusvale-model-id'
 TOKEN_COUNT = b'x-arbutusvale-token-count'
 PROMPT_PREFIX = b'x-arbutusvale-prompt-prefix'
@@ -93,6 +94,7 @@
         api_key=_parse_api_key(values.get(b'authorization', b'')),
         time_left_s=None if deadline is None else deadline / 1000,
         last_event_id=_parse_integer(values.get(LAST_EVENT_ID)),
+        resumes=values.get(RESUMES, b'').strip().decode('latin-1'),
         model=values.get(MODEL_ID, b'').decode('latin-1'),
         prompt=_parse_prompt(values.get(PROMPT_PREFIX, b'')),
         validation_error=fault,
--- a/arbutusvale/platform/records.py
+++ b/arbutusvale/platform/records.py
@@ -63,6 +63,7 @@
         slots=max(1, _get_integer(document, 'Slots')),
         state=state,
         started_at_ms=_get_integer(document, 'born', 0),
+        software_version=_get_text(document, 'Version'),
     )
 
 
--- a/arbutusvale/protocol/proxying.py
+++ b/arbutusvale/protocol/proxying.py
@@ -17,6 +17,7 @@
 
     ``started_at_ms`` is the Unix time of its start in milliseconds, 0 if
     unknown; it differs after a restart under the same id.
+    ``software_version`` is that of the server's program, without an order.
     """
 
     id: str
@@ -26,6 +27,7 @@
     slots: int
     state: ServerState
     started_at_ms: int
+    software_version: str
 
     @property
     def endpoint(self) -> tuple[str, int]:
@@ -68,7 +70,9 @@
     """Metadata from the headers of a caller's request.
 
     ``time_left_s`` counts from the arrival; it is None if the caller set no
-    deadline.  ``prompt`` lists the parts of a prompt in order; the last one
+    deadline.  ``resumes`` is the attempt id that brought the first event of
+    the stream that this request resumes; empty if it names none.  ``prompt``
+    lists the parts of a prompt in order; the last one
     is specific to the request or its session.  ``validation_error`` says
     why the request is invalid; it is empty for a valid one.
     """
@@ -78,6 +82,7 @@
     api_key: str
     time_left_s: float | None
     last_event_id: int | None
+    resumes: str
     model: str
     prompt: tuple[PromptPart, ...]
     validation_error: str
--- a/tests/helpers_edge.py
+++ b/tests/helpers_edge.py
@@ -38,6 +38,7 @@
         'slots': 8,
         'state': proxying.ServerState.READY,
         'started_at_ms': 1,
+        'software_version': 'v1',
     }
     return proxying.BackendServer(**(fields | changes))
 
