--- a/arbutusvale/standins/edge_engine.py
+++ b/arbutusvale/standins/edge_engine.py
@@ -47,13 +47,15 @@
     'not-mine' (421).
 
     Paths that start with ``stream_prefix`` are answered with
-    ``event_count`` server-sent events.
+    ``event_count`` server-sent events, which name ``software_version``
+    unless it is empty.
     """
 
     def __init__(self, name: str):
         self.name = name
         self.faults: list[str] = []
         self.default_fault = ''
+        self.software_version = ''
         self.received: list[ReceivedRequest] = []
         self.event_count = 5
         self.stream_prefix = ''
@@ -221,7 +223,8 @@
             int(received_request.request.headers.get('last-event-id', '0')) + 1
         )
         for number in range(first_number, self.event_count + 1):
-            event = f'id: {number}\ndata: piece {number}\n\n'.encode()
+            data = f'piece {number} {self.software_version}'.rstrip()
+            event = f'id: {number}\ndata: {data}\n\n'.encode()
             if number == first_number + 2:
                 match fault:
                     case 'stream-cut':
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -84,7 +84,7 @@
 
 
 @pytest.mark.parametrize(
-    'field', ['Service', 'Address', 'Zone', 'Slots', 'State']
+    'field', ['Service', 'Address', 'Zone', 'Slots', 'State', 'Version']
 )
 def test_a_server_entry_without_a_field_is_malformed(field):
     entry = json.loads(helpers_edge.make_entry('10.1.1.1:80'))
