--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -20,6 +20,7 @@
 from arbutusvale.coordination import edge_shutdown
 from arbutusvale.coordination import freeze_detection
 from arbutusvale.coordination import log_follower
+from arbutusvale.coordination import origin_exchange
 from arbutusvale.coordination import outlier_detection
 from arbutusvale.coordination import peer_snapshot
 from arbutusvale.coordination import peers
@@ -40,6 +41,7 @@
 from arbutusvale.state import server_loads
 from arbutusvale.state import service_times
 from arbutusvale.state import socket_budget
+from arbutusvale.state import stream_origins
 from arbutusvale.state import suspects
 from arbutusvale.transport import acceptor
 from arbutusvale.transport import connection_pool
@@ -145,7 +147,14 @@
             generator=generator,
             clock=self.clock,
             peers=self.peers,
+            origins=origin_exchange.OriginExchange(
+                self.settings.host,
+                stream_origins.StreamOrigins(self.clock),
+                self.peers.list_live,
+                self.peers.list_known_hosts,
+            ),
             store_age_s=self._store_age_s,
+            server_list_age_s=self.server_follower.age_s,
             link_queue=self.link_queue,
             latency_estimator=service_times.LatencyEstimator(self.clock),
         )
@@ -197,6 +206,7 @@
         )
         self.server_follower.relay = self.relay
         self.peers.on_relayed_records = self.relay.receive
+        self.peers.on_origin_message = self.context.origins.receive
         self.config_follower.count_readers = self.peers.count_live
         self.server_follower.count_readers = self.relay.count_readers
         for follower in (self.config_follower, self.server_follower):
@@ -222,6 +232,7 @@
         )
         self.peers.send = peer_socket.send
         self.relay.send = peer_socket.send
+        self.context.origins.send = peer_socket.send
         tasks = [
             asyncio.create_task(supervisor.keep_running(run_task, self.events))
             for run_task in (
--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -16,8 +16,10 @@
 from arbutusvale.coordination import edge_reporter
 from arbutusvale.coordination import edge_requests
 from arbutusvale.coordination import event_stream
+from arbutusvale.coordination import stream_continuity
 from arbutusvale.protocol import edge_ports
 from arbutusvale.protocol import proxying
+from arbutusvale.protocol import stream_origin
 
 # Connecting within a region takes a few milliseconds.
 CONNECT_TIMEOUT_S = 0.25
@@ -54,16 +56,26 @@
         self.connect_failures = 0
         self.possibly_executed = False
         self.last_failure: edge_requests.Failed | None = None
+        # The version at which a stream must go on; None while any may serve.
+        self.software_version: str | None = None
 
     async def run(self) -> None:
         """Send the request until it has a response or no attempt is left."""
+        if self.request.resumes_stream:
+            refusal = await self._require_version()
+            if refusal:
+                self._end_unanswered(refusal)
+                return
         cause = ''
         while self._time_left_s() >= MIN_TIME_S:
             placement = edge_placement.place_request(
-                self.context, self.request, self.tried_servers
+                self.context,
+                self.request,
+                self.tried_servers,
+                self.software_version,
             )
             if placement is None:
-                self._end_unanswered(cause or 'no-server')
+                self._end_unanswered(cause or self._no_server_cause())
                 return
             self.tried_servers.append(placement.server.id)
             connection = await self._connect(placement.server)
@@ -92,6 +104,39 @@
         """Return the seconds until the deadline."""
         return self.request.deadline - self.context.clock()
 
+    async def _require_version(self) -> str:
+        """Require the version that began the stream; return why not."""
+        version = await stream_continuity.find_version(
+            self.context, self.request
+        )
+        self.reporter.record_resumption(version)
+        match version:
+            case stream_continuity.Resumable(software_version):
+                self.software_version = software_version
+                return ''
+            case stream_continuity.NotResumable(cause):
+                return cause
+
+    def _record_events(self, server: proxying.BackendServer) -> None:
+        """Bind a stream to the version of the server that begins it."""
+        if self.software_version is not None:
+            return
+        self.software_version = server.software_version
+        if self.request.route.resumable:
+            self.context.origins.record(
+                stream_origin.StreamOrigin(
+                    self.request.metadata.attempt_id,
+                    self.request.pool,
+                    server.software_version,
+                )
+            )
+
+    def _no_server_cause(self) -> str:
+        """Return the cause when no server is left to send to."""
+        if self.software_version is None:
+            return 'no-server'
+        return 'no-server-of-version'
+
     async def _connect(
         self, server: proxying.BackendServer
     ) -> edge_ports.ServerConnection | None:
@@ -127,6 +172,7 @@
             self.caller,
             self.event_buffer,
             self._can_fail_over,
+            self._record_events,
             server,
             connection,
         )
@@ -200,6 +246,7 @@
             return False
         alternatives_exist = any(
             listed.server.id not in self.tried_servers
+            and self.software_version in (None, listed.server.software_version)
             and not self.context.outlier_detector.is_ejected(listed.server.id)
             for listed in self.context.servers.list_ready_servers(
                 self.request.pool
--- a/arbutusvale/coordination/edge_context.py
+++ b/arbutusvale/coordination/edge_context.py
@@ -6,6 +6,7 @@
 
 from arbutusvale.coordination import config_view
 from arbutusvale.coordination import crash_tracker
+from arbutusvale.coordination import origin_exchange
 from arbutusvale.coordination import outlier_detection
 from arbutusvale.coordination import peers
 from arbutusvale.coordination import retries
@@ -27,8 +28,9 @@
 class EdgeContext:
     """The state and ports that requests use.
 
-    ``store_age_s`` returns the seconds since the configuration was last
-    confirmed to be current.  ``last_received_at`` has the time at which a
+    ``store_age_s`` and ``server_list_age_s`` return the seconds since the
+    configuration and the server list were last confirmed to be current.
+    ``last_received_at`` has the time at which a
     server last sent anything, by its id.
     """
 
@@ -46,7 +48,9 @@
     generator: random.Random
     clock: Callable[[], float]
     peers: peers.Peers
+    origins: origin_exchange.OriginExchange
     store_age_s: Callable[[], float]
+    server_list_age_s: Callable[[], float]
     link_queue: link_queue.LinkQueue
     latency_estimator: service_times.LatencyEstimator
     retry_budgets: dict[str, retries.WindowedRetryBudget] = dataclasses.field(
--- a/arbutusvale/coordination/edge_placement.py
+++ b/arbutusvale/coordination/edge_placement.py
@@ -38,13 +38,18 @@
     context: edge_context.EdgeContext,
     request: PlaceableRequest,
     tried_servers: Sequence[str],
+    software_version: str | None = None,
 ) -> Placement | None:
-    """Choose a server that wasn't tried yet; return None if there is none."""
+    """Choose a server that wasn't tried yet; return None if there is none.
+
+    Only servers of ``software_version`` are chosen, unless it is None.
+    """
     ready = context.servers.list_ready_servers(request.pool)
     candidates = [
         _make_candidate(context, listed)
         for listed in ready
         if listed.server.id not in tried_servers
+        and software_version in (None, listed.server.software_version)
     ]
     servers = {listed.server.id: listed.server for listed in ready}
     shared_parts = list_shared_parts(request.metadata)
--- a/arbutusvale/coordination/edge_relay.py
+++ b/arbutusvale/coordination/edge_relay.py
@@ -42,7 +42,7 @@
     """Relay of the response to one attempt.
 
     ``can_fail_over`` checks whether the request could be sent to another
-    server.
+    server; ``on_events`` is called before events are passed on.
     """
 
     def __init__(
@@ -51,6 +51,7 @@
         caller: edge_ports.CallerStream,
         event_buffer: event_stream.EventBuffer,
         can_fail_over: Callable[[], bool],
+        on_events: Callable[[proxying.BackendServer], None],
         server: proxying.BackendServer,
         connection: edge_ports.ServerConnection,
     ):
@@ -60,6 +61,7 @@
         self.caller = caller
         self.event_buffer = event_buffer
         self.can_fail_over = can_fail_over
+        self.on_events = on_events
         self.server = server
         self.connection = connection
 
@@ -236,6 +238,7 @@
             complete = self.event_buffer.feed(data)
             passed_on = complete if resumable else data
             if passed_on:
+                self.on_events(self.server)
                 self.caller.write(passed_on)
                 await self.caller.wait_until_drained()
         if self._is_broken_off(exchange):
--- a/arbutusvale/coordination/edge_reporter.py
+++ b/arbutusvale/coordination/edge_reporter.py
@@ -4,6 +4,7 @@
 from arbutusvale.coordination import edge_context
 from arbutusvale.coordination import edge_placement
 from arbutusvale.coordination import edge_requests
+from arbutusvale.coordination import stream_continuity
 from arbutusvale.protocol import edge_ports
 from arbutusvale.protocol import proxying
 
@@ -104,6 +105,25 @@
             age=self.context.clock() - self.request.caller_request.received_at,
         )
 
+    def record_resumption(
+        self,
+        version: stream_continuity.Resumable | stream_continuity.NotResumable,
+    ) -> None:
+        """Count and log where a caller's stream may go on."""
+        match version:
+            case stream_continuity.Resumable(software_version, source):
+                result = source
+            case stream_continuity.NotResumable(cause):
+                software_version, result = '-', cause
+        self.context.metrics.increment('resumed_streams', result)
+        self.write(
+            'stream-resumed',
+            resumes=self.request.metadata.resumes or '-',
+            result=result,
+            version=software_version,
+            age=self.context.clock() - self.request.caller_request.received_at,
+        )
+
     def record_retry(self, granted: bool) -> None:
         """Count a retry that the budget granted or denied."""
         name = 'retries' if granted else 'retries_denied'
--- a/arbutusvale/coordination/edge_requests.py
+++ b/arbutusvale/coordination/edge_requests.py
@@ -25,6 +25,14 @@
     version: int
     fingerprint: bytes
 
+    @property
+    def resumes_stream(self) -> bool:
+        """Whether the caller has events of the stream from before."""
+        if not self.route.is_stream:
+            return False
+        metadata = self.metadata
+        return bool(metadata.resumes) or metadata.last_event_id is not None
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Delivered:
--- a/arbutusvale/coordination/peers.py
+++ b/arbutusvale/coordination/peers.py
@@ -19,6 +19,7 @@
 from arbutusvale import errors
 from arbutusvale.protocol import list_update
 from arbutusvale.protocol import peer_message
+from arbutusvale.protocol import stream_origin
 from arbutusvale.state import event_log
 from arbutusvale.state import prompt_cache_index
 from arbutusvale.state import server_loads
@@ -86,6 +87,9 @@
         self.on_relayed_records: Callable[[list_update.ListUpdate], None] = (
             _ignore_records
         )
+        self.on_origin_message: Callable[
+            [stream_origin.OriginMessage], None
+        ] = _ignore_origin
         self.read_offsets: Callable[[], dict[str, int]] = dict
         self.loads: server_loads.ServerLoads | None = None
         self.prompts: prompt_cache_index.PromptCacheIndex | None = None
@@ -142,6 +146,10 @@
             if relayed is not None:
                 self.on_relayed_records(relayed)
                 return
+            origin_message = stream_origin.decode(data)
+            if origin_message is not None:
+                self.on_origin_message(origin_message)
+                return
             message = peer_message.decode(data)
         except errors.FrameError as error:
             self.malformed_count += 1
@@ -269,5 +277,9 @@
     """Do nothing; the default callback for offsets of peers."""
 
 
+def _ignore_origin(message: stream_origin.OriginMessage) -> None:
+    """Do nothing; the default callback for origins of streams."""
+
+
 def _ignore_records(relayed: list_update.ListUpdate) -> None:
     """Do nothing; the default callback for relayed records."""
--- a/arbutusvale/state/server_list.py
+++ b/arbutusvale/state/server_list.py
@@ -38,6 +38,8 @@
         self.by_id: dict[str, ListedServer] = {}
         self.by_pool: dict[str, list[ListedServer]] = {}
         self.version = 0
+        # When the last server of a software version left, by pool.
+        self.departed_versions: dict[str, dict[str, float]] = {}
 
     def put(self, server: proxying.BackendServer) -> bool:
         """Add or update a server; return whether anything changed."""
@@ -53,6 +55,8 @@
             known.server = server
             known.expires_at = None
         else:
+            if known is not None:
+                self._record_departure(known.server)
             self.by_id[server.id] = ListedServer(server, self.clock())
         self._rebuild_pools()
         return True
@@ -69,6 +73,7 @@
         if remove_at is not None:
             known.expires_at = remove_at
             return True
+        self._record_departure(known.server)
         del self.by_id[server_id]
         self._rebuild_pools()
         return True
@@ -91,6 +96,7 @@
             if entry.expires_at is not None and entry.expires_at <= now
         ]
         for server_id in expired:
+            self._record_departure(self.by_id[server_id].server)
             del self.by_id[server_id]
         if expired:
             self._rebuild_pools()
@@ -104,6 +110,27 @@
             if entry.server.state is proxying.ServerState.READY
         ]
 
+    def list_recent_versions(self, pool: str, within_s: float) -> set[str]:
+        """List the software versions of a pool, of servers listed recently.
+
+        These are the servers listed now, in any state, and those that left
+        less than ``within_s`` ago.
+        """
+        oldest = self.clock() - within_s
+        departed = self.departed_versions.get(pool, {})
+        return {
+            entry.server.software_version
+            for entry in self.by_pool.get(pool, ())
+        } | {
+            version for version, left_at in departed.items()
+            if left_at >= oldest
+        }  # fmt: skip
+
+    def _record_departure(self, server: proxying.BackendServer) -> None:
+        """Record that a server of a software version left its pool."""
+        departed = self.departed_versions.setdefault(server.pool, {})
+        departed[server.software_version] = self.clock()
+
     def _rebuild_pools(self) -> None:
         """Group the servers by pool and increment the version."""
         self.version += 1
--- a/tests/fuzz/test_edge_untrusted_input.py
+++ b/tests/fuzz/test_edge_untrusted_input.py
@@ -19,6 +19,7 @@
 from arbutusvale.protocol import list_update
 from arbutusvale.protocol import peer_message
 from arbutusvale.protocol import routing
+from arbutusvale.protocol import stream_origin
 from arbutusvale.transport import edge_server
 from arbutusvale.transport import http_connection
 from tests import helpers_edge
@@ -96,6 +97,22 @@
         pass
 
 
+@given(strategies.sampled_from(['origin', 'origin-query']), JSON, JSON, JSON)
+def test_message_on_a_stream_is_decoded_or_rejected(
+    kind, attempt, pool, version
+):
+    document = {
+        'kind': kind, 'attempt': attempt, 'pool': pool, 'version': version,
+        'host': pool,
+    }  # fmt: skip
+    data = json.dumps(document, separators=(',', ':')).encode()
+    try:
+        message = stream_origin.decode(data)
+    except errors.FrameError:
+        return
+    assert stream_origin.decode(stream_origin.encode(message)) == message
+
+
 LIST_UPDATE_ROWS = strategies.lists(
     strategies.tuples(JSON, JSON, JSON).map(list) | JSON, max_size=3
 )
--- a/tests/platform/test_edge_versions.py
+++ b/tests/platform/test_edge_versions.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests import edge_fleet
 from tests import helpers_edge
 
 pytestmark = pytest.mark.process
@@ -69,6 +70,18 @@
         assert len(list_versions(body)) == 1
 
 
+def test_broken_stream_goes_on_at_another_engine_of_its_version(edge):
+    add_engines(edge, e1='v1', e2='v2', e3='v2', e4='v1')
+    add_routers(edge, 1)
+    for _ in range(12):
+        for engine in edge.engines.values():
+            engine.faults = []
+        edge.engines['e1'].faults = ['stream-cut']
+        _, body, whole = read_stream(edge.routers[0])
+        assert whole
+        assert len(list_versions(body)) == 1
+
+
 # A router took a stream up at any engine that had room.
 def test_caller_goes_on_at_the_version_that_began_its_stream(edge):
     add_engines(edge, e1='v1', e2='v2', e3='v2', e4='v1')
@@ -83,3 +96,64 @@
         )
         assert status == 200
         assert list_versions(rest) == list_versions(began)
+
+
+def test_stream_of_a_killed_router_goes_on_at_its_version(edge):
+    add_engines(edge, e1='v1', e2='v2', e3='v2', e4='v1')
+    add_routers(edge, 3)
+    first, second, third = edge.routers
+    began = {}
+    for number in range(8):
+        attempt_id = f'began-{number}'
+        _, body, _ = read_stream(first, X_Arbutusvale_Attempt_Id=attempt_id)
+        began[attempt_id] = list_versions(body)
+    first.kill()
+    for number, (attempt_id, versions) in enumerate(began.items()):
+        status, rest, _ = read_stream(
+            (second, third)[number % 2], Last_Event_Id='2', Resumes=attempt_id
+        )
+        assert status == 200
+        assert list_versions(rest) == versions
+
+
+def test_stream_of_unknown_origin_is_refused_beside_two_versions(edge):
+    add_engines(edge, e1='v1', e2='v2')
+    add_routers(edge, 1)
+    status, headers, _ = edge.routers[0].send_request(
+        '/stream/x', 'POST', b'p', Last_Event_Id='2', Resumes='nobody'
+    )
+    assert status == 503
+    assert float(headers['retry-after']) > 0
+    assert edge.executed_requests() == []
+
+
+def test_stream_of_unknown_origin_goes_on_beside_one_version(edge):
+    add_engines(edge, e1='v1', e2='v1')
+    add_routers(edge, 1)
+    for headers in ({'Resumes': 'nobody'}, {}):
+        status, body, _ = read_stream(
+            edge.routers[0], Last_Event_Id='2', **headers
+        )
+        assert status == 200
+        assert body.startswith(b'id: 3\n')
+
+
+def test_stream_without_an_engine_of_its_version_is_refused_at_once(edge):
+    add_engines(edge, e1='v1')
+    add_routers(edge, 1)
+    router = edge.routers[0]
+    read_stream(router, X_Arbutusvale_Attempt_Id='began')
+    add_engines(edge, e2='v2')
+    edge.deregister_engine('e1')
+    router.wait_for_log('event=server-listed server=e2 ')
+    router.wait_for_log('event=server-gone server=e1')
+    status, headers, _ = router.send_request(
+        '/stream/x', 'POST', b'p', Last_Event_Id='2', Resumes='began'
+    )
+    assert status == 503
+    assert float(headers['retry-after']) > 0
+    assert edge.executed_requests() == edge.executed_requests('began')
+    edge_fleet.wait_for(
+        lambda: 'refused-no-server-of-version' in router.read_log(),
+        'the line of the refusal',
+    )
--- a/tests/state/test_server_list.py
+++ b/tests/state/test_server_list.py
@@ -92,3 +92,21 @@
     version = servers.version
     assert not servers.put(helpers_edge.make_server('a'))
     assert servers.version == version
+
+
+def test_a_version_stays_recent_after_its_last_server_left():
+    clock = helpers_edge.Clock()
+    servers = server_list.ServerList(clock)
+    servers.put(helpers_edge.make_server('a', software_version='v1'))
+    servers.put(helpers_edge.make_server('b', software_version='v2'))
+    servers.put(
+        helpers_edge.make_server('c', pool='other', software_version='v3')
+    )
+    servers.remove('a', None)
+    clock.now += 10.0
+    assert servers.list_recent_versions('chat', 10.0) == {'v1', 'v2'}
+    assert servers.list_recent_versions('chat', 9.0) == {'v2'}
+    servers.put(
+        helpers_edge.make_server('b', software_version='v4', started_at_ms=9)
+    )
+    assert servers.list_recent_versions('chat', 9.0) == {'v2', 'v4'}
