--- a/arbutusvale/coordination/stream_continuity.py
+++ b/arbutusvale/coordination/stream_continuity.py
@@ -34,7 +34,8 @@
     """Find the version that began the stream that a request resumes.
 
     A stream of unknown origin goes on if its pool has had one version only
-    while any stream of now may have begun.
+    while any stream of now may have begun.  A caller that names no attempt
+    doesn't expect several versions, so its list needn't be fresh.
     """
     attempt_id = request.metadata.resumes
     if attempt_id:
@@ -45,8 +46,8 @@
                 return NotResumable('stream-of-another-pool')
             source = 'known' if is_known else 'peer'
             return Resumable(origin.software_version, source)
-    if context.server_list_age_s() > MAX_LIST_AGE_S:
-        return NotResumable('unknown-stream')
+        if context.server_list_age_s() > MAX_LIST_AGE_S:
+            return NotResumable('unknown-stream')
     versions = context.servers.list_recent_versions(
         request.pool, stream_origins.RETENTION_S
     )
--- a/tests/platform/test_edge_versions.py
+++ b/tests/platform/test_edge_versions.py
@@ -157,3 +157,19 @@
         lambda: 'refused-no-server-of-version' in router.read_log(),
         'the line of the refusal',
     )
+
+
+def test_list_must_be_fresh_for_a_stream_of_unknown_origin(edge):
+    add_engines(edge, e1='v1')
+    add_routers(edge, 1)
+    router = edge.routers[0]
+    edge.store.fault = 'silent'
+    router.wait_for_log('event=store-lost topic=keyed.servers')
+    status, _, _ = router.send_request(
+        '/stream/x', 'POST', b'p', Last_Event_Id='2', Resumes='nobody'
+    )
+    assert status == 503
+    status, _, _ = router.send_request(
+        '/stream/x', 'POST', b'p', Last_Event_Id='2'
+    )
+    assert status == 200
