--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -10,11 +10,17 @@
 REVOKED_KEY = 'key-2'
 MEAN_PAUSE_S = 0.02
 SOCKET_TIMEOUT_S = 4.0
+RESUMABLE_PATH = '/stream/talk'
+MAX_RESUMPTIONS = 3
 
 
 @dataclasses.dataclass(slots=True)
 class Attempt:
-    """One request sent and its response; ``status`` 0 if it is incomplete."""
+    """One request sent and its response; ``status`` 0 if it is incomplete.
+
+    ``body`` is what arrived.  ``resumed`` is the attempt whose stream this
+    one goes on with, after the events that it has.
+    """
 
     id: str
     method: str
@@ -25,6 +31,14 @@
     status: int = 0
     body: bytes = b''
     ended_at: float = 0.0
+    resumed: 'Attempt | None' = None
+
+    def list_events(self):
+        """List the whole events that the caller has, of all tries."""
+        before = self.resumed.list_events() if self.resumed else []
+        if not self.path.startswith('/stream/') or self.status > 200:
+            return before
+        return before + self.body.split(b'\n\n')[:-1]
 
 
 class Caller(threading.Thread):
@@ -64,15 +78,36 @@
             )
         )
         key = API_KEY if self.rng.random() < 0.8 else REVOKED_KEY
+        attempt = self.make_attempt(
+            method=method, path=path, sent_body=body, key=key
+        )
+        self.receive_attempt(attempt)
+        for _ in range(MAX_RESUMPTIONS):
+            if not attempt.list_events() or attempt.path != RESUMABLE_PATH:
+                return
+            if attempt.status == 200 or self.stopping.is_set():
+                return
+            attempt = self.make_attempt(
+                method=method,
+                path=path,
+                sent_body=body,
+                key=key,
+                resumed=attempt,
+            )
+            self.receive_attempt(attempt)
+
+    def make_attempt(self, **fields):
+        """Make and record the next attempt."""
         attempt = Attempt(
             id=f'c{self.number}-{len(self.attempts)}',
-            method=method,
-            path=path,
-            sent_body=body,
-            key=key,
             started_at=time.monotonic(),
+            **fields,
         )
         self.attempts.append(attempt)
+        return attempt
+
+    def receive_attempt(self, attempt):
+        """Send an attempt and record its outcome."""
         try:
             self.send_and_receive(attempt)
         except (OSError, http.client.HTTPException):
@@ -89,6 +124,9 @@
                 timeout=SOCKET_TIMEOUT_S,
             )
         part = self.rng.randrange(6)
+        headers = {}
+        if attempt.resumed:
+            headers = format_resumption(attempt.resumed)
         self.connection.request(
             attempt.method,
             attempt.path,
@@ -99,10 +137,16 @@
                 'X-Arbutusvale-Deadline-Ms': '3000',
                 'X-Arbutusvale-Prompt-Prefix': f'a:100,p{part}:500,o:9',
                 'Authorization': f'Bearer {attempt.key}',
+                **headers,
             },
         )
         response = self.connection.getresponse()
-        attempt.body = response.read()
+        if response.status == 200 and attempt.path == RESUMABLE_PATH:
+            # Keeps what arrived of a stream that is broken off.
+            while data := response.read1():
+                attempt.body += data
+        else:
+            attempt.body = response.read()
         attempt.status = response.status
         if response.headers.get('Connection', '').lower() == 'close':
             self.close_connection()
@@ -111,3 +155,13 @@
         if self.connection is not None:
             self.connection.close()
             self.connection = None
+
+
+def format_resumption(attempt):
+    """Return the headers that take up an incomplete stream."""
+    first = attempt
+    while first.resumed and first.resumed.list_events():
+        first = first.resumed
+    last_event = attempt.list_events()[-1]
+    number = last_event.split(b'\n')[0].removeprefix(b'id: ').decode()
+    return {'Last-Event-Id': number, 'Resumes': first.id}
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -1,5 +1,7 @@
 """Check the guarantees against what callers and engines recorded."""
 
+import re
+
 # Statuses that promise that the request was not and will not be executed.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 # Time within which routers detect a lost connection; a propagation bound
@@ -8,6 +10,7 @@
 # Time within which drains and configuration changes must take effect.
 PROPAGATION_BOUND_S = 2.0
 STREAM_EVENTS = 5
+EVENT = re.compile(rb'id: (\d+)\ndata: piece (\d+) v\d')
 MIN_SERVED_SHARE = 0.9
 
 
@@ -27,6 +30,7 @@
                 )
     return [
         *check_responses(attempts, executions_by_id),
+        *check_versions(attempts),
         *check_executions(attempts, executions_by_id),
         *check_propagation(soak_run),
         *check_processes(soak_run),
@@ -41,7 +45,7 @@
         if attempt.id not in executions_by_id:
             yield f'{attempt.id}: status 200, but no engine executed it'
         elif attempt.path.startswith('/stream/'):
-            if attempt.body != expected_stream():
+            if list_numbers(attempt) != list(range(1, STREAM_EVENTS + 1)):
                 yield (
                     f'{attempt.id}: incomplete or altered stream: '
                     f'{attempt.body[-60:]!r}'
@@ -53,6 +57,13 @@
             )
 
 
+def check_versions(attempts):
+    for attempt in attempts.values():
+        versions = {event.split()[-1] for event in attempt.list_events()}
+        if len(versions) > 1:
+            yield f'{attempt.id}: events of versions {sorted(versions)}'
+
+
 def check_executions(attempts, executions_by_id):
     for attempt_id, executions in executions_by_id.items():
         attempt = attempts.get(attempt_id)
@@ -142,8 +153,10 @@
     )
 
 
-def expected_stream():
-    return b''.join(
-        b'id: %d\ndata: piece %d\n\n' % (n, n)
-        for n in range(1, STREAM_EVENTS + 1)
-    )
+def list_numbers(attempt):
+    """List the numbers of a stream's events that have their whole data."""
+    return [
+        int(match[1])
+        for event in attempt.list_events()
+        if (match := EVENT.fullmatch(event)) and match[1] == match[2]
+    ]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -45,6 +45,7 @@
     'unframed': 30, 'unframed-cut': 1, 'unframed-reset': 1,
 }  # fmt: skip
 MAX_UNFRAMED_ANSWERS = 5000
+SOFTWARE_VERSIONS = ('v1', 'v2')
 ORGANISATIONS = [{'Name': 'acme', 'ApiKeys': ['key-1', 'key-2']}]
 
 
@@ -94,8 +95,10 @@
 
     def add_engine(self, name):
         """Start an engine and list it with the address of its proxy."""
-        engine = self.fleet.add_engine(name, State='draining')
+        version = SOFTWARE_VERSIONS[len(self.all_engines) % 2]
+        engine = self.fleet.add_engine(name, State='draining', Version=version)
         engine.stream_prefix = '/stream/'
+        engine.software_version = version
         if name == UNFRAMED_ENGINE:
             engine.default_fault = 'unframed'
             engine.faults = random.Random(self.seed).choices(
@@ -105,7 +108,9 @@
             )
         self.all_engines.append(engine)
         self.engine_proxies[name] = self.open_proxy(engine.server.port)
-        self.fleet.register_engine(name, self.engine_proxies[name].port)
+        self.fleet.register_engine(
+            name, self.engine_proxies[name].port, Version=version
+        )
 
     def run_and_check(self):
         """Inject the scheduled faults; return the violated guarantees."""
@@ -282,7 +287,12 @@
         if len(self.fleet.engines) - len(self.drained) <= 2:
             return
         port = self.engine_proxies[engine.name].port
-        self.fleet.register_engine(engine.name, port, State='draining')
+        self.fleet.register_engine(
+            engine.name,
+            port,
+            State='draining',
+            Version=engine.software_version,
+        )
         self.drained.append((engine, time.monotonic()))
 
     def inject_crash_engine(self, fault):
