--- a/arbutusvale/standins/engine.py
+++ b/arbutusvale/standins/engine.py
@@ -21,7 +21,9 @@
 
     A request whose body contains ``crash_marker`` closes all connections
     and keeps the engine down for ``restart_s``.  The next ``cross_answers``
-    answers carry a wrong request id.
+    answers carry a wrong request id.  ``unframed`` makes streamed answers
+    end with their connection: 'whole', or with a part of the last event
+    'cut' (closed) or 'reset'.
     """
 
     crash_marker: str = ''
@@ -31,6 +33,7 @@
     slow_factor: float = 1.0
     error_share: float = 0.0
     cross_answers: int = 0
+    unframed: str = ''
     event_lag_s: float = 0.0
     event_drop_share: float = 0.0
     load_lag_s: float = 0.0
--- a/arbutusvale/standins/engine_chat.py
+++ b/arbutusvale/standins/engine_chat.py
@@ -5,12 +5,16 @@
 import hashlib
 import json
 
+from tornado import iostream
+
 from arbutusvale.protocol import caller_api
 from arbutusvale.protocol import engine
 from arbutusvale.standins import engine_state
 from arbutusvale.standins import web_server
+from arbutusvale.transport import socket_options
 
 DEFAULT_ANSWER_TOKENS = 12
+RESET_DELAY_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True)
@@ -63,6 +67,26 @@
 class ChatHandler(web_server.StandinHandler):
     """Handler of chat completions."""
 
+    def initialize(self, standin: web_server.Standin) -> None:
+        """Set the server to which the handler belongs."""
+        super().initialize(standin)
+        # The connection, once an answer without framing has started.
+        self.raw_stream: iostream.IOStream | None = None
+
+    @property
+    def is_client_gone(self) -> bool:
+        """Return whether the client's connection is closed."""
+        if self.raw_stream is not None:
+            return self.raw_stream.closed()
+        return super().is_client_gone
+
+    def close_connection(self) -> None:
+        """Close the connection without the rest of a response."""
+        if self.raw_stream is not None:
+            self.raw_stream.close()
+        else:
+            super().close_connection()
+
     async def post(self) -> None:
         """Wait for a slot, then generate the answer token by token."""
         standin = self.standin
@@ -96,7 +120,11 @@
     def write_output(self, run: engine_state.Run, data: bytes) -> None:
         """Write a part of the answer and store it for resumed connections."""
         run.append_output(data)
-        if not self.is_client_gone:
+        if self.is_client_gone:
+            return
+        if self.raw_stream is not None:
+            self.raw_stream.write(data)
+        else:
             self.write(data)
 
     async def generate(self, run: engine_state.Run) -> None:
@@ -128,7 +156,7 @@
             if chat_request.stream:
                 self.send_token(run, number, token, len(completion))
             await self.simulate_delay(latencies.token_s)
-        self.finish_response(run, chat_request, cached, completion)
+        await self.finish_response(run, chat_request, cached, completion)
 
     def use_prefix_cache(self, chat_request: ChatRequest) -> int:
         """Return the number of cached prompt tokens, then cache the prompt."""
@@ -165,12 +193,37 @@
             run.content_type = 'text/event-stream'
             self.set_header('Content-Type', run.content_type)
             delta['role'] = 'assistant'
+            if self.standin.faults.unframed:
+                self.start_unframed()
         reason = 'stop' if number == count - 1 else None
         choice = {'index': 0, 'delta': delta, 'finish_reason': reason}
         self.send_event(run, {'choices': [choice]})
-        if not self.is_client_gone:
+        if self.raw_stream is None and not self.is_client_gone:
             self.flush()
 
+    def start_unframed(self) -> None:
+        """Send a head with neither a length nor chunks."""
+        lines = ['HTTP/1.1 200 OK']
+        lines += [f'{name}: {value}' for name, value in self._headers.items()]
+        self.raw_stream = self.detach()
+        self.raw_stream.write(('\r\n'.join(lines) + '\r\n\r\n').encode())
+
+    async def end_unframed(self, run: engine_state.Run) -> None:
+        """End an answer without framing as the fault says."""
+        ending = b'data: [DONE]\n\n'
+        match self.standin.faults.unframed:
+            case 'cut':
+                await self.raw_stream.write(ending[:-6])
+            case 'reset':
+                await self.raw_stream.write(ending[:-6])
+                # The client reads what was sent before the reset.
+                await asyncio.sleep(RESET_DELAY_S)
+                socket_options.reset_on_close(self.raw_stream.socket)
+            case _:
+                self.write_output(run, ending)
+                run.complete = True
+        self.raw_stream.close()
+
     def send_event(self, run: engine_state.Run, fields: dict) -> None:
         """Write a completion chunk as a server-sent event."""
         document = self.base_document('chat.completion.chunk')
@@ -187,7 +240,7 @@
             'system_fingerprint': self.standin.name,
         }
 
-    def finish_response(
+    async def finish_response(
         self,
         run: engine_state.Run,
         chat_request: ChatRequest,
@@ -207,6 +260,9 @@
         if chat_request.stream:
             if chat_request.include_usage:
                 self.send_event(run, {'choices': [], 'usage': usage})
+            if self.raw_stream is not None:
+                await self.end_unframed(run)
+                return
             self.write_output(run, b'data: [DONE]\n\n')
             self.complete_response(run)
             return
--- a/arbutusvale/standins/raw_server.py
+++ b/arbutusvale/standins/raw_server.py
@@ -129,7 +129,7 @@
 
 def reset_connection(writer: asyncio.StreamWriter) -> None:
     """Close a connection with a reset (RST), discarding unsent data."""
-    socket_options.reset_on_close(writer.transport)
+    socket_options.reset_on_close(writer.get_extra_info('socket'))
     writer.transport.abort()
 
 
--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -356,7 +356,8 @@
         if self.transport is not None and not self.disconnected:
             if self.started and not self.chunked:
                 # Only a reset differs from the end of such a body.
-                socket_options.reset_on_close(self.transport)
+                raw_socket = self.transport.get_extra_info('socket')
+                socket_options.reset_on_close(raw_socket)
             self.transport.abort()
 
     async def wait_until_drained(self) -> None:
--- a/arbutusvale/transport/socket_options.py
+++ b/arbutusvale/transport/socket_options.py
@@ -34,15 +34,13 @@
 _LINGER_S = 0
 
 
-def reset_on_close(transport: asyncio.BaseTransport) -> None:
+def reset_on_close(raw_socket: socket.socket) -> None:
     """Make the close of a connection a reset, and discard unsent data."""
-    raw_socket = transport.get_extra_info('socket')
-    if raw_socket is not None:
-        raw_socket.setsockopt(
-            socket.SOL_SOCKET,
-            socket.SO_LINGER,
-            struct.pack('ii', _LINGER_ON, _LINGER_S),
-        )
+    raw_socket.setsockopt(
+        socket.SOL_SOCKET,
+        socket.SO_LINGER,
+        struct.pack('ii', _LINGER_ON, _LINGER_S),
+    )
 
 
 def apply(
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -1,5 +1,6 @@
 """End-to-end requests through processes of the whole fleet."""
 
+import http.client
 import json
 
 import pytest
@@ -66,3 +67,23 @@
     )
     assert answer.status == 401
     assert answer.json()['error']['outcome'] == 'not-run'
+
+
+def test_unframed_stream_reaches_its_caller_whole_or_never_looks_complete(
+    start_deployment,
+):
+    deployment = start_deployment(engines=1, services=0, routers=1)
+    engine = deployment.backends['engine-1']
+
+    def set_fault(unframed):
+        deployment.set_faults(engine.server_address, unframed=unframed)
+
+    set_fault('whole')
+    answer = deployment.send_chat(['oil'], stream=True)
+    assert answer.body.endswith(b'data: [DONE]\n\n')
+    for unframed in ('cut', 'reset'):
+        set_fault(unframed)
+        with pytest.raises(http.client.IncompleteRead) as caught:
+            deployment.send_chat(['oil'], stream=True)
+        assert b'[D' not in caught.value.partial
+        assert b'event: error' in caught.value.partial
