--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -196,6 +196,7 @@
         self.peers.prompts = self.context.prompts
         self.peers.suspects = self.context.crashes.suspect_table
         self.peers.read_offsets = self._read_offsets
+        self.peers.read_eras = self._read_eras
         self.peers.on_peer_offset = self._on_peer_offset
         self.relay = topic_relay.TopicRelay(
             self.settings.host,
@@ -211,6 +212,7 @@
         self.server_follower.count_readers = self.relay.count_readers
         for follower in (self.config_follower, self.server_follower):
             follower.on_new_records = self.peers.announce_offsets
+            follower.on_era_risen = self._count_era
 
     async def run(self) -> int:
         """Serve requests until shut down; return the exit code."""
@@ -337,11 +339,26 @@
             if follower.offset is not None
         }
 
-    def _on_peer_offset(self, topic: str, offset: int) -> None:
+    def _read_eras(self) -> dict[str, int]:
+        """Return the era of each topic's offset, as far as known."""
+        return {
+            follower.topic: follower.era
+            for follower in (self.config_follower, self.server_follower)
+            if follower.era is not None
+        }
+
+    def _count_era(self, topic: str) -> None:
+        """Count that the store came back from an older copy."""
+        self.metrics.increment('store_eras', topic)
+        self.peers.announce_offsets()
+
+    def _on_peer_offset(
+        self, topic: str, offset: int, era: int | None
+    ) -> None:
         """Pass a peer's offset in a topic to its follower."""
         for follower in (self.config_follower, self.server_follower):
             if follower.topic == topic:
-                follower.handle_offset_hint(offset)
+                follower.handle_offset_hint(offset, era)
 
     async def _fetch_page(self, host: str, path: str) -> bytes:
         """Fetch a page from a peer."""
--- a/arbutusvale/coordination/config_view.py
+++ b/arbutusvale/coordination/config_view.py
@@ -50,6 +50,9 @@
         """Apply a full read of the topic."""
         self.update(records, return_by)
 
+    def note_older_copy(self, records: list[keyed_log.Record]) -> None:
+        """Do nothing: only a higher version is ever applied."""
+
     def update(
         self, records: list[keyed_log.Record], return_by: float | None
     ) -> list[keyed_log.Record]:
--- a/arbutusvale/coordination/log_follower.py
+++ b/arbutusvale/coordination/log_follower.py
@@ -62,6 +62,13 @@
         Return those that changed the sink's state.
         """
 
+    def note_older_copy(self, records: list[keyed_log.Record]) -> None:
+        """Learn that the next full read may lack what was known before.
+
+        The log came back from an older copy of itself; ``records`` are
+        those of the copy.
+        """
+
 
 class Relay(typing.Protocol):
     """Sharing of reads among routers."""
@@ -103,10 +110,22 @@
     regained_at: float = NEVER
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _EraChange:
+    """A rise of the log's era; ``offset`` is the last one read before."""
+
+    before: int
+    offset: int | None
+
+
 def _ignore_records() -> None:
     """Do nothing; the default callback for new records."""
 
 
+def _ignore_era(topic: str) -> None:
+    """Do nothing; the default callback for a rise of the era."""
+
+
 class LogFollower:
     """Client that keeps a sink up to date with one topic.
 
@@ -129,6 +148,10 @@
         self.events = events
         self.clock = clock
         self.offset: int | None = None
+        # The era of ``offset``; None if the log never told one.
+        self.era: int | None = None
+        self.era_change: _EraChange | None = None
+        self.on_era_risen: Callable[[str], None] = _ignore_era
         self.contact = StoreContact()
         self.failures = 0
         self.count_readers: Callable[[], int] = lambda: 1
@@ -136,6 +159,7 @@
         self.batching = False
         self.hint_pending = False
         self.hinted_offset = 0
+        self.hinted_era = 0
         self.full_read_due = False
         self.call_aborted = False
         self.wait_s = 0.0
@@ -143,11 +167,19 @@
         self.call_in_flight = False
         self.wake = asyncio.Event()
 
+    def adopt(self, offset: int, era: int | None) -> None:
+        """Continue from where the copy of a peer ends."""
+        self.offset = offset
+        if era is not None:
+            self.era = era
+
     def needs_snapshot(self) -> bool:
         """Return whether the store is unreachable and a peer is ahead."""
         if self.contact.lost_at is None:
             return False
-        return self.offset is None or self.hinted_offset > self.offset
+        if self.offset is None or self.hinted_offset > self.offset:
+            return True
+        return self.era is not None and self.hinted_era > self.era
 
     def age_s(self) -> float:
         """Return for how long the topic may have changed unnoticed, in s.
@@ -177,6 +209,9 @@
             try:
                 has_records = await self._read()
             except errors.StoreHistoryGone as error:
+                if self._is_of_older_era(error.era):
+                    continue
+                self._note_era(error.era)
                 self.events.write(
                     'store-history-gone',
                     topic=self.topic,
@@ -217,6 +252,8 @@
             return False
         if self.contact.lost_at is not None:
             return False
+        if not self.check_peer_era(relayed.era):
+            return False
         if not relayed.start_offset <= self.offset <= relayed.end_offset:
             return False
         records = [
@@ -244,8 +281,24 @@
         self.wake.set()
         self.log.disconnect()
 
-    def handle_offset_hint(self, offset: int) -> None:
+    def check_peer_era(self, era: int | None) -> bool:
+        """Return whether a peer's offset is of the era of this router's.
+
+        A newer era makes this router read anew.  A peer of the build before
+        tells none; its offsets count as of this era.
+        """
+        if era is None or self.era is None or era == self.era:
+            return True
+        self.hinted_era = max(self.hinted_era, era)
+        is_behind = era > self.era and self.contact.lost_at is None
+        if is_behind and not self.full_read_due:
+            self.restart_read()
+        return False
+
+    def handle_offset_hint(self, offset: int, era: int | None = None) -> None:
         """Schedule a check that this router reaches a peer's offset."""
+        if not self.check_peer_era(era):
+            return
         self.hinted_offset = max(self.hinted_offset, offset)
         if self.offset is None or offset <= self.offset or self.hint_pending:
             return
@@ -294,8 +347,13 @@
         self.wait_s = 0.0
         self.call_aborted = False
         page = await self.log.read_newest()
+        self._note_era(page.era)
+        if self.era_change is not None:
+            self.sink.note_older_copy(page.records)
+            self.contact.regained_at = self.clock()
         self.sink.replace(page.records, self._record_answer())
         self._advance(None, page, [])
+        self._finish_era_change(page)
         return bool(page.records)
 
     async def _read_from(self, offset: int) -> bool:
@@ -303,6 +361,10 @@
         self.wait_s = self._poll_wait_s()
         self.call_aborted = False
         page = await self.log.read_from(offset, self.wait_s)
+        if self._note_era(page.era):
+            # The offset may be that of another record by now.
+            self.full_read_due = True
+            return False
         changed = self.sink.update(page.records, self._record_answer())
         self._advance(offset, page, changed)
         return bool(page.records)
@@ -318,6 +380,44 @@
         self.full_read_due = False
         self.relay.record_read(start_offset, page.next_offset, changed)
 
+    def _note_era(self, era: int | None) -> bool:
+        """Return whether the log came back from an older copy of itself.
+
+        Raise StoreUnavailable for an answer from before the last time.
+        """
+        if era is None or era == self.era:
+            return False
+        if self.era is None:
+            self.era = era
+            return False
+        if self._is_of_older_era(era):
+            raise errors.StoreUnavailable('an answer of an older era')
+        if self.era_change is None:
+            self.era_change = _EraChange(self.era, self.offset)
+        self.era = era
+        self.hinted_offset = 0
+        return True
+
+    def _is_of_older_era(self, era: int | None) -> bool:
+        """Return whether an answer is from before an older copy returned."""
+        return era is not None and self.era is not None and era < self.era
+
+    def _finish_era_change(self, page: keyed_log.Page) -> None:
+        """Log a rise of the era, once the log is read anew."""
+        change, self.era_change = self.era_change, None
+        if change is None:
+            return
+        self.events.write(
+            'store-era',
+            topic=self.topic,
+            before=change.before,
+            era=self.era,
+            offset_before=change.offset,
+            offset=page.next_offset,
+            records=len(page.records),
+        )
+        self.on_era_risen(self.topic)
+
     def _record_answer(self) -> float | None:
         """Record contact; return until when expired entries may return."""
         now = self.clock()
--- a/arbutusvale/coordination/peer_snapshot.py
+++ b/arbutusvale/coordination/peer_snapshot.py
@@ -59,11 +59,13 @@
         document = {
             'config': base64.b64encode(self.state.config.raw).decode(),
             'config_offset': config_offset,
+            'config_era': self.state.config_follower.era,
             'servers': {
                 server_id: base64.b64encode(data).decode()
                 for server_id, data in self.state.servers.raw_entries.items()
             },
             'server_offset': server_offset,
+            'server_era': self.state.server_follower.era,
             'places': {
                 part: list(holders)
                 for part, holders in self.state.prompts.by_prompt.items()
@@ -127,11 +129,13 @@
             document = json.loads(data)
             config = base64.b64decode(document['config'])
             config_offset = int(document['config_offset'])
+            config_era = _parse_era(document.get('config_era'))
             records = [
                 keyed_log.Record(str(server_id), base64.b64decode(entry))
                 for server_id, entry in document['servers'].items()
             ]
             server_offset = int(document['server_offset'])
+            server_era = _parse_era(document.get('server_era'))
             cache_locations = [
                 (str(part), str(server_id))
                 for part, holders in document['places'].items()
@@ -147,13 +151,17 @@
         changed = False
         for part, server_id in cache_locations:
             changed = self.state.prompts.record(part, server_id) or changed
-        if _is_ahead(config_offset, self.state.config_follower):
+        follower = self.state.config_follower
+        if _is_ahead(config_offset, config_era, follower):
             self.state.config.apply(config, f'peer {host}')
-            self.state.config_follower.offset = config_offset
+            follower.adopt(config_offset, config_era)
             changed = True
-        if _is_ahead(server_offset, self.state.server_follower):
+        follower = self.state.server_follower
+        if _is_ahead(server_offset, server_era, follower):
+            if follower.era != server_era:
+                self.state.servers.note_older_copy(records)
             self.state.servers.replace(records, None)
-            self.state.server_follower.offset = server_offset
+            follower.adopt(server_offset, server_era)
             changed = True
         if changed:
             self.events.write(
@@ -166,6 +174,17 @@
         return changed
 
 
-def _is_ahead(offset: int, follower: log_follower.LogFollower) -> bool:
+def _parse_era(value: object) -> int | None:
+    """Return an era, None from a peer that knows none."""
+    return None if value is None else int(value)
+
+
+def _is_ahead(
+    offset: int, era: int | None, follower: log_follower.LogFollower
+) -> bool:
     """Return whether an offset of a peer is beyond the follower's."""
-    return follower.offset is None or offset > follower.offset
+    if follower.offset is None:
+        return True
+    if era is None or follower.era is None or era == follower.era:
+        return offset > follower.offset
+    return era > follower.era
--- a/arbutusvale/coordination/peers.py
+++ b/arbutusvale/coordination/peers.py
@@ -60,7 +60,8 @@
     """Membership and soft state that this router shares with its peers.
 
     ``send`` transmits a datagram to an IP number.  ``on_peer_offset``
-    is called with a topic and the offset up to which a peer read it.
+    is called with a topic, the offset up to which a peer read it, and the
+    offset's era if the peer knows it.
     """
 
     def __init__(
@@ -83,7 +84,9 @@
             peer_message.CacheLocation
         ] = collections.deque(maxlen=MAX_PENDING_CACHE_LOCATIONS)
         self.send: Callable[[str, bytes], None] = _discard
-        self.on_peer_offset: Callable[[str, int], None] = _ignore_offset
+        self.on_peer_offset: Callable[[str, int, int | None], None] = (
+            _ignore_offset
+        )
         self.on_relayed_records: Callable[[list_update.ListUpdate], None] = (
             _ignore_records
         )
@@ -91,6 +94,7 @@
             [stream_origin.OriginMessage], None
         ] = _ignore_origin
         self.read_offsets: Callable[[], dict[str, int]] = dict
+        self.read_eras: Callable[[], dict[str, int]] = dict
         self.loads: server_loads.ServerLoads | None = None
         self.prompts: prompt_cache_index.PromptCacheIndex | None = None
         self.suspects: suspects.SuspectTable | None = None
@@ -159,7 +163,7 @@
             return
         self._update_membership(message)
         for topic, offset in message.offsets.items():
-            self.on_peer_offset(topic, offset)
+            self.on_peer_offset(topic, offset, message.eras.get(topic))
         if self.loads is not None:
             age_s = LIVE_INTERVALS * self.interval_s()
             self.loads.record_peer_counts(message.host, message.loads, age_s)
@@ -221,6 +225,7 @@
             cache_locations=tuple(cache_locations),
             suspicions=self._list_suspicions(),
             leaving=self.leaving,
+            eras=self.read_eras(),
         )
 
     def _list_suspicions(self) -> tuple[peer_message.Suspicion, ...]:
@@ -273,7 +278,7 @@
     """Drop a datagram while no socket is open."""
 
 
-def _ignore_offset(topic: str, offset: int) -> None:
+def _ignore_offset(topic: str, offset: int, era: int | None) -> None:
     """Do nothing; the default callback for offsets of peers."""
 
 
--- a/arbutusvale/coordination/server_view.py
+++ b/arbutusvale/coordination/server_view.py
@@ -29,20 +29,58 @@
         self.on_incarnation_ended = on_incarnation_ended
         self.malformed_count = 0
         self.raw_entries: dict[str, bytes] = {}
+        # Entries of leaving servers that the log came back with from an
+        # older copy.
+        self.stale_entries: dict[str, bytes] = {}
 
     def replace(
         self, records: list[keyed_log.Record], return_by: float | None
     ) -> None:
         """Apply a full read; servers that it lacks are removed."""
-        self.update(records, return_by)
+        self._apply_all(
+            [
+                record
+                for record in records
+                if self.stale_entries.get(record.key) != record.value
+            ],
+            return_by,
+        )
         present = {record.key for record in records if record.value}
         for server_id in self.servers.keep_only(present, return_by):
             self._handle_removal(server_id, return_by is not None)
 
+    def note_older_copy(self, records: list[keyed_log.Record]) -> None:
+        """Learn which entries an older copy of the log has kept too long.
+
+        Such an entry of a server that is known to leave is ignored until the
+        server writes it anew.
+        """
+        self.stale_entries.clear()
+        for record in records:
+            if record.value is None:
+                continue
+            try:
+                server = self.decode(record.key, record.value)
+            except errors.RecordError:
+                continue
+            if (
+                server.state is proxying.ServerState.READY
+                and self.servers.is_leaving(server)
+            ):
+                self.stale_entries[record.key] = record.value
+
     def update(
         self, records: list[keyed_log.Record], return_by: float | None
     ) -> list[keyed_log.Record]:
         """Apply records in log order; return those that changed the list."""
+        for record in records:
+            self.stale_entries.pop(record.key, None)
+        return self._apply_all(records, return_by)
+
+    def _apply_all(
+        self, records: list[keyed_log.Record], return_by: float | None
+    ) -> list[keyed_log.Record]:
+        """Apply records; return those that changed the list."""
         changed = [
             record for record in records if self._apply(record, return_by)
         ]
--- a/arbutusvale/coordination/topic_relay.py
+++ b/arbutusvale/coordination/topic_relay.py
@@ -41,6 +41,7 @@
     start_offset: int
     end_offset: int
     changed: tuple[keyed_log.Record, ...]
+    era: int | None
 
 
 class TopicRelay:
@@ -126,10 +127,15 @@
         if (
             self.recent_reads
             and self.recent_reads[-1].end_offset != start_offset
+        ) or (
+            self.recent_reads
+            and self.recent_reads[-1].era != self.follower.era
         ):
             self.recent_reads.clear()
         self.recent_reads.append(
-            _ReadResult(start_offset, end_offset, tuple(changed))
+            _ReadResult(
+                start_offset, end_offset, tuple(changed), self.follower.era
+            )
         )
         if self._is_reader():
             self._broadcast()
@@ -165,6 +171,7 @@
             records=tuple(
                 record for read in self.recent_reads for record in read.changed
             ),
+            era=self.follower.era,
         )
         for message in list_update.split(relayed):
             data = list_update.encode(message)
--- a/arbutusvale/errors.py
+++ b/arbutusvale/errors.py
@@ -115,13 +115,17 @@
 
 
 class StoreHistoryGone(ArbutusvaleError):
-    """The store's log doesn't contain the wanted offset."""
+    """The store's log doesn't contain the wanted offset.
 
-    def __init__(self, topic: str, offset: int):
+    ``era`` is the store's era, None if unknown.
+    """
+
+    def __init__(self, topic: str, offset: int, era: int | None = None):
         super().__init__(
             f'Topic {topic} does not contain offset {offset}.',
             'Read the topic in full and continue from there.',
         )
+        self.era = era
 
 
 class ServerFailed(ArbutusvaleError):
--- a/arbutusvale/platform/store.py
+++ b/arbutusvale/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import binascii
+import dataclasses
 import json
 import urllib.parse
 
@@ -23,6 +24,15 @@
 _STATUS_OK = 200
 _LENGTH_PREFIX_BYTES = 4
 _PAGE_HEADER_BYTES = 16
+_ERA_HEADER = b'store-era'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Head:
+    """The status of an answer and the store's era, None if it sends none."""
+
+    status: int
+    era: int | None
 
 
 class StoreTopic:
@@ -39,11 +49,17 @@
         records: list[keyed_log.Record] = []
         after = ''
         first_page_end = -1
+        first_page_era: int | None = None
         while True:
             query = {'Topic': self.topic, 'part': '0'}
             if after:
                 query['After'] = after
-            document = _parse_object(await self._get(NEWEST_PATH, query, 0.0))
+            era, data = await self._get(NEWEST_PATH, query, 0.0)
+            if not after:
+                first_page_era = era
+            elif era != first_page_era:
+                raise errors.StoreUnavailable('its era changed meanwhile')
+            document = _parse_object(data)
             rows = document.get('Entries')
             end = document.get('EndOffset')
             if not isinstance(rows, list) or not isinstance(end, int):
@@ -54,7 +70,7 @@
             # at the end offset of the first page.
             first_page_end = end if first_page_end < 0 else first_page_end
             if not document.get('Truncated') or not rows:
-                return keyed_log.Page(records, first_page_end)
+                return keyed_log.Page(records, first_page_end, era)
             after = str(rows[-1].get('Key'))
 
     async def read_from(self, offset: int, wait_s: float) -> keyed_log.Page:
@@ -65,15 +81,15 @@
             'From': str(offset),
             'WaitMs': str(int(wait_s * 1000)),
         }
-        data = await self._get(READ_PATH, query, wait_s)
+        era, data = await self._get(READ_PATH, query, wait_s)
         if len(data) < _PAGE_HEADER_BYTES:
             raise errors.StoreUnavailable('its answer is too short')
         end_offset = int.from_bytes(data[:8], 'big')
         first_offset = int.from_bytes(data[8:16], 'big')
         if end_offset < offset or first_offset > offset:
-            raise errors.StoreHistoryGone(self.topic, offset)
+            raise errors.StoreHistoryGone(self.topic, offset, era)
         records, count = _decode_records(data[_PAGE_HEADER_BYTES:], offset)
-        return keyed_log.Page(records, offset + count)
+        return keyed_log.Page(records, offset + count, era)
 
     def is_receiving(self) -> bool:
         """Return whether a response to the call in flight has begun."""
@@ -87,14 +103,14 @@
 
     async def _get(
         self, path: str, query: dict[str, str], wait_s: float
-    ) -> bytes:
-        """Return a body; raise StoreUnavailable or StoreHistoryGone."""
+    ) -> tuple[int | None, bytes]:
+        """Return era and body; raise StoreUnavailable or StoreHistoryGone."""
         self.calls += 1
         try:
             async with asyncio.timeout(
                 wait_s + _RESPONSE_TIMEOUT_S + _CONNECT_TIMEOUT_S
             ):
-                status, body = await self._exchange(path, query)
+                head, body = await self._exchange(path, query)
         except TimeoutError as error:
             self.disconnect()
             raise errors.StoreUnavailable('no answer in time') from error
@@ -104,17 +120,17 @@
         except BaseException:
             self.disconnect()
             raise
-        if status == _STATUS_GONE:
+        if head.status == _STATUS_GONE:
             raise errors.StoreHistoryGone(
-                self.topic, int(query.get('From', '0'))
+                self.topic, int(query.get('From', '0')), head.era
             )
-        if status != _STATUS_OK:
-            raise errors.StoreUnavailable(f'status {status}')
-        return body
+        if head.status != _STATUS_OK:
+            raise errors.StoreUnavailable(f'status {head.status}')
+        return head.era, body
 
     async def _exchange(
         self, path: str, query: dict[str, str]
-    ) -> tuple[int, bytes]:
+    ) -> tuple[_Head, bytes]:
         """Send a request, on a new connection if needed."""
         if self.connection is None or self.connection.closed:
             self.connection = await http_connection.open_connection(
@@ -126,14 +142,20 @@
             f'GET {target} HTTP/1.1\r\n'
             f'Host: {self.address.host}:{self.address.port}\r\n\r\n'
         )
-        exchange = connection.send(
-            request.encode(), http_connection.decode_status
-        )
+        exchange = connection.send(request.encode(), _decode_head)
         head = await exchange.head
         body = await connection.read_all(exchange)
         if not connection.release():
             self.connection = None
-        return head.status, body
+        return head, body
+
+
+def _decode_head(
+    status: int, reason: bytes, headers: http_connection.Headers
+) -> _Head:
+    """Decode status and era of an answer; header names are lower-case."""
+    era = dict(headers).get(_ERA_HEADER, b'').strip()
+    return _Head(status, int(era) if era.isdigit() else None)
 
 
 def _parse_object(data: bytes) -> dict:
--- a/arbutusvale/protocol/keyed_log.py
+++ b/arbutusvale/protocol/keyed_log.py
@@ -18,10 +18,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Page:
-    """A page of records and the offset of the next read."""
+    """A page of records and the offset of the next read.
+
+    An offset has a meaning only within its ``era``, which rises each time
+    the log comes back from an older copy of itself; None if unknown.
+    """
 
     records: list[Record]
     next_offset: int
+    era: int | None = None
 
 
 class KeyedLog(typing.Protocol):
--- a/arbutusvale/protocol/list_update.py
+++ b/arbutusvale/protocol/list_update.py
@@ -27,6 +27,7 @@
     ``records`` are those from ``start_offset`` up to ``end_offset``, in
     order, that changed the sender's state; the others only renew an entry.
     ``age_s`` is the time since the sender read them from the store.
+    ``era`` is the one of the offsets, None if unknown.
     """
 
     host: str
@@ -35,6 +36,7 @@
     end_offset: int
     age_s: float
     records: tuple[keyed_log.Record, ...]
+    era: int | None = None
 
 
 def split(update: ListUpdate) -> Iterator[ListUpdate]:
@@ -73,6 +75,7 @@
             'since': update.start_offset,
             'until': update.end_offset,
             'age_ms': int(update.age_s * 1000),
+            'era': update.era,
             'records': [_encode_record(record) for record in update.records],
         },
         separators=(',', ':'),
@@ -96,6 +99,7 @@
             end_offset=_check_integer(document['until']),
             age_s=_check_integer(document['age_ms']) / 1000,
             records=tuple(_decode_record(row) for row in document['records']),
+            era=_check_era(document.get('era')),
         )
     except (
         ValueError, KeyError, TypeError, AttributeError, RecursionError,
@@ -134,6 +138,11 @@
     return keyed_log.Record(str(key), value, _check_integer(offset))
 
 
+def _check_era(value: object) -> int | None:
+    """Return an era, None from a sender that knows none."""
+    return None if value is None else _check_integer(value)
+
+
 def _check_integer(value: object) -> int:
     """Return a non-negative integer, or raise TypeError."""
     if not isinstance(value, int) or isinstance(value, bool) or value < 0:
--- a/arbutusvale/protocol/peer_message.py
+++ b/arbutusvale/protocol/peer_message.py
@@ -40,8 +40,9 @@
     """One message of a router.
 
     ``offsets`` are the offsets up to which the sender has read the store's
-    topics.  ``loads`` counts its requests in flight by server id.
-    ``peers`` are IP addresses of routers that sent to it recently.
+    topics, and ``eras`` those of the offsets, as far as known.  ``loads``
+    counts its requests in flight by server id.  ``peers`` are IP addresses
+    of routers that sent to it recently.
     """
 
     name: str
@@ -52,6 +53,7 @@
     cache_locations: tuple[CacheLocation, ...] = ()
     suspicions: tuple[Suspicion, ...] = ()
     leaving: bool = False
+    eras: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 def encode(message: PeerMessage) -> bytes:
@@ -77,6 +79,7 @@
                 for suspicion in message.suspicions
             ],
             'leaving': message.leaving,
+            'eras': message.eras,
         },
         separators=(',', ':'),
     ).encode()
@@ -107,6 +110,7 @@
                 for fingerprint, crashes, cleared in document['suspects']
             ),
             leaving=document['leaving'] is True,
+            eras=_check_counts(document.get('eras', {})),
         )
     except (
         ValueError, KeyError, TypeError, AttributeError, RecursionError,
--- a/arbutusvale/standins/edge_store.py
+++ b/arbutusvale/standins/edge_store.py
@@ -15,7 +15,8 @@
 
     ``fault`` is None, 'busy' (503), 'silent' (no response) or 'reset'.
     ``first_offsets`` has the lowest readable offset of compacted topics;
-    ``page_size`` limits the keys in a page of newest records.
+    ``page_size`` limits the keys in a page of newest records.  ``era`` is
+    sent with all answers unless it is None.
     """
 
     def __init__(self) -> None:
@@ -24,6 +25,7 @@
         self.fault: str | None = None
         self.call_count = 0
         self.page_size = DEFAULT_PAGE_SIZE
+        self.era: int | None = 1
         self.records_appended = asyncio.Condition()
         self.server = raw_server.RawServer(self._handle)
 
@@ -41,6 +43,22 @@
         """Remove the last records, as if restored from an older backup."""
         del self.records[topic][-count:]
 
+    async def restore(
+        self, lost_counts: dict[str, int]
+    ) -> list[tuple[str, str, bytes]]:
+        """Come back from an older copy without the last records of topics.
+
+        Return what is lost: topic, key and value of each record.
+        """
+        lost = []
+        for topic, count in lost_counts.items():
+            records = self.records.get(topic, [])
+            start = max(0, len(records) - count)
+            lost.extend((topic, *record) for record in records[start:])
+            del records[start:]
+        self.era = (self.era or 0) + 1
+        return lost
+
     async def _handle(
         self,
         request: raw_server.RawRequest,
@@ -51,7 +69,7 @@
         self.call_count += 1
         match self.fault:
             case 'busy':
-                writer.write(raw_server.format_response(503, {}, b''))
+                writer.write(self._format_response(503, b''))
                 return True
             case 'silent':
                 await asyncio.sleep(3600)
@@ -68,6 +86,11 @@
         writer.write(response)
         return True
 
+    def _format_response(self, status: int, body: bytes) -> bytes:
+        """Return a response with the store's era."""
+        headers = {} if self.era is None else {'Store-Era': str(self.era)}
+        return raw_server.format_response(status, headers, body)
+
     def _newest_page(self, topic: str, after: str) -> bytes:
         """Return the response with the newest record of each key.
 
@@ -90,9 +113,7 @@
             'Truncated': len(entries) > self.page_size,
             'EndOffset': len(self.records.get(topic, [])),
         }
-        return raw_server.format_response(
-            200, {}, json.dumps(document).encode()
-        )
+        return self._format_response(200, json.dumps(document).encode())
 
     async def _read_page(self, topic: str, query: dict[str, str]) -> bytes:
         """Return the response with the records from an offset on.
@@ -102,6 +123,8 @@
         offset = int(query['From'])
         wait_s = int(query.get('WaitMs', '0')) / 1000
         records = self.records.setdefault(topic, [])
+        if offset > len(records):
+            wait_s = 0.0
         try:
             async with asyncio.timeout(wait_s), self.records_appended:
                 await self.records_appended.wait_for(
@@ -111,11 +134,9 @@
             # The long poll ends with a response without records.
             pass
         first_offset = self.first_offsets.get(topic, 0)
-        if offset < first_offset:
+        if offset < first_offset or offset > len(records):
             document = {'FirstOffset': first_offset}
-            return raw_server.format_response(
-                410, {}, json.dumps(document).encode()
-            )
+            return self._format_response(410, json.dumps(document).encode())
         frames = [
             len(records).to_bytes(8, 'big'),
             first_offset.to_bytes(8, 'big'),
@@ -123,4 +144,4 @@
         for key, value in records[offset:]:
             body = bytes([len(key)]) + key.encode() + value
             frames.append(len(body).to_bytes(4, 'big') + body)
-        return raw_server.format_response(200, {}, b''.join(frames))
+        return self._format_response(200, b''.join(frames))
--- a/arbutusvale/state/server_list.py
+++ b/arbutusvale/state/server_list.py
@@ -8,6 +8,8 @@
 # Servers renew entries that expired during a store outage within about two
 # seconds of the store's recovery.
 RECOVERY_GRACE_S = 2.0
+# An older copy of the store is seconds old.
+DEPARTURE_RETENTION_S = 120.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -40,6 +42,8 @@
         self.version = 0
         # When the last server of a software version left, by pool.
         self.departed_versions: dict[str, dict[str, float]] = {}
+        # When incarnations left, by id and start.
+        self.departed: dict[tuple[str, int], float] = {}
 
     def put(self, server: proxying.BackendServer) -> bool:
         """Add or update a server; return whether anything changed."""
@@ -126,10 +130,29 @@
             if left_at >= oldest
         }  # fmt: skip
 
+    def is_leaving(self, server: proxying.BackendServer) -> bool:
+        """Return whether this incarnation is known to drain or has left."""
+        known = self.by_id.get(server.id)
+        if (
+            known is not None
+            and known.server.started_at_ms == server.started_at_ms
+        ):
+            return known.server.state is proxying.ServerState.DRAINING
+        return (server.id, server.started_at_ms) in self.departed
+
     def _record_departure(self, server: proxying.BackendServer) -> None:
-        """Record that a server of a software version left its pool."""
-        departed = self.departed_versions.setdefault(server.pool, {})
-        departed[server.software_version] = self.clock()
+        """Record that a server, and with it its software version, left."""
+        now = self.clock()
+        versions = self.departed_versions.setdefault(server.pool, {})
+        versions[server.software_version] = now
+        incarnation = (server.id, server.started_at_ms)
+        self.departed.pop(incarnation, None)
+        self.departed[incarnation] = now
+        while True:
+            oldest, left_at = next(iter(self.departed.items()))
+            if now - left_at <= DEPARTURE_RETENTION_S:
+                return
+            del self.departed[oldest]
 
     def _rebuild_pools(self) -> None:
         """Group the servers by pool and increment the version."""
--- a/tests/coordination/test_edge_schedules.py
+++ b/tests/coordination/test_edge_schedules.py
@@ -31,6 +31,7 @@
     def __init__(self):
         self.topics = {'config': [], 'servers': []}
         self.version = 0
+        self.era = 1
 
     def append_configuration(self):
         self.version += 1
@@ -47,6 +48,14 @@
             )
         self.topics['servers'].append(keyed_log.Record(name, value))
 
+    def restore_older_copy(self, generator):
+        """Lose the last records; the operator writes its own again."""
+        self.era += 1
+        for log in self.topics.values():
+            del log[max(1, len(log) - generator.randint(0, 4)) :]
+        data = helpers_edge.make_config(self.version)
+        self.topics['config'].append(keyed_log.Record('config', data))
+
     def newest_by_key(self, topic):
         return {record.key: record for record in self.topics[topic]}
 
@@ -82,19 +91,28 @@
             self.events,
         )
         self.highest_version = 0
+        self.ready_before = set()
 
     def read(self, store, generator):
         topic = generator.choice(list(self.followers))
         follower = self.followers[topic]
         log = store.topics[topic]
-        if follower.offset is None or generator.random() < 0.1:
+        is_older_copy = follower.era is not None and follower.era != store.era
+        if (
+            follower.offset is None
+            or is_older_copy
+            or generator.random() < 0.1
+        ):
             newest = [
                 record
                 for record in store.newest_by_key(topic).values()
                 if record.value
             ]
+            if is_older_copy:
+                follower.sink.note_older_copy(newest)
             follower.sink.replace(newest, None)
             follower.offset = len(log)
+            follower.era = store.era
             return
         end = generator.randint(follower.offset, len(log))
         follower.sink.update(log[follower.offset : end], None)
@@ -106,8 +124,11 @@
             self.exchange.apply_snapshot('peer', text.encode())
 
     def list_ready(self):
+        return {name for name, _ in self.list_ready_incarnations()}
+
+    def list_ready_incarnations(self):
         return {
-            listed.server.id
+            (listed.server.id, listed.server.started_at_ms)
             for listed in self.servers.list_ready_servers('chat')
         }
 
@@ -119,6 +140,10 @@
         self.topic = topic
         self.sink = sink
         self.offset = None
+        self.era = None
+
+    def adopt(self, offset, era):
+        self.offset, self.era = offset, era
 
 
 def list_ready_in_log(store):
@@ -164,6 +189,88 @@
         assert checked.list_ready() == list_ready_in_log(store)
 
 
+class EngineFleet:
+    """Servers that start, drain, leave and write lost entries again."""
+
+    def __init__(self, store):
+        self.store = store
+        self.states = {}
+        self.born = {}
+        # Incarnations that have said that they leave, or left.
+        self.ended = set()
+
+    def step(self, generator, born):
+        name = f's{generator.randrange(SERVERS)}'
+        match self.states.get(name, 'gone'):
+            case 'gone':
+                self.states[name], self.born[name] = 'ready', born
+            case 'ready':
+                self.states[name] = generator.choice(('draining', 'gone'))
+                self.ended.add((name, self.born[name]))
+            case 'draining':
+                self.states[name] = 'gone'
+        self.write(name)
+
+    def write(self, name):
+        value = None
+        if self.states[name] != 'gone':
+            value = helpers_edge.make_entry(
+                '1.1.1.1:1', State=self.states[name], born=self.born[name]
+            )
+        self.store.topics['servers'].append(keyed_log.Record(name, value))
+
+    def write_lost_entries(self):
+        for name, state in self.states.items():
+            if state != 'gone':
+                self.write(name)
+
+    def list_ready(self):
+        return {
+            name for name, state in self.states.items() if state == 'ready'
+        }
+
+
+@pytest.mark.parametrize('seed', range(60))
+def test_an_older_copy_of_the_store_brings_back_nothing_that_left(seed):
+    generator = random.Random(seed)
+    clock = helpers_edge.Clock()
+    store = Store()
+    store.append_configuration()
+    engines = EngineFleet(store)
+    routers = [Router(clock) for _ in range(ROUTERS)]
+    known_ended = [set() for _ in routers]
+    for step in range(STEPS):
+        clock.now += generator.expovariate(5)
+        number = generator.randrange(ROUTERS)
+        match generator.randrange(12):
+            case 0:
+                store.append_configuration()
+            case 1 | 2 | 3:
+                engines.step(generator, step + 1)
+            case 4:
+                store.restore_older_copy(generator)
+            case 5:
+                engines.write_lost_entries()
+            case _:
+                routers[number].read(store, generator)
+        for router, ended in zip(routers, known_ended, strict=True):
+            assert router.config.version >= router.highest_version
+            router.highest_version = router.config.version
+            ready = router.list_ready_incarnations()
+            assert not ready & ended
+            # What it drops was known to leave only if it does.
+            ended |= (router.ready_before - ready) & engines.ended
+            router.ready_before = ready
+    engines.write_lost_entries()
+    for router in routers:
+        for topic in router.followers:
+            router.followers[topic].offset = None
+            for _ in range(40):
+                router.read(store, generator)
+        assert router.config.version == store.version
+        assert engines.list_ready() <= router.list_ready()
+
+
 def check_log_prefix(router, store):
     """Assert that a router lists as ready what the log does at its offset."""
     offset = router.followers['servers'].offset
--- a/tests/coordination/test_log_follower.py
+++ b/tests/coordination/test_log_follower.py
@@ -48,6 +48,10 @@
 class Sink:
     def __init__(self):
         self.applied = []
+        self.older_copies = 0
+
+    def note_older_copy(self, records):
+        self.older_copies += 1
 
     def replace(self, records, return_by):
         self.applied.append(
@@ -60,8 +64,9 @@
         )
 
 
-def page(end, *keys):
-    return keyed_log.Page([keyed_log.Record(key, b'v') for key in keys], end)
+def page(end, *keys, era=None):
+    records = [keyed_log.Record(key, b'v') for key in keys]
+    return keyed_log.Page(records, end, era)
 
 
 async def follow(log, clock=None, steps=None):
@@ -263,3 +268,54 @@
         assert follower.age_s() > 2.0
 
     asyncio.run(follow(log, clock, check_age))
+
+
+def test_a_newer_era_leads_to_a_full_read_whatever_the_offsets_say():
+    log = Log(page(5, 'a', era=1), page(6, 'b', era=2), page(4, 'c', era=2))
+    follower, sink, events = asyncio.run(follow(log))
+    assert [applied[:2] for applied in sink.applied] == [
+        ('replace', ['a']),
+        ('replace', ['c']),
+    ]
+    assert sink.older_copies == 1
+    [line] = events.named('store-era')
+    assert (line['before'], line['era']) == (1, 2)
+    assert (line['offset_before'], line['offset']) == (5, 4)
+    assert log.calls[-1][:2] == ('read', 4)
+
+
+def test_a_missing_offset_in_a_newer_era_leads_to_a_full_read():
+    gone = errors.StoreHistoryGone('topic', 5, 2)
+    log = Log(page(5, 'a', era=1), gone, page(4, 'c', era=2))
+    _, sink, events = asyncio.run(follow(log))
+    assert sink.older_copies == 1
+    assert events.named('store-era')[0]['offset_before'] == 5
+
+
+def test_an_answer_of_an_older_era_is_dropped():
+    log = Log(
+        page(5, 'a', era=1),
+        page(3, 'b', era=2),
+        page(3, 'b', era=2),
+        page(9, 'late', era=1),
+        errors.StoreHistoryGone('topic', 3, 1),
+        page(4, 'c', era=2),
+    )
+    follower, sink, _ = asyncio.run(follow(log))
+    keys = [key for _, applied, _ in sink.applied for key in applied]
+    assert 'late' not in keys
+    assert (follower.era, follower.offset) == (2, 4)
+
+
+def test_a_peer_offset_counts_only_in_its_era():
+    log = Log(page(5, 'a', era=2))
+
+    async def send_hints(follower):
+        follower.handle_offset_hint(9, 1)
+        assert not follower.hint_pending and not follower.full_read_due
+        follower.handle_offset_hint(6)
+        assert follower.hint_pending
+        follower.handle_offset_hint(1, 3)
+        assert follower.full_read_due
+
+    asyncio.run(follow(log, steps=send_hints))
--- a/tests/coordination/test_peers.py
+++ b/tests/coordination/test_peers.py
@@ -163,7 +163,9 @@
     first, second = network.routers.values()
     first.read_offsets = lambda: {'topic': 9}
     seen = []
-    second.on_peer_offset = lambda topic, offset: seen.append((topic, offset))
+    second.on_peer_offset = lambda topic, offset, era: seen.append(
+        (topic, offset)
+    )
     network.run(1)
     assert ('topic', 9) in seen
 
--- a/tests/soak/fault_schedule.py
+++ b/tests/soak/fault_schedule.py
@@ -10,9 +10,9 @@
     'kill-router', 'pause-router', 'terminate-router', 'reload-router',
     'reset-engine-connections', 'freeze-engine-connections',
     'freeze-engine-responses', 'delay-engine', 'store-busy', 'store-silent',
-    'store-reset', 'compact-store', 'freeze-store-connections',
-    'engine-fault', 'drain-engine', 'crash-engine', 'configure',
-    'revoke-key', 'burst',
+    'store-reset', 'compact-store', 'restore-store',
+    'freeze-store-connections', 'engine-fault', 'drain-engine',
+    'crash-engine', 'configure', 'revoke-key', 'burst',
 )  # fmt: skip
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -276,6 +276,24 @@
         for topic in (edge_fleet.CONFIG_TOPIC, edge_fleet.SERVERS_TOPIC):
             self.fleet.event_loop.run(self.fleet.store.compact(topic))
 
+    def inject_restore_store(self, fault):
+        """Let the store lose records, which are written again later."""
+        self.fleet.store.fault = 'silent'
+        time.sleep(0.1)
+        counts = {
+            topic: fault.target_index % divisor
+            for topic, divisor in (
+                (edge_fleet.CONFIG_TOPIC, 2),
+                (edge_fleet.SERVERS_TOPIC, 3),
+            )
+        }
+        lost = self.fleet.event_loop.run(self.fleet.store.restore(counts))
+        self.fleet.store.fault = None
+        time.sleep(min(0.5, fault.duration_s))
+        for topic, key, value in lost:
+            self.fleet.append(topic, key, value)
+        return 3.0
+
     def inject_engine_fault(self, fault):
         kind = ENGINE_FAULT_KINDS[fault.target_index % len(ENGINE_FAULT_KINDS)]
         for engine in self.all_engines[:2]:
