--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -32,6 +32,7 @@
 from arbutusvale.platform import records
 from arbutusvale.platform import store
 from arbutusvale.protocol import edge_settings
+from arbutusvale.protocol import peer_message
 from arbutusvale.protocol import routing
 from arbutusvale.state import edge_metrics
 from arbutusvale.state import event_log
@@ -54,6 +55,9 @@
 BODY_MEMORY_SHARE = 0.25
 LISTEN_BACKLOG = 512
 CHECK_INTERVAL_S = 0.1
+# A server that leaves must get no request sent later than the drain time; the
+# rest of that is for requests that wait on the way.
+LEAVING_USE_SHARE = 0.5
 # Connections to one server of a pool that the configuration doesn't contain.
 DEFAULT_MAX_CONNECTIONS = 16
 
@@ -93,7 +97,9 @@
             self.events,
             self.clock,
         )
-        self.servers = server_list.ServerList(self.clock)
+        self.servers = server_list.ServerList(
+            self.clock, LEAVING_USE_SHARE * self.settings.bounds.drain_s
+        )
         self.server_view = server_view.ServerView(
             self.servers, records.read_server, self.events, self._forget_server
         )
@@ -208,6 +214,7 @@
         self.server_follower.relay = self.relay
         self.peers.on_relayed_records = self.relay.receive
         self.peers.on_origin_message = self.context.origins.receive
+        self.peers.on_leaving_server = self._mark_leaving
         self.config_follower.count_readers = self.peers.count_live
         self.server_follower.count_readers = self.relay.count_readers
         for follower in (self.config_follower, self.server_follower):
@@ -347,6 +354,23 @@
             if follower.era is not None
         }
 
+    def _mark_leaving(self, leaving: peer_message.LeavingServer) -> None:
+        """Record that a server leaves, as a peer says."""
+        entry = self.servers.by_id.get(leaving.server_id)
+        if entry is None:
+            return
+        server = entry.server
+        if (server.started_at_ms, server.address) != (
+            leaving.started_at_ms,
+            leaving.address,
+        ):
+            return
+        if self.servers.mark_leaving(server):
+            self.metrics.increment('leaving_servers', 'peer')
+            self.events.write(
+                'server-leaving', server=server.id, source='peer'
+            )
+
     def _count_era(self, topic: str) -> None:
         """Count that the store came back from an older copy."""
         self.metrics.increment('store_eras', topic)
--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -246,10 +246,9 @@
             return False
         alternatives_exist = any(
             listed.server.id not in self.tried_servers
-            and self.software_version in (None, listed.server.software_version)
             and not self.context.outlier_detector.is_ejected(listed.server.id)
             for listed in self.context.servers.list_ready_servers(
-                self.request.pool
+                self.request.pool, self.software_version
             )
         )
         return alternatives_exist and self.context.retry_budget(
--- a/arbutusvale/coordination/edge_context.py
+++ b/arbutusvale/coordination/edge_context.py
@@ -56,9 +56,9 @@
     retry_budgets: dict[str, retries.WindowedRetryBudget] = dataclasses.field(
         default_factory=dict
     )
-    rankings: dict[str, tuple[int, rendezvous.Ranking]] = dataclasses.field(
-        default_factory=dict
-    )
+    rankings: dict[
+        tuple[str, str | None], tuple[list[str], rendezvous.Ranking]
+    ] = dataclasses.field(default_factory=dict)
     last_received_at: dict[str, float] = dataclasses.field(
         default_factory=dict
     )
@@ -87,14 +87,18 @@
             )
         return self.retry_budgets[pool]
 
-    def ranking(self, pool: str, names: list[str]) -> rendezvous.Ranking:
-        """Return a pool's rendezvous ranking, cached by list version."""
-        version = self.servers.version
-        cached = self.rankings.get(pool)
-        if cached is None or cached[0] != version:
-            ranking = rendezvous.Ranking(names, vectorise=False)
-            cached = (version, ranking)
-            self.rankings[pool] = cached
+    def ranking(
+        self,
+        pool: str,
+        names: list[str],
+        software_version: str | None = None,
+    ) -> rendezvous.Ranking:
+        """Return a pool's rendezvous ranking, cached while it is the same."""
+        key = (pool, software_version)
+        cached = self.rankings.get(key)
+        if cached is None or cached[0] != names:
+            cached = (names, rendezvous.Ranking(names, vectorise=False))
+            self.rankings[key] = cached
         return cached[1]
 
     def forget_server(self, server_id: str) -> None:
--- a/arbutusvale/coordination/edge_placement.py
+++ b/arbutusvale/coordination/edge_placement.py
@@ -44,12 +44,11 @@
 
     Only servers of ``software_version`` are chosen, unless it is None.
     """
-    ready = context.servers.list_ready_servers(request.pool)
+    ready = context.servers.list_ready_servers(request.pool, software_version)
     candidates = [
         _make_candidate(context, listed)
         for listed in ready
         if listed.server.id not in tried_servers
-        and software_version in (None, listed.server.software_version)
     ]
     servers = {listed.server.id: listed.server for listed in ready}
     shared_parts = list_shared_parts(request.metadata)
@@ -62,9 +61,9 @@
         holders_by_part = [
             context.prompts.find_engines(part) for part in shared_parts
         ]
-        ranking = context.ranking(request.pool, list(servers)).rank(
-            shared_parts[0], len(servers)
-        )
+        ranking = context.ranking(
+            request.pool, list(servers), software_version
+        ).rank(shared_parts[0], len(servers))
         choice = edge_placement_policy.choose_engine(
             candidates,
             ranking,
--- a/arbutusvale/coordination/edge_reporter.py
+++ b/arbutusvale/coordination/edge_reporter.py
@@ -82,11 +82,23 @@
             self.request.pool, now - sent_at
         )
         self.first_byte_s = now - self.request.caller_request.received_at
+        if head.leaving and not head.misdirected:
+            self._record_leaving(server)
         if head.load is not None:
             self.context.loads.record_reported_load(
                 server.id, head.load.running + head.load.waiting
             )
 
+    def _record_leaving(self, server: proxying.BackendServer) -> None:
+        """Record that a server says that it leaves; inform peers."""
+        if not self.context.servers.mark_leaving(server):
+            return
+        self.context.metrics.increment('leaving_servers', 'answer')
+        self.context.events.write(
+            'server-leaving', server=server.id, source='answer'
+        )
+        self.context.peers.announce_leaving_server(server)
+
     def record_mismatched_response(
         self, response_attempt_id: str, status: int
     ) -> None:
--- a/arbutusvale/coordination/peers.py
+++ b/arbutusvale/coordination/peers.py
@@ -19,6 +19,7 @@
 from arbutusvale import errors
 from arbutusvale.protocol import list_update
 from arbutusvale.protocol import peer_message
+from arbutusvale.protocol import proxying
 from arbutusvale.protocol import stream_origin
 from arbutusvale.state import event_log
 from arbutusvale.state import prompt_cache_index
@@ -45,6 +46,9 @@
 MAX_GOSSIPED_PEERS = 8
 MAX_LOADS = 30
 MAX_SUSPECTS = 2
+# So many messages carry a server that leaves, as datagrams get lost.
+LEAVING_REPEATS = 8
+MAX_LEAVING_SERVERS = 4
 
 
 @dataclasses.dataclass(slots=True)
@@ -98,6 +102,11 @@
         self.loads: server_loads.ServerLoads | None = None
         self.prompts: prompt_cache_index.PromptCacheIndex | None = None
         self.suspects: suspects.SuspectTable | None = None
+        self.on_leaving_server: Callable[
+            [peer_message.LeavingServer], None
+        ] = _ignore_leaving_server
+        # Servers to announce as leaving, each with the messages to go.
+        self.leaving_servers: dict[peer_message.LeavingServer, int] = {}
         self.leaving = False
         self.malformed_count = 0
         self.broadcast_count = 0
@@ -133,6 +142,14 @@
         )
         self.send_requested.set()
 
+    def announce_leaving_server(self, server: proxying.BackendServer) -> None:
+        """Announce soon that a server leaves."""
+        leaving = peer_message.LeavingServer(
+            server.id, server.started_at_ms, server.address
+        )
+        self.leaving_servers[leaving] = LEAVING_REPEATS
+        self.send_requested.set()
+
     def announce_offsets(self) -> None:
         """Announce new offsets of the store soon, with some probability.
 
@@ -164,6 +181,8 @@
         self._update_membership(message)
         for topic, offset in message.offsets.items():
             self.on_peer_offset(topic, offset, message.eras.get(topic))
+        for server in message.leaving_servers:
+            self.on_leaving_server(server)
         if self.loads is not None:
             age_s = LIVE_INTERVALS * self.interval_s()
             self.loads.record_peer_counts(message.host, message.loads, age_s)
@@ -226,8 +245,20 @@
             suspicions=self._list_suspicions(),
             leaving=self.leaving,
             eras=self.read_eras(),
+            leaving_servers=self._pop_leaving_servers(),
         )
 
+    def _pop_leaving_servers(
+        self,
+    ) -> tuple[peer_message.LeavingServer, ...]:
+        """List servers to announce, and count the message."""
+        servers = tuple(self.leaving_servers)[:MAX_LEAVING_SERVERS]
+        for server in servers:
+            self.leaving_servers[server] -= 1
+            if not self.leaving_servers[server]:
+                del self.leaving_servers[server]
+        return servers
+
     def _list_suspicions(self) -> tuple[peer_message.Suspicion, ...]:
         """List the newest requests that were in flight at crashes."""
         if self.suspects is None:
@@ -282,6 +313,10 @@
     """Do nothing; the default callback for offsets of peers."""
 
 
+def _ignore_leaving_server(server: peer_message.LeavingServer) -> None:
+    """Do nothing; the default callback for servers that leave."""
+
+
 def _ignore_origin(message: stream_origin.OriginMessage) -> None:
     """Do nothing; the default callback for origins of streams."""
 
--- a/arbutusvale/platform/headers.py
+++ b/arbutusvale/platform/headers.py
@@ -8,6 +8,7 @@
 DEADLINE_MS = b'x-arbutusvale-deadline-ms'
 LAST_EVENT_ID = b'last-event-id'
 RESUMES = b'resumes'
+SERVER_LEAVING = b'server-leaving'
 MODEL_ID = b'x-arbutusvale-model-id'
 TOKEN_COUNT = b'x-arbutusvale-token-count'
 PROMPT_PREFIX = b'x-arbutusvale-prompt-prefix'
@@ -33,6 +34,7 @@
         b'kv-fetch',
         b'last-event-id',
         b'authorization',
+        SERVER_LEAVING,
     )
 )
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -175,6 +177,7 @@
         load=_parse_load(values.get(ENGINE_LOAD)),
         keep_alive_s=_parse_keep_alive(values.get(b'keep-alive')),
         encoded=b'content-encoding' in values,
+        leaving=values.get(SERVER_LEAVING, b'').strip() == b'1',
     )
 
 
--- a/arbutusvale/protocol/peer_message.py
+++ b/arbutusvale/protocol/peer_message.py
@@ -35,6 +35,15 @@
     cleared: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeavingServer:
+    """A server that says that it leaves; its start is in Unix ms."""
+
+    server_id: str
+    started_at_ms: int
+    address: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerMessage:
     """One message of a router.
@@ -54,6 +63,7 @@
     suspicions: tuple[Suspicion, ...] = ()
     leaving: bool = False
     eras: dict[str, int] = dataclasses.field(default_factory=dict)
+    leaving_servers: tuple[LeavingServer, ...] = ()
 
 
 def encode(message: PeerMessage) -> bytes:
@@ -80,6 +90,10 @@
             ],
             'leaving': message.leaving,
             'eras': message.eras,
+            'gone': [
+                [server.server_id, server.started_at_ms, server.address]
+                for server in message.leaving_servers
+            ],
         },
         separators=(',', ':'),
     ).encode()
@@ -111,6 +125,16 @@
             ),
             leaving=document['leaving'] is True,
             eras=_check_counts(document.get('eras', {})),
+            leaving_servers=tuple(
+                LeavingServer(
+                    _check_string(server_id),
+                    _check_integer(started_at_ms),
+                    _check_string(address),
+                )
+                for server_id, started_at_ms, address in document.get(
+                    'gone', ()
+                )
+            ),
         )
     except (
         ValueError, KeyError, TypeError, AttributeError, RecursionError,
@@ -139,6 +163,12 @@
     if not isinstance(value, dict):
         raise TypeError('not an object')
     for count in value.values():
-        if not isinstance(count, int) or isinstance(count, bool):
-            raise TypeError('not a count')
+        _check_integer(count)
+    return value
+
+
+def _check_integer(value: object) -> int:
+    """Return an integer, or raise TypeError."""
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise TypeError('not a count')
     return value
--- a/arbutusvale/protocol/proxying.py
+++ b/arbutusvale/protocol/proxying.py
@@ -120,6 +120,7 @@
     ``headers`` are those that the caller receives.  ``not_run`` means that
     the server guarantees it did not run the request.  ``keep_alive_s`` is
     the idle timeout of the connection, None if the server names none.
+    ``leaving`` means that the server says that it is going to stop.
     """
 
     status: int
@@ -132,3 +133,4 @@
     load: ReportedLoad | None
     keep_alive_s: float | None
     encoded: bool
+    leaving: bool
--- a/arbutusvale/standins/edge_engine.py
+++ b/arbutusvale/standins/edge_engine.py
@@ -33,7 +33,8 @@
 class EngineStandin:
     """HTTP server that consumes one entry of ``faults`` per request.
 
-    Without an entry ``default_fault`` applies, empty for none.
+    Without an entry ``default_fault`` applies, empty for none.  ``leaving``
+    is sent as ``Server-Leaving`` with all answers.
     Faults: 'error' (500), 'shed' (503 without execution), 'reset' (before
     the response), 'hang', 'truncate', 'extra' (a second response),
     'foreign' (first a response to another attempt), 'unsigned' (no
@@ -56,6 +57,8 @@
         self.faults: list[str] = []
         self.default_fault = ''
         self.software_version = ''
+        # The value of Server-Leaving in all answers; empty for none.
+        self.leaving = ''
         self.received: list[ReceivedRequest] = []
         self.event_count = 5
         self.stream_prefix = ''
@@ -112,6 +115,8 @@
             ATTEMPT_HEADER: received_request.attempt_id,
             LOAD_HEADER: f'{self.active_requests},0,8',
         }
+        if self.leaving:
+            response_headers['Server-Leaving'] = self.leaving
         match fault:
             case 'shed':
                 response_headers[NOT_EXECUTED_HEADER] = '1'
--- a/arbutusvale/state/server_list.py
+++ b/arbutusvale/state/server_list.py
@@ -33,15 +33,22 @@
     lists them has outages.  A removal takes effect at once, unless it
     follows a store outage; then the server stays until the grace period
     after the store's recovery ends, as its entry may be renewed.
+
+    A server that says itself that it leaves gets new requests only where no
+    other can serve, and for ``leaving_use_s`` at most, whatever its entry
+    says, until it is another incarnation.
     """
 
-    def __init__(self, clock: Callable[[], float]):
+    def __init__(self, clock: Callable[[], float], leaving_use_s: float = 0.0):
         self.clock = clock
+        self.leaving_use_s = leaving_use_s
         self.by_id: dict[str, ListedServer] = {}
         self.by_pool: dict[str, list[ListedServer]] = {}
         self.version = 0
         # When the last server of a software version left, by pool.
         self.departed_versions: dict[str, dict[str, float]] = {}
+        # When incarnations said that they leave, by id, start and address.
+        self.leaving: dict[tuple[str, int, str], float] = {}
         # When incarnations left, by id and start.
         self.departed: dict[tuple[str, int], float] = {}
 
@@ -106,14 +113,50 @@
             self._rebuild_pools()
         return expired
 
-    def list_ready_servers(self, pool: str) -> list[ListedServer]:
-        """List the servers of a pool that accept new requests."""
-        return [
+    def list_ready_servers(
+        self, pool: str, software_version: str | None = None
+    ) -> list[ListedServer]:
+        """List the servers of a pool that accept new requests.
+
+        Those of another version are left out, unless it is None.
+        """
+        ready = [
             entry
             for entry in self.by_pool.get(pool, ())
             if entry.server.state is proxying.ServerState.READY
+            and software_version in (None, entry.server.software_version)
+        ]
+        if not self.leaving:
+            return ready
+        staying = [
+            entry
+            for entry in ready
+            if _incarnation(entry.server) not in self.leaving
+        ]
+        if staying:
+            return staying
+        oldest = self.clock() - self.leaving_use_s
+        return [
+            entry
+            for entry in ready
+            if self.leaving[_incarnation(entry.server)] > oldest
         ]
 
+    def mark_leaving(self, server: proxying.BackendServer) -> bool:
+        """Record that a server says that it leaves; return whether it is new.
+
+        Marks of servers that are no longer listed are dropped.
+        """
+        now = self.clock()
+        if _incarnation(server) in self.leaving:
+            return False
+        for incarnation, marked_at in list(self.leaving.items()):
+            is_old = now - marked_at > DEPARTURE_RETENTION_S
+            if is_old and incarnation[0] not in self.by_id:
+                del self.leaving[incarnation]
+        self.leaving[_incarnation(server)] = now
+        return True
+
     def list_recent_versions(self, pool: str, within_s: float) -> set[str]:
         """List the software versions of a pool, of servers listed recently.
 
@@ -161,3 +204,8 @@
         for server_id in sorted(self.by_id):
             entry = self.by_id[server_id]
             self.by_pool.setdefault(entry.server.pool, []).append(entry)
+
+
+def _incarnation(server: proxying.BackendServer) -> tuple[str, int, str]:
+    """Return what tells one start of a server from others."""
+    return server.id, server.started_at_ms, server.address
--- a/tests/soak/fault_schedule.py
+++ b/tests/soak/fault_schedule.py
@@ -12,7 +12,7 @@
     'freeze-engine-responses', 'delay-engine', 'store-busy', 'store-silent',
     'store-reset', 'compact-store', 'restore-store',
     'freeze-store-connections', 'engine-fault', 'drain-engine',
-    'crash-engine', 'configure', 'revoke-key', 'burst',
+    'leave-engine', 'crash-engine', 'configure', 'revoke-key', 'burst',
 )  # fmt: skip
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -313,6 +313,14 @@
         )
         self.drained.append((engine, time.monotonic()))
 
+    def inject_leave_engine(self, fault):
+        """Let an engine say in its answers alone that it leaves."""
+        engine = self.pick_engine(fault)
+        if len(self.fleet.engines) - len(self.drained) <= 2:
+            return
+        engine.leaving = '1'
+        self.drained.append((engine, time.monotonic()))
+
     def inject_crash_engine(self, fault):
         engine = self.pick_engine(fault)
         proxy = self.engine_proxies[engine.name]
