--- a/arbutusvale/transport/http_connection.py
+++ b/arbutusvale/transport/http_connection.py
@@ -240,6 +240,7 @@
     def release(self) -> bool:
         """End a complete exchange; return whether to reuse the connection."""
         self.exchange = None
+        self.receiving = False
         self.idle_since = time.monotonic()
         if self.closed or not self.reusable or self.transport is None:
             self.abort()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -100,3 +100,14 @@
             await topic.read_newest()
 
     run(scenario)
+
+
+# Hints of peers were put off for as long as a listener made no call.
+def test_nothing_is_being_received_after_an_answer():
+    async def scenario(standin, topic):
+        await standin.append(TOPIC, 'a', b'1')
+        assert (await topic.read_newest()).next_offset == 1
+        assert topic.connection is not None
+        assert not topic.is_receiving()
+
+    run(scenario)
