--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -40,6 +40,7 @@
 from arbutusvale.state import prompt_cache_index
 from arbutusvale.state import server_list
 from arbutusvale.state import server_loads
+from arbutusvale.state import server_pauses
 from arbutusvale.state import service_times
 from arbutusvale.state import socket_budget
 from arbutusvale.state import stream_origins
@@ -138,6 +139,7 @@
             config=self.config,
             servers=self.servers,
             loads=server_loads.ServerLoads(self.clock),
+            pauses=server_pauses.ServerPauses(self.clock),
             prompts=prompt_cache_index.PromptCacheIndex(self.clock),
             outlier_detector=outlier_detection.OutlierDetector(
                 generator, self.clock
--- a/arbutusvale/coordination/edge_admission_policy.py
+++ b/arbutusvale/coordination/edge_admission_policy.py
@@ -44,6 +44,7 @@
 MIN_RETRY_AFTER_S = 0.1
 # Callers honour a Retry-After of up to a third of the time they have left.
 RETRY_AFTER_SHARE = 0.33
+PAUSE_SPREAD_SHARE = 0.5
 # Callers give up if their request isn't read within a second, and each request
 # crosses the link at least twice.
 MAX_LINK_WAIT_S = 0.25
@@ -164,3 +165,12 @@
 def alternate_retry_after_s(jitter: float) -> float:
     """Return the Retry-After for another VM or server, in seconds."""
     return MIN_RETRY_AFTER_S * (1 + 2 * jitter)
+
+
+def pause_retry_after_s(pause_s: float, jitter: float) -> float:
+    """Return the Retry-After, in seconds, if all servers ask for a pause.
+
+    Callers return within half as long again after the first pause ends.
+    """
+    spread_s = max(MIN_RETRY_AFTER_S, PAUSE_SPREAD_SHARE * pause_s)
+    return pause_s + jitter * spread_s
--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -26,6 +26,7 @@
 MAX_CONNECT_FAILURES = 4
 # With less time left no attempt can succeed.
 MIN_TIME_S = 0.01
+PAUSE_CHECK_INTERVAL_S = 0.1
 
 _BAD_GATEWAY = 502
 _SERVICE_UNAVAILABLE = 503
@@ -58,6 +59,9 @@
         self.last_failure: edge_requests.Failed | None = None
         # The version at which a stream must go on; None while any may serve.
         self.software_version: str | None = None
+        self.waited_for_pause = False
+        # The pause that ends first, if all outlast the request.
+        self.pause_s = 0.0
 
     async def run(self) -> None:
         """Send the request until it has a response or no attempt is left."""
@@ -75,6 +79,8 @@
                 self.software_version,
             )
             if placement is None:
+                if await self._wait_for_pause():
+                    continue
                 self._end_unanswered(cause or self._no_server_cause())
                 return
             self.tried_servers.append(placement.server.id)
@@ -131,8 +137,33 @@
                 )
             )
 
+    async def _wait_for_pause(self) -> bool:
+        """Wait for the first pause of a server to end, if it does in time.
+
+        Return whether to place the request anew.
+        """
+        pause_s = edge_placement.find_shortest_pause_s(
+            self.context,
+            self.request,
+            self.tried_servers,
+            self.software_version,
+        )
+        if pause_s is None or self.attempts >= self.request.route.max_attempts:
+            return False
+        if pause_s + MIN_TIME_S >= self._time_left_s():
+            self.pause_s = pause_s
+            return False
+        if not self.waited_for_pause:
+            self.waited_for_pause = True
+            self.reporter.record_pause_wait(pause_s)
+        # Another server may come, or this one leave, before the pause ends.
+        await asyncio.sleep(min(pause_s, PAUSE_CHECK_INTERVAL_S))
+        return True
+
     def _no_server_cause(self) -> str:
         """Return the cause when no server is left to send to."""
+        if self.pause_s:
+            return 'servers-pause'
         if self.software_version is None:
             return 'no-server'
         return 'no-server-of-version'
@@ -247,6 +278,7 @@
         alternatives_exist = any(
             listed.server.id not in self.tried_servers
             and not self.context.outlier_detector.is_ejected(listed.server.id)
+            and not self.context.pauses.time_left_s(listed.server)
             for listed in self.context.servers.list_ready_servers(
                 self.request.pool, self.software_version
             )
@@ -294,6 +326,10 @@
             retry_after_s = edge_admission_policy.alternate_retry_after_s(
                 jitter
             )
+            if self.pause_s:
+                retry_after_s = edge_admission_policy.pause_retry_after_s(
+                    self.pause_s, jitter
+                )
             headers = [(b'retry-after', b'%.2f' % retry_after_s)]
         elif cause == 'deadline':
             status = _GATEWAY_TIMEOUT
--- a/arbutusvale/coordination/edge_context.py
+++ b/arbutusvale/coordination/edge_context.py
@@ -21,6 +21,7 @@
 from arbutusvale.state import rendezvous
 from arbutusvale.state import server_list
 from arbutusvale.state import server_loads
+from arbutusvale.state import server_pauses
 from arbutusvale.state import service_times
 
 
@@ -40,6 +41,7 @@
     config: config_view.ConfigView
     servers: server_list.ServerList
     loads: server_loads.ServerLoads
+    pauses: server_pauses.ServerPauses
     prompts: prompt_cache_index.PromptCacheIndex
     outlier_detector: outlier_detection.OutlierDetector
     crashes: crash_tracker.CrashTracker
--- a/arbutusvale/coordination/edge_placement.py
+++ b/arbutusvale/coordination/edge_placement.py
@@ -42,13 +42,15 @@
 ) -> Placement | None:
     """Choose a server that wasn't tried yet; return None if there is none.
 
-    Only servers of ``software_version`` are chosen, unless it is None.
+    Only servers of ``software_version`` are chosen, unless it is None, and
+    none that asked for a pause.
     """
     ready = context.servers.list_ready_servers(request.pool, software_version)
     candidates = [
         _make_candidate(context, listed)
         for listed in ready
         if listed.server.id not in tried_servers
+        and not context.pauses.time_left_s(listed.server)
     ]
     servers = {listed.server.id: listed.server for listed in ready}
     shared_parts = list_shared_parts(request.metadata)
@@ -87,6 +89,23 @@
     )
 
 
+def find_shortest_pause_s(
+    context: edge_context.EdgeContext,
+    request: PlaceableRequest,
+    tried_servers: Sequence[str],
+    software_version: str | None = None,
+) -> float | None:
+    """Return the seconds until a pause ends; None if no server pauses."""
+    pauses = [
+        context.pauses.time_left_s(listed.server)
+        for listed in context.servers.list_ready_servers(
+            request.pool, software_version
+        )
+        if listed.server.id not in tried_servers
+    ]
+    return min((pause_s for pause_s in pauses if pause_s), default=None)
+
+
 def list_shared_parts(metadata: proxying.RequestMetadata) -> tuple[str, ...]:
     """Return the ids of the prompt parts that may be shared, deepest first.
 
--- a/arbutusvale/coordination/edge_reporter.py
+++ b/arbutusvale/coordination/edge_reporter.py
@@ -84,11 +84,35 @@
         self.first_byte_s = now - self.request.caller_request.received_at
         if head.leaving and not head.misdirected:
             self._record_leaving(server)
+        if head.pause_s is not None:
+            self._record_pause(server, head.pause_s)
+        elif head.malformed_pause:
+            self.context.metrics.increment('malformed_pauses')
+            self.context.events.write(
+                'pause-malformed',
+                server=server.id,
+                value=head.malformed_pause[:80],
+            )
         if head.load is not None:
             self.context.loads.record_reported_load(
                 server.id, head.load.running + head.load.waiting
             )
 
+    def _record_pause(
+        self, server: proxying.BackendServer, pause_s: float
+    ) -> None:
+        """Record that a server wants no requests from this router."""
+        self.context.pauses.extend(server, pause_s)
+        self.context.metrics.increment('server_pauses', self.request.pool)
+        self.context.events.write(
+            'server-pause', server=server.id, seconds=pause_s
+        )
+
+    def record_pause_wait(self, wait_s: float) -> None:
+        """Log that the request waits, as all servers asked for a pause."""
+        self.context.metrics.increment('pause_waits', self.request.pool)
+        self.write('pause-wait', seconds=wait_s)
+
     def _record_leaving(self, server: proxying.BackendServer) -> None:
         """Record that a server says that it leaves; inform peers."""
         if not self.context.servers.mark_leaving(server):
--- a/arbutusvale/platform/headers.py
+++ b/arbutusvale/platform/headers.py
@@ -64,6 +64,10 @@
     )
 )
 _MAX_PRIORITY = 9
+_SERVICE_UNAVAILABLE = 503
+_RETRY_AFTER = b'retry-after'
+# A server that asks for a longer pause is held to be in error.
+_MAX_PAUSE_S = 3600.0
 _MAX_PROMPT_PARTS = 64
 
 
@@ -161,6 +165,7 @@
     """Decode the head of a server's response; names are lower-case."""
     connection_headers = _list_connection_headers(headers)
     values = dict(headers)
+    pause_s, malformed_pause = _parse_pause(status, values.get(_RETRY_AFTER))
     return proxying.ResponseHead(
         status=status,
         reason=reason,
@@ -178,6 +183,8 @@
         keep_alive_s=_parse_keep_alive(values.get(b'keep-alive')),
         encoded=b'content-encoding' in values,
         leaving=values.get(SERVER_LEAVING, b'').strip() == b'1',
+        pause_s=pause_s,
+        malformed_pause=malformed_pause,
     )
 
 
@@ -192,6 +199,21 @@
     return frozenset(tokens - _END_TO_END_HEADERS)
 
 
+def _parse_pause(status: int, value: bytes | None) -> tuple[float | None, str]:
+    """Return a requested pause in seconds, or the value if it is malformed."""
+    if status != _SERVICE_UNAVAILABLE or value is None:
+        return None, ''
+    text = value.strip().decode('latin-1')
+    try:
+        pause_s = float(text)
+    except ValueError:
+        return None, text or '-'
+    # Not true of a value that is no number, either.
+    if not 0 <= pause_s <= _MAX_PAUSE_S:
+        return None, text
+    return pause_s, ''
+
+
 def _parse_host(value: bytes) -> str:
     """Return the host in lower case, without the port."""
     host = value.decode('latin-1').strip().lower()
--- a/arbutusvale/protocol/proxying.py
+++ b/arbutusvale/protocol/proxying.py
@@ -121,6 +121,9 @@
     the server guarantees it did not run the request.  ``keep_alive_s`` is
     the idle timeout of the connection, None if the server names none.
     ``leaving`` means that the server says that it is going to stop.
+    ``pause_s`` is for how long a server that turns requests away wants none
+    from this router, None if it doesn't say or ``malformed_pause`` is what it
+    says.
     """
 
     status: int
@@ -134,3 +137,5 @@
     keep_alive_s: float | None
     encoded: bool
     leaving: bool
+    pause_s: float | None
+    malformed_pause: str
--- a/arbutusvale/standins/edge_engine.py
+++ b/arbutusvale/standins/edge_engine.py
@@ -45,7 +45,7 @@
     before the first event), 'encoded' (Content-Encoding: gzip), 'stream-cut'
     and 'stream-hang' (at the third event), 'stream-end-early' (its last
     chunk follows a part of the third event), 'slow' (by a second),
-    'not-mine' (421).
+    'not-mine' (421), 'pause=X' (503 without execution and Retry-After: X).
 
     Paths that start with ``stream_prefix`` are answered with
     ``event_count`` server-sent events, which name ``software_version``
@@ -124,6 +124,13 @@
                     raw_server.format_response(503, response_headers, b'full')
                 )
                 return True
+            case _ if fault.startswith('pause='):
+                response_headers[NOT_EXECUTED_HEADER] = '1'
+                response_headers['Retry-After'] = fault.partition('=')[2]
+                writer.write(
+                    raw_server.format_response(503, response_headers, b'')
+                )
+                return True
             case 'not-mine':
                 writer.write(
                     raw_server.format_response(421, response_headers, b'')
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -17,7 +17,8 @@
 ENGINE_FAULT_KINDS = (
     'error', 'shed', 'reset', 'hang', 'truncate', 'extra', 'foreign',
     'unsigned', 'garbage', 'slow', 'stream-cut', 'stream-end-early',
-    'unframed-cut', 'unframed-reset', 'unframed-empty',
+    'unframed-cut', 'unframed-reset', 'unframed-empty', 'pause=0.4',
+    'pause=soon',
 )  # fmt: skip
 ROUTES = [
     helpers_edge.make_route(),
--- a/tests/test_composeedge.py
+++ b/tests/test_composeedge.py
@@ -52,7 +52,8 @@
             [
                 'settings', 'codec', 'connection_pool', 'config', 'loads',
                 'prompts', 'outlier_detector', 'crashes', 'metrics',
-                'generator', 'clock', 'peers', 'origins', 'store_age_s',
+                'pauses', 'generator', 'clock', 'peers', 'origins',
+                'store_age_s',
                 'server_list_age_s', 'link_queue', 'latency_estimator',
             ]
         ),
