--- a/arbutusvale/protocol/peer_message.py
+++ b/arbutusvale/protocol/peer_message.py
@@ -90,7 +90,7 @@
             ],
             'leaving': message.leaving,
             'eras': message.eras,
-            'gone': [
+            'servers_leaving': [
                 [server.server_id, server.started_at_ms, server.address]
                 for server in message.leaving_servers
             ],
@@ -132,7 +132,7 @@
                     _check_string(address),
                 )
                 for server_id, started_at_ms, address in document.get(
-                    'gone', ()
+                    'servers_leaving', ()
                 )
             ),
         )
