--- a/arbutusvale/coordination/edge_context.py
+++ b/arbutusvale/coordination/edge_context.py
@@ -31,8 +31,8 @@
 
     ``store_age_s`` and ``server_list_age_s`` return the seconds since the
     configuration and the server list were last confirmed to be current.
-    ``last_received_at`` has the time at which a
-    server last sent anything, by its id.
+    ``last_received_at`` has the time at which a server last sent anything, by
+    its id.
     """
 
     settings: edge_settings.EdgeSettings
--- a/arbutusvale/coordination/edge_relay.py
+++ b/arbutusvale/coordination/edge_relay.py
@@ -262,7 +262,8 @@
         if self.event_buffer.is_inside_event:
             return True
         return (
-            exchange.framing is edge_ports.Framing.CLOSE
+            self.request.caller_request.method != b'HEAD'
+            and exchange.framing is edge_ports.Framing.CLOSE
             and not self.caller.started
             and self.event_buffer.last_event_id is None
         )
--- a/tests/platform/test_edge_path.py
+++ b/tests/platform/test_edge_path.py
@@ -260,6 +260,14 @@
     assert (status, body) == (200, b'')
 
 
+def test_head_of_an_unframed_stream_is_answered(edge):
+    for engine in edge.engines.values():
+        engine.stream_prefix = '/talk/'
+        engine.faults = ['unframed-empty']
+    status, _, body = edge.router.send_request('/talk/x', 'HEAD')
+    assert (status, body) == (200, b'')
+
+
 def test_reset_within_an_unframed_body_is_not_answered(edge):
     set_engine_faults(edge, 'unframed-reset')
     assert edge.router.send_request('/once/x', 'POST', b'b')[0] == 502
