--- a/arbutusvale/coordination/crash_tracker.py
+++ b/arbutusvale/coordination/crash_tracker.py
@@ -80,7 +80,7 @@
             return False
         granted = self.evidence.try_spend_trial(culprit)
         if granted:
-            self.events.write('part-trial', digest=_format_digests(culprit))
+            self.events.write('part-trial', digest=format_digests(culprit))
         return granted
 
     async def forbids_retry(
@@ -147,6 +147,11 @@
             )
             self.connection_pool.release(server, connection, None)
             alive = True
+            self.events.write(
+                'server-alive',
+                server=server.id,
+                broken=len(self.broken_by_server[server.id].broken_at),
+            )
         except errors.ServerFailed as error:
             # No answer in time may also be due to the path or a full queue.
             crashed = error.refused
@@ -180,11 +185,14 @@
             {digest for request in interrupted for digest in request},
         )
         for suspects in interrupted:
+            request = suspects[0]
             self.events.write(
                 'crash-suspect',
-                request=_format_digests(suspects[:1]),
-                parts=_format_digests(suspects[1:]),
+                request=format_digests(suspects[:1]),
+                parts=format_digests(suspects[1:]),
                 crash=incarnation,
+                crashes=len(self.evidence.crashes_by_suspect.get(request, ())),
+                proven=self.evidence.is_proven(request),
                 quarantined=self.is_quarantined(suspects),
             )
 
@@ -201,7 +209,7 @@
         crash_ids = self.evidence.crashes_by_suspect[min(culprit)]
         self.events.write(
             'part-blocked',
-            digest=_format_digests(culprit),
+            digest=format_digests(culprit),
             crashes=len(crash_ids),
             proven=all(map(self.evidence.is_proven, culprit)),
         )
@@ -223,7 +231,7 @@
     )
 
 
-def _format_digests(digests: Suspects | frozenset[bytes]) -> str:
+def format_digests(digests: Suspects | frozenset[bytes]) -> str:
     """Return digests for a log line."""
     texts = [digest[1:].hex()[:LOGGED_DIGEST_DIGITS] for digest in digests]
     return '+'.join(sorted(texts)) or '-'
--- a/arbutusvale/coordination/edge_reporter.py
+++ b/arbutusvale/coordination/edge_reporter.py
@@ -1,6 +1,7 @@
 """Log lines, metrics and server health updates of one request."""
 
 from arbutusvale import errors
+from arbutusvale.coordination import crash_tracker
 from arbutusvale.coordination import edge_context
 from arbutusvale.coordination import edge_placement
 from arbutusvale.coordination import edge_requests
@@ -166,6 +167,7 @@
         self.write(
             'caller-gone',
             server=server.id,
+            request=crash_tracker.format_digests(self.request.suspects[:1]),
             age=self.context.clock() - self.request.caller_request.received_at,
         )
 
@@ -218,6 +220,7 @@
             events_to=last_event_id,
             framing=self.framing or '-',
             partial=self.partial_bytes,
+            request=crash_tracker.format_digests(self.request.suspects[:1]),
             organisation=self.request.organisation or '-',
             prompt=_format_prompt(self.request.metadata),
         )
