--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import os
 import random
 import signal
@@ -72,10 +73,15 @@
     ``path`` is its settings file, which is read again on SIGHUP.
     """
 
-    def __init__(self, path: str, settings: edge_settings.EdgeSettings):
+    def __init__(
+        self,
+        path: str,
+        settings: edge_settings.EdgeSettings,
+        clock: Callable[[], float] = time.monotonic,
+    ):
         self.path = path
         self.settings = settings
-        self.clock = time.monotonic
+        self.clock = clock
         self.events = event_log.EventLog(sys.stdout.fileno(), self.clock)
         self.metrics = edge_metrics.EdgeMetrics()
         self.link_queue = link_queue.LinkQueue(
--- a/arbutusvale/standins/edge_engine.py
+++ b/arbutusvale/standins/edge_engine.py
@@ -55,9 +55,9 @@
     Without an entry ``default_fault`` applies, empty for none.  ``leaving``
     is sent as ``Server-Leaving`` with all answers, ``limit`` as
     ``Server-Limit``.
-    Faults: 'error' (500), 'shed' (503 without execution), 'reset' (before
-    the response), 'hang', 'truncate', 'extra' (a second response),
-    'foreign' (first a response to another attempt), 'unsigned' (no
+    Faults: 'error' (500), 'not-found' (404), 'shed' (503 without
+    execution), 'reset' (before the response), 'hang', 'truncate', 'extra'
+    (a second response), 'foreign' (first a response to another attempt), 'unsigned' (no
     signature header), 'garbage' (no HTTP), 'unframed' (neither length nor
     chunks), 'unframed-reset' (the same, reset within the body or the third
     event), 'unframed-cut' (the same, a plain answer whole, a stream closed
@@ -78,7 +78,9 @@
     events, or no head if that is None, in an answer that is ``crash_unframed``
     or chunked: all connections are reset and none is
     accepted until :meth:`restart`.  ``before_crash`` is awaited before,
-    ``on_crash`` called after that.
+    ``on_crash`` called after that.  A request with one of
+    ``crashing_bodies`` does the same ``crash_delay_s`` after its arrival,
+    though its client has left by then.
     """
 
     def __init__(self, name: str):
@@ -100,13 +102,18 @@
         self.active_requests = 0
         self.connections = 0
         self.crashing_parts: set[str] = set()
+        self.crashing_bodies: set[bytes] = set()
+        self.crash_delay_s = EVENT_INTERVAL_S
+        self.crash_tasks: set[asyncio.Task] = set()
         self.events_before_crash: int | None = 0
         self.crash_unframed = False
         # Sent of a longer plain answer, in place of events.
         self.bytes_before_crash = 0
         self.before_crash: Callable[[str], Awaitable[None]] = _await_nothing
         self.on_crash: Callable[[str], None] = _ignore_crash
-        # Requests with a crashing part that this server began to run.
+        # Counts the crashes by whole requests.
+        self.incarnation = 1
+        # Requests with a crashing part or body that this server began to run.
         self.crash_causes: list[ReceivedRequest] = []
         self.server = raw_server.RawServer(self._handle)
 
@@ -190,6 +197,13 @@
             self.crash_causes.append(received_request)
             await self._crash(response_headers, writer)
             return False
+        if received_request.request.body in self.crashing_bodies:
+            self.crash_causes.append(received_request)
+            task = asyncio.create_task(self._crash_silently())
+            self.crash_tasks.add(task)
+            task.add_done_callback(self.crash_tasks.discard)
+            await asyncio.shield(task)
+            return False
         match fault:
             case _ if fault.startswith('endless-'):
                 await _write_endlessly(
@@ -206,10 +220,11 @@
             case 'garbage':
                 writer.write(b'\x00\x01 no answer \r\n\r\n')
                 return False
-            case 'error':
+            case 'error' | 'not-found':
+                status = 500 if fault == 'error' else 404
                 writer.write(
                     raw_server.format_response(
-                        500, response_headers, b'broken'
+                        status, response_headers, b'broken'
                     )
                 )
                 return True
@@ -270,6 +285,16 @@
         await self.server.close()
         self.on_crash(self.name)
 
+    async def _crash_silently(self) -> None:
+        """Stop like a killed process, without any answer."""
+        incarnation = self.incarnation
+        await asyncio.sleep(self.crash_delay_s)
+        if incarnation != self.incarnation:
+            return
+        self.incarnation += 1
+        await self.server.close()
+        self.on_crash(self.name)
+
     async def restart(self) -> None:
         """Accept connections again, on the port from before."""
         await self.server.open(self.server.port)
--- a/tests/edge_fleet.py
+++ b/tests/edge_fleet.py
@@ -198,19 +198,24 @@
         data = helpers_edge.make_entry(f'127.0.0.1:{port}', **record_fields)
         self.append(SERVERS_TOPIC, name, data)
 
-    def restart_crashed_engines(self, down_s):
+    def restart_crashed_engines(self, down_s, new_ids=False):
         """Restart each engine that crashes, as a new incarnation."""
         restarts = []
 
         async def restart(name):
             await asyncio.sleep(down_s)
             engine = self.engines[name]
+            if new_ids:
+                del self.engines[name]
+                engine.name = f'{name}x'
+                self.engines[engine.name] = engine
+                await self.store.append(SERVERS_TOPIC, name, b'')
             await engine.restart()
             data = helpers_edge.make_entry(
                 f'127.0.0.1:{engine.server.port}',
                 born=2 + len(engine.crash_causes),
             )
-            await self.store.append(SERVERS_TOPIC, name, data)
+            await self.store.append(SERVERS_TOPIC, engine.name, data)
 
         def start_restart(name):
             restarts.append(asyncio.get_running_loop().create_task(
