--- a/arbutusvale/standins/edge_engine.py
+++ b/arbutusvale/standins/edge_engine.py
@@ -57,17 +57,17 @@
     ``Server-Limit``.
     Faults: 'error' (500), 'not-found' (404), 'shed' (503 without
     execution), 'reset' (before the response), 'hang', 'truncate', 'extra'
-    (a second response), 'foreign' (first a response to another attempt), 'unsigned' (no
-    signature header), 'garbage' (no HTTP), 'unframed' (neither length nor
-    chunks), 'unframed-reset' (the same, reset within the body or the third
-    event), 'unframed-cut' (the same, a plain answer whole, a stream closed
-    within the third event), 'unframed-empty' (the same, a stream closed
-    before the first event), 'encoded' (Content-Encoding: gzip), 'stream-cut'
-    and 'stream-hang' (at the third event), 'stream-end-early' (its last
-    chunk follows a part of the third event), 'slow' (by a second),
-    'endless-X' (bytes until the caller closes, X one of
-    ``ENDLESS_BYTES``), 'not-mine' (421), 'pause=X' (503 without execution
-    and Retry-After: X).
+    (a second response), 'foreign' (first a response to another attempt),
+    'unsigned' (no signature header), 'garbage' (no HTTP), 'unframed'
+    (neither length nor chunks), 'unframed-reset' (the same, reset within
+    the body or the third event), 'unframed-cut' (the same, a plain answer
+    whole, a stream closed within the third event), 'unframed-empty' (the
+    same, a stream closed before the first event), 'encoded'
+    (Content-Encoding: gzip), 'stream-cut' and 'stream-hang' (at the third
+    event), 'stream-end-early' (its last chunk follows a part of the third
+    event), 'slow' (by a second), 'endless-X' (bytes until the caller
+    closes, X one of ``ENDLESS_BYTES``), 'not-mine' (421), 'pause=X' (503
+    without execution and Retry-After: X).
 
     Paths that start with ``stream_prefix`` are answered with
     ``event_count`` server-sent events, which name ``software_version``
