Limit how many servers a request may fell, whatever explains it

Callers' requests to a pool of three were refused for seconds, again and again, while one request felled the pool each time it was back.

Cause: whether a request is blocked was inferred. The class: a hard limit that rests on an inference.

A request is now blocked from the third crash since it last succeeded on, counted one by one, whatever else may explain them. That can be proved by reading: once three crashes are known at a router, only trials pass, and after two that crashed a server there are none. The inference stays for prompt parts and for the second crash of a request that never succeeded, which it may block sooner but not later.

Trials belong to windows of time since the last crash, each to one router of the fleet, so that a restart or a new attribution grants none anew. They are spent when the request is sent, which also checks requests that were admitted before they were blocked. A request that has succeeded is tried a second after the crash, as it may be a read that many callers repeat.

test_repeated_request_that_was_completed_before_explains_nothing required that such a read isn't blocked at four crashes without a success in between, which the limit forbids. It now requires that it explains nothing and is free after a success, and a new test that it is never blocked if it succeeds between crashes; another bounds its wait for a trial.

--- a/arbutusvale/coordination/crash_exchange.py
+++ b/arbutusvale/coordination/crash_exchange.py
@@ -180,7 +180,7 @@
 
     def _send_all(self, host: str, wants_reply: bool) -> None:
         """Send all evidence to one router."""
-        crash_ids = self.evidence.list_unexplained()[:MAX_SYNC_CRASHES]
+        crash_ids = self.evidence.list_shared()[:MAX_SYNC_CRASHES]
         reports = [
             self._make_report(key, self.evidence.crashes[key].suspects)
             for key in crash_ids
--- a/arbutusvale/coordination/crash_tracker.py
+++ b/arbutusvale/coordination/crash_tracker.py
@@ -65,23 +65,48 @@
         """Return whether a request holds what crashes servers."""
         return self.evidence.find_culprit(suspects) is not None
 
-    def admit(self, suspects: Suspects) -> bool:
-        """Return whether a request may run; it may be a trial.
+    def admits(self, suspects: Suspects) -> bool:
+        """Return whether a request may run; it may be due as a trial."""
+        culprit = self.evidence.find_culprit(suspects)
+        if culprit is None:
+            return True
+        self._log_culprit(culprit)
+        return self._find_own_trial(culprit) is not None
 
-        One router of the fleet tries a blocked part again, rarely.
+    def start_attempt(self, suspects: Suspects) -> bool:
+        """Return whether a request may be sent now; spend its trial if due.
+
+        It may have been blocked since it was admitted.
         """
         culprit = self.evidence.find_culprit(suspects)
         if culprit is None:
             return True
-        self._log_culprit(culprit)
-        hosts = [self.exchange.host, *self.list_live_peers()]
-        leader = rendezvous.first(min(culprit).hex(), hosts)
-        if leader != self.exchange.host:
+        window = self._find_own_trial(culprit)
+        if window is None:
             return False
-        granted = self.evidence.try_spend_trial(culprit)
-        if granted:
-            self.events.write('part-trial', digest=format_digests(culprit))
-        return granted
+        self.evidence.spend_trial(culprit, window)
+        self.events.write(
+            'part-trial',
+            digest=format_digests(culprit),
+            crashes=self.evidence.count_crashes(min(culprit)),
+            window=window.number,
+        )
+        return True
+
+    def _find_own_trial(
+        self, culprit: frozenset[bytes]
+    ) -> crash_evidence.TrialWindow | None:
+        """Return the window in which this router may try a culprit, or None.
+
+        Each window belongs to one router of the fleet.
+        """
+        window = self.evidence.find_trial_window(culprit)
+        if window is None:
+            return None
+        key = f'{min(culprit).hex()}/{window.number}'
+        hosts = [self.exchange.host, *self.list_live_peers()]
+        is_own = rendezvous.first(key, hosts) == self.exchange.host
+        return window if is_own else None
 
     async def forbids_retry(
         self, server: proxying.BackendServer, suspects: Suspects
@@ -191,7 +216,7 @@
                 request=format_digests(suspects[:1]),
                 parts=format_digests(suspects[1:]),
                 crash=incarnation,
-                crashes=len(self.evidence.crashes_by_suspect.get(request, ())),
+                crashes=self.evidence.count_crashes(request),
                 proven=self.evidence.is_proven(request),
                 quarantined=self.is_quarantined(suspects),
             )
@@ -203,14 +228,13 @@
         self.logged_culprits = {
             known
             for known in self.logged_culprits
-            if known in self.evidence.culprits
+            if self.evidence.is_suspect(min(known))
         }
         self.logged_culprits.add(culprit)
-        crash_ids = self.evidence.crashes_by_suspect[min(culprit)]
         self.events.write(
             'part-blocked',
             digest=format_digests(culprit),
-            crashes=len(crash_ids),
+            crashes=self.evidence.count_crashes(min(culprit)),
             proven=all(map(self.evidence.is_proven, culprit)),
         )
 
--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -104,6 +104,13 @@
                     self._end_unanswered(cause)
                     return
                 continue
+            if not self.context.crashes.start_attempt(self.request.suspects):
+                self.context.limits.refund(placement.server)
+                self.context.connection_pool.release(
+                    placement.server, connection, None
+                )
+                self._end_unanswered('quarantined')
+                return
             outcome = await self._send(placement, connection)
             match outcome:
                 case edge_requests.Delivered(result, status):
--- a/arbutusvale/coordination/edge_router.py
+++ b/arbutusvale/coordination/edge_router.py
@@ -137,7 +137,7 @@
         routed_request = self._make_routed_request(
             request, metadata, route, key_owner
         )
-        if not self.context.crashes.admit(routed_request.suspects):
+        if not self.context.crashes.admits(routed_request.suspects):
             return Refusal(503, 'quarantined', _QUARANTINE_RETRY_S)
         match edge_admission.admit(self.context, routed_request):
             case edge_admission_policy.Rejected(cause, _, retry_after_s):
--- a/arbutusvale/state/crash_evidence.py
+++ b/arbutusvale/state/crash_evidence.py
@@ -5,6 +5,10 @@
 parts of the crashes before.  The rest is attributed to as few suspects as
 explain the crashes; what one of them explains counts against nobody else.
 
+A limit holds beside that: a request in flight at ``MAX_REQUEST_CRASHES`` since
+it last succeeded is blocked, whatever else may explain them, but for
+``MAX_FAILED_TRIALS`` trials.
+
 Suspects are digests of whole requests and of prompt parts, both within one
 organisation.  Times are those of a monotonic clock, in seconds.
 """
@@ -13,10 +17,12 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
+import math
 
 import xxhash
 
 REQUEST_CRASHES = 2
+MAX_REQUEST_CRASHES = 3
 PART_CRASHES = 4
 # From so many on a part that was never completed isn't sent once more.
 DOUBTFUL_PART_CRASHES = 2
@@ -28,10 +34,15 @@
 EXPIRY_INTERVAL_S = 10.0
 # Reports of one crash may differ by this; a server needs longer to restart.
 SAME_CRASH_S = 1.0
-# Weak evidence is tried again sooner.
+# Weak evidence is tried again sooner, soonest on requests that succeeded.
 TRIAL_INTERVAL_S = 600.0
 WEAK_TRIAL_INTERVAL_S = 15.0
+PROVEN_REQUEST_TRIAL_INTERVAL_S = 1.0
 WEAK_CRASHES = 4
+# A request that crashes servers once it is blocked was let through as a trial.
+MAX_FAILED_TRIALS = 2
+# A pool of servers that a request is sent to at once falls within this time.
+BLOCKING_DELAY_S = 1.0
 MAX_CRASHES = 128
 MAX_SUSPECTS_PER_CRASH = 512
 MAX_SUSPECTS = 2048
@@ -77,12 +88,15 @@
     suspects: set[bytes]
 
 
-@dataclasses.dataclass(slots=True)
-class _Trials:
-    """How often and when a blocked suspect was last let through."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class TrialWindow:
+    """A time in which a blocked suspect may be let through once.
+
+    ``number`` counts those since its last crash at ``crashed_at``.
+    """
 
-    count: int
-    last_at: float
+    crashed_at: float
+    number: int
 
 
 class CrashEvidence:
@@ -101,7 +115,8 @@
         self.completed_at: dict[bytes, float] = {}
         # Repeated requests completed while they were no suspects.
         self.completed_requests: dict[bytes, None] = {}
-        self.trials: dict[frozenset[bytes], _Trials] = {}
+        # The windows in which this router made its last trials.
+        self.trials: dict[bytes, TrialWindow] = {}
         # Each culprit is a set of suspects that nothing tells apart.
         self.culprits: list[frozenset[bytes]] = []
         self.changed = False
@@ -198,6 +213,12 @@
         if not self.crashes_by_suspect:
             return None
         self._expire()
+        for digest in digests:
+            if (
+                not is_part(digest)
+                and self.count_crashes(digest) >= MAX_REQUEST_CRASHES
+            ):
+                return frozenset((digest,))
         if self.changed:
             self.culprits = self._find_culprits()
             self.changed = False
@@ -206,23 +227,60 @@
                 return culprit
         return None
 
-    def try_spend_trial(self, culprit: frozenset[bytes]) -> bool:
-        """Return whether a blocked request may run, to see if it still fails.
+    def count_crashes(self, digest: bytes) -> int:
+        """Return how many crashes count against a suspect."""
+        return len(self.crashes_by_suspect.get(digest, ()))
 
-        The interval between trials doubles.
+    def find_trial_window(
+        self, culprit: frozenset[bytes]
+    ) -> TrialWindow | None:
+        """Return the window in which a culprit may be tried now, or None.
+
+        Each window is twice as long as the one before.
         """
-        crash_ids = self.crashes_by_suspect[min(culprit)]
+        digest = min(culprit)
+        crash_times = sorted(
+            self.crashes[key].occurred_at
+            for key in self.crashes_by_suspect[digest]
+        )
+        interval_s = self._get_trial_interval_s(culprit, crash_times)
+        if interval_s is None:
+            return None
+        elapsed_s = self.clock() - crash_times[-1]
+        if elapsed_s < interval_s:
+            return None
+        number = int(math.log2(elapsed_s / interval_s + 1))
+        window = TrialWindow(crash_times[-1], number)
+        return None if self.trials.get(digest) == window else window
+
+    def spend_trial(
+        self, culprit: frozenset[bytes], window: TrialWindow
+    ) -> None:
+        """Record that a culprit is tried in a window."""
+        self.trials = {
+            digest: spent
+            for digest, spent in self.trials.items()
+            if digest in self.crashes_by_suspect
+        }
+        self.trials[min(culprit)] = window
+
+    def _get_trial_interval_s(
+        self, culprit: frozenset[bytes], crash_times: list[float]
+    ) -> float | None:
+        """Return the time from a crash to a trial, None for no more trials."""
+        digest = min(culprit)
         proven = all(self.is_proven(digest) for digest in culprit)
-        is_weak = proven or len(crash_ids) <= WEAK_CRASHES
-        interval_s = WEAK_TRIAL_INTERVAL_S if is_weak else TRIAL_INTERVAL_S
-        crashed_at = max(self.crashes[key].occurred_at for key in crash_ids)
-        trials = self.trials.setdefault(culprit, _Trials(0, crashed_at))
-        now = self.clock()
-        if now < trials.last_at + interval_s * 2**trials.count:
-            return False
-        trials.count += 1
-        trials.last_at = now
-        return True
+        if is_part(digest):
+            weak_crashes = PROVEN_CRASHES if proven else WEAK_CRASHES
+            is_weak = len(crash_times) <= weak_crashes
+            return WEAK_TRIAL_INTERVAL_S if is_weak else TRIAL_INTERVAL_S
+        blocked_at = crash_times[:MAX_REQUEST_CRASHES][-1] + BLOCKING_DELAY_S
+        failed_trials = sum(at > blocked_at for at in crash_times)
+        if failed_trials >= MAX_FAILED_TRIALS:
+            return None
+        if proven:
+            return PROVEN_REQUEST_TRIAL_INTERVAL_S
+        return WEAK_TRIAL_INTERVAL_S
 
     def list_unexplained(self) -> list[int]:
         """List the keys of crashes with suspects, newest first."""
@@ -235,6 +293,26 @@
         )
         return crash_ids
 
+    def list_shared(self) -> list[int]:
+        """List the keys of crashes for a peer: blocking ones, then newest."""
+        blocking = self._list_blocking()
+        # The sort is stable.
+        return sorted(
+            self.list_unexplained(), key=lambda key: key not in blocking
+        )
+
+    def _list_blocking(self) -> set[int]:
+        """List the keys of crashes for which a suspect may be blocked."""
+        blocking = {
+            crash_id
+            for culprit in self.culprits
+            for crash_id in self.crashes_by_suspect.get(min(culprit), ())
+        }
+        for digest, crash_ids in self.crashes_by_suspect.items():
+            if not is_part(digest) and len(crash_ids) >= REQUEST_CRASHES:
+                blocking |= crash_ids
+        return blocking
+
     def _find_crash(self, incarnation: str, occurred_at: float) -> int:
         """Return the key of a crash, which may be new."""
         for crash_id, crash in self.crashes.items():
@@ -281,11 +359,6 @@
             while culprit := self._find_largest(candidates, explained):
                 culprits.append(culprit)
                 explained |= self.crashes_by_suspect[min(culprit)]
-        self.trials = {
-            culprit: trials
-            for culprit, trials in self.trials.items()
-            if culprit in culprits
-        }
         return culprits
 
     def _find_largest(
@@ -312,8 +385,9 @@
     ) -> bool:
         """Return whether so many crashes convict a suspect."""
         proven = self.is_proven(digest)
-        if not is_part(digest) and not proven:
-            return len(crash_ids) >= REQUEST_CRASHES
+        if not is_part(digest):
+            # Many callers may repeat a sound one, at many crashes.
+            return not proven and len(crash_ids) >= REQUEST_CRASHES
         if len(crash_ids) < PART_CRASHES:
             return False
         limit = PART_CRASHES
@@ -414,18 +488,14 @@
             self._forget_crash(crash_id)
 
     def _evict_crashes(self) -> None:
-        """Make room for a crash; those that convict nobody go first."""
+        """Make room for a crash; those that block nobody go first."""
         while len(self.crashes) >= MAX_CRASHES:
-            convicting = {
-                crash_id
-                for culprit in self.culprits
-                for crash_id in self.crashes_by_suspect.get(min(culprit), ())
-            }
+            blocking = self._list_blocking()
             self._forget_crash(
                 min(
                     self.crashes,
                     key=lambda key: (
-                        key in convicting,
+                        key in blocking,
                         self.crashes[key].occurred_at,
                     ),
                 )
--- a/tests/coordination/crashing_pool.py
+++ b/tests/coordination/crashing_pool.py
@@ -510,7 +510,8 @@
         for router in self.routers:
             router.start()
             if router.older_build:
-                router.program.context.crashes.admit = _admit_all
+                tracker = router.program.context.crashes
+                tracker.admits = tracker.start_attempt = _admit_all
         await asyncio.sleep(1.0)
         if plan.succeeds_first:
             for _ in range(4):
--- a/tests/state/test_crash_evidence.py
+++ b/tests/state/test_crash_evidence.py
@@ -116,7 +116,10 @@
     granted = []
     for _ in range(40):
         clock.now += 100.0
-        if evidence.find_culprit([BAD]) and evidence.try_spend_trial(culprit):
+        if not evidence.find_culprit([BAD]):
+            continue
+        if window := evidence.find_trial_window(culprit):
+            evidence.spend_trial(culprit, window)
             granted.append(clock.now)
     assert len(granted) == 2
     assert granted[1] - granted[0] >= 2 * crash_evidence.TRIAL_INTERVAL_S
@@ -129,10 +132,109 @@
     evidence.record_completion(read)
     for number in range(4):
         crash(clock, evidence, number, read, BAD)
+    assert evidence.find_culprit([BAD]) == {BAD}
+    evidence.record_completion(read)
+    assert evidence.find_culprit([read]) is None
+    assert evidence.find_culprit([BAD]) == {BAD}
+
+
+def test_repeated_request_that_succeeds_between_crashes_is_not_blocked():
+    clock, evidence = make_evidence()
+    read = make_request(500)
+    for number in range(12):
+        crash(clock, evidence, number, read, BAD)
+        if number % 2:
+            clock.now += 0.5
+            evidence.record_completion(read)
+        else:
+            assert evidence.find_culprit([read]) is None
     assert evidence.find_culprit([read]) is None
     assert evidence.find_culprit([BAD]) == {BAD}
 
 
+def test_completed_request_that_fells_a_pool_at_once_is_blocked():
+    clock, evidence = make_evidence()
+    request = make_request(1)
+    evidence.record_completion(request)
+    for number in range(crash_evidence.MAX_REQUEST_CRASHES):
+        assert evidence.find_culprit([request]) is None
+        evidence.add(f'e/{number}', clock.now + number / 100, [request])
+    assert evidence.find_culprit([request]) == {request}
+
+
+def test_two_requests_in_flight_at_the_same_crashes_are_both_blocked():
+    clock, evidence = make_evidence()
+    pair = [make_request(1), make_request(2)]
+    for number in range(crash_evidence.MAX_REQUEST_CRASHES):
+        clock.now += 1.0
+        evidence.add(f'e/{number}', clock.now, pair)
+    assert all(evidence.find_culprit([request]) for request in pair)
+
+
+def test_request_is_blocked_though_parts_explain_its_crashes():
+    clock, evidence = make_evidence()
+    for number in range(8):
+        crash(clock, evidence, number, BAD)
+    request = make_request(500)
+    for number in range(crash_evidence.MAX_REQUEST_CRASHES):
+        assert evidence.find_culprit([request]) is None
+        crash(clock, evidence, 10 + number, BAD, request)
+    assert evidence.find_culprit([request]) == {request}
+
+
+def count_trials(clock, evidence, request, crashes):
+    """Count the trials of an hour, each of which crashes a server or not."""
+    count = 0
+    for _ in range(300):
+        clock.now += 10.0
+        culprit = evidence.find_culprit([request])
+        if window := evidence.find_trial_window(culprit):
+            evidence.spend_trial(culprit, window)
+            count += 1
+            if crashes:
+                evidence.add(f't/{count}', clock.now, [request])
+    return count
+
+
+def test_blocked_request_fails_two_trials_at_most():
+    for completed in (False, True):
+        clock, evidence = make_evidence()
+        request = make_request(1)
+        if completed:
+            evidence.record_completion(request)
+        # As many servers as a request can fell before any router knows.
+        for number in range(9):
+            evidence.add(f'e/{number}', clock.now + number / 100, [request])
+        trials = count_trials(clock, evidence, request, crashes=True)
+        assert trials == crash_evidence.MAX_FAILED_TRIALS
+
+
+def test_blocked_request_that_succeeded_before_is_tried_soon():
+    clock, evidence = make_evidence()
+    request = make_request(1)
+    evidence.record_completion(request)
+    for number in range(3):
+        evidence.add(f'e/{number}', clock.now, [request])
+    culprit = evidence.find_culprit([request])
+    assert evidence.find_trial_window(culprit) is None
+    clock.now += crash_evidence.PROVEN_REQUEST_TRIAL_INTERVAL_S
+    assert evidence.find_trial_window(culprit)
+    evidence.record_completion(request)
+    assert evidence.find_culprit([request]) is None
+
+
+def test_crashes_that_block_a_request_are_shared_before_newer_ones():
+    clock, evidence = make_evidence()
+    request = make_request(1)
+    for number in range(3):
+        evidence.add(f'e/{number}', clock.now, [request])
+    for number in range(3, 20):
+        crash(clock, evidence, number)
+    shared = [evidence.crashes[key] for key in evidence.list_shared()]
+    assert all(request in crash.suspects for crash in shared[:3])
+    assert shared[3].occurred_at == clock.now
+
+
 def test_evidence_expires():
     clock, evidence = make_evidence()
     for number in range(4):
