Recognise a crashing request though its organisation is renamed

A request that had felled three servers was sent on once a configuration had given its caller's organisation another name; each name felled servers anew.

Cause: the digest of a request held the organisation's name as its only sign of who sent it, which a configuration may change. Requests now have a second digest by the key, and crashes count against both. A request that is blocked by one is blocked by the other from its next arrival on, at all routers, so that a change of both, one after the other, doesn't free it either.

--- a/arbutusvale/coordination/crash_exchange.py
+++ b/arbutusvale/coordination/crash_exchange.py
@@ -56,6 +56,15 @@
         """Add what this router had in flight at a crash; tell peers soon."""
         suspects = set(suspects)
         crash_id = self.evidence.add(incarnation, self.clock(), suspects)
+        self._announce(crash_id, suspects)
+
+    def report_alias(self, suspect: bytes, alias: bytes) -> None:
+        """Suspect another digest of a request of the same crashes."""
+        for crash_id in self.evidence.link(suspect, alias):
+            self._announce(crash_id, [alias])
+
+    def _announce(self, crash_id: int, suspects: Iterable[bytes]) -> None:
+        """Tell peers soon of suspects that this router added to a crash."""
         self.own_suspects.setdefault(crash_id, set()).update(suspects)
         self.pending_crashes[crash_id] = REPEATS
         self.send_requested.set()
--- a/arbutusvale/coordination/crash_tracker.py
+++ b/arbutusvale/coordination/crash_tracker.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 
 from arbutusvale import errors
@@ -23,7 +24,8 @@
 CONNECT_TIMEOUT_S = 0.3
 LOGGED_DIGEST_DIGITS = 12
 
-# The digests of a request and of its prompt parts, the request first.
+# The digests of a request, one for each way to name its caller, and then
+# those of its prompt parts.
 Suspects = tuple[bytes, ...]
 
 
@@ -71,6 +73,7 @@
         if culprit is None:
             return True
         self._log_culprit(culprit)
+        self._link_requests(min(culprit), suspects)
         return self._find_own_trial(culprit) is not None
 
     def start_attempt(self, suspects: Suspects) -> bool:
@@ -93,6 +96,17 @@
         )
         return True
 
+    def _link_requests(self, culprit: bytes, suspects: Suspects) -> None:
+        """Block a request by all its digests if it is blocked by one.
+
+        Its caller may get another name, and then another key.
+        """
+        if crash_evidence.is_part(culprit):
+            return
+        for digest in list_requests(suspects):
+            if digest != culprit:
+                self.exchange.report_alias(culprit, digest)
+
     def _find_own_trial(
         self, culprit: frozenset[bytes]
     ) -> crash_evidence.TrialWindow | None:
@@ -129,7 +143,7 @@
 
     def record_progress(self, suspects: Suspects) -> None:
         """Record that a server works on a request and didn't crash."""
-        for digest in filter(crash_evidence.is_part, suspects):
+        for digest in list_parts(suspects):
             self.evidence.record_progress(digest)
 
     def record_broken_connection(
@@ -147,10 +161,9 @@
         request is completed only if the server lives.  A request whose parts
         all were completed before isn't worth a probe.
         """
-        request, *parts = suspects
-        if self.evidence.is_suspect(request) or not all(
-            map(self.evidence.is_proven, parts)
-        ):
+        if any(
+            map(self.evidence.is_suspect, list_requests(suspects))
+        ) or not all(map(self.evidence.is_proven, list_parts(suspects))):
             self._add_broken(server, suspects).unframed.add(suspects)
 
     def _add_broken(
@@ -213,8 +226,8 @@
             request = suspects[0]
             self.events.write(
                 'crash-suspect',
-                request=format_digests(suspects[:1]),
-                parts=format_digests(suspects[1:]),
+                request=format_request(suspects),
+                parts=format_digests(list_parts(suspects)),
                 crash=incarnation,
                 crashes=self.evidence.count_crashes(request),
                 proven=self.evidence.is_proven(request),
@@ -240,14 +253,17 @@
 
 
 def list_suspects(
-    fingerprint: bytes, organisation: str, metadata: proxying.RequestMetadata
+    fingerprints: Iterable[bytes],
+    organisation: str,
+    metadata: proxying.RequestMetadata,
 ) -> Suspects:
     """Return the digests of a request and of the parts that others share.
 
     The last part belongs to the request itself.
     """
+    requests = map(crash_evidence.digest_request, fingerprints)
     return (
-        crash_evidence.digest_request(fingerprint),
+        *dict.fromkeys(requests),
         *dict.fromkeys(
             crash_evidence.digest_part(organisation, metadata.model, part.id)
             for part in metadata.prompt[:-1]
@@ -255,7 +271,22 @@
     )
 
 
-def format_digests(digests: Suspects | frozenset[bytes]) -> str:
+def list_requests(suspects: Suspects) -> list[bytes]:
+    """Return the digests of the request itself."""
+    return [each for each in suspects if not crash_evidence.is_part(each)]
+
+
+def list_parts(suspects: Suspects) -> list[bytes]:
+    """Return the digests of the request's prompt parts."""
+    return [each for each in suspects if crash_evidence.is_part(each)]
+
+
+def format_request(suspects: Suspects) -> str:
+    """Return a request's first digest for a log line."""
+    return format_digests(suspects[:1])
+
+
+def format_digests(digests: Iterable[bytes]) -> str:
     """Return digests for a log line."""
     texts = [digest[1:].hex()[:LOGGED_DIGEST_DIGITS] for digest in digests]
     return '+'.join(sorted(texts)) or '-'
--- a/arbutusvale/coordination/edge_reporter.py
+++ b/arbutusvale/coordination/edge_reporter.py
@@ -167,7 +167,7 @@
         self.write(
             'caller-gone',
             server=server.id,
-            request=crash_tracker.format_digests(self.request.suspects[:1]),
+            request=crash_tracker.format_request(self.request.suspects),
             age=self.context.clock() - self.request.caller_request.received_at,
         )
 
@@ -220,7 +220,7 @@
             events_to=last_event_id,
             framing=self.framing or '-',
             partial=self.partial_bytes,
-            request=crash_tracker.format_digests(self.request.suspects[:1]),
+            request=crash_tracker.format_request(self.request.suspects),
             organisation=self.request.organisation or '-',
             prompt=_format_prompt(self.request.metadata),
         )
--- a/arbutusvale/coordination/edge_router.py
+++ b/arbutusvale/coordination/edge_router.py
@@ -197,9 +197,13 @@
             deadline=request.received_at + limit_s,
             version=self.context.config.version,
             suspects=crash_tracker.list_suspects(
-                rendezvous.hash_request(
-                    organisation, request.target, request.body
-                ),
+                [
+                    rendezvous.hash_request(
+                        caller, request.target, request.body
+                    )
+                    # An organisation may be renamed, and its keys change.
+                    for caller in (organisation, metadata.api_key)
+                ],
                 organisation,
                 metadata,
             ),
--- a/arbutusvale/state/crash_evidence.py
+++ b/arbutusvale/state/crash_evidence.py
@@ -152,6 +152,20 @@
             self.changed = True
         return crash_id
 
+    def link(self, suspect: bytes, alias: bytes) -> list[int]:
+        """Add an alias to a suspect's crashes; return the keys of new ones.
+
+        It is another digest of the same request.
+        """
+        crash_ids = self.crashes_by_suspect.get(suspect, set())
+        added = crash_ids - self.crashes_by_suspect.get(alias, set())
+        if added:
+            self.crashes_by_suspect.setdefault(alias, set()).update(added)
+            self.changed = True
+        for crash_id in added:
+            self.crashes[crash_id].suspects.add(alias)
+        return sorted(added)
+
     def record_completion(
         self, digest: bytes, completed_at: float | None = None
     ) -> bool:
--- a/tests/coordination/test_crash_tracker.py
+++ b/tests/coordination/test_crash_tracker.py
@@ -47,7 +47,7 @@
     metadata = proxying.RequestMetadata(
         'id', 'host', '', None, None, '', 'm', prompt, ''
     )
-    return crash_tracker.list_suspects(fingerprint, 'acme', metadata)
+    return crash_tracker.list_suspects([fingerprint], 'acme', metadata)
 
 
 async def break_connections(tracker, server_id, *requests):
--- a/tests/state/test_crash_evidence.py
+++ b/tests/state/test_crash_evidence.py
@@ -182,6 +182,15 @@
     assert evidence.find_culprit([request]) == {request}
 
 
+def test_another_digest_of_a_blocked_request_is_blocked():
+    clock, evidence = make_evidence()
+    for number in range(3):
+        crash(clock, evidence, number, make_request(500))
+    assert len(evidence.link(make_request(500), make_request(501))) == 3
+    assert evidence.find_culprit([make_request(501)])
+    assert not evidence.link(make_request(500), make_request(501))
+
+
 def count_trials(clock, evidence, request, crashes):
     """Count the trials of an hour, each of which crashes a server or not."""
     count = 0
