Count crashes against requests whose callers have left

Cause: a crash was noticed by the connection of a request, and a router closes that connection when the caller leaves or the deadline passes, while the server may run the request on and crash. The class: the observer goes away with what it observes.

The server of a request that was given up without an answer is now watched for a second: any connection that was open before and still is shows that it lives, without cost; where there is none, a probe decides, at intervals shorter than a restart. If the server has crashed, what was given up within that second is suspected beside what was in flight.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -92,6 +92,7 @@
             self.link_queue.add_bytes,
             self._max_idle_connections,
             self.sockets.servers,
+            self.clock,
         )
         self.stopping_since: float | None = None
         self.stopped = asyncio.Event()
--- a/arbutusvale/coordination/crash_tracker.py
+++ b/arbutusvale/coordination/crash_tracker.py
@@ -22,6 +22,10 @@
 # All connections of a crashed server end within this time.
 CRASH_WINDOW_S = 0.5
 CONNECT_TIMEOUT_S = 0.3
+# A server may run a request on, and crash, though nobody waits any more.
+WATCH_S = 1.0
+# Shorter than the time that a server needs to start again.
+WATCH_INTERVAL_S = 0.25
 LOGGED_DIGEST_DIGITS = 12
 
 # The digests of a request, one for each way to name its caller, and then
@@ -61,6 +65,9 @@
         self.clock = clock
         self.list_live_peers = list_live_peers
         self.broken_by_server: dict[str, _BrokenRequests] = {}
+        # When requests were given up that a server may still run.
+        self.abandoned_by_server: dict[str, dict[Suspects, float]] = {}
+        self.watch_tasks: set[asyncio.Task] = set()
         self.logged_culprits: set[frozenset[bytes]] = set()
 
     def is_quarantined(self, suspects: Suspects) -> bool:
@@ -170,8 +177,44 @@
         self, server: proxying.BackendServer, suspects: Suspects
     ) -> _BrokenRequests:
         """Add a request that may have crashed a server; probe the server."""
-        broken = self.broken_by_server.setdefault(server.id, _BrokenRequests())
+        broken = self._start_probe(server)
         broken.broken_at[suspects] = self.clock()
+        return broken
+
+    def record_abandoned(
+        self, server: proxying.BackendServer, suspects: Suspects
+    ) -> None:
+        """Record a request that was given up without an answer.
+
+        Its server is watched for a while.
+        """
+        is_watched = server.id in self.abandoned_by_server
+        abandoned = self.abandoned_by_server.setdefault(server.id, {})
+        abandoned[suspects] = self.clock()
+        if not is_watched:
+            task = asyncio.create_task(self._watch(server))
+            self.watch_tasks.add(task)
+            task.add_done_callback(self.watch_tasks.discard)
+
+    async def _watch(self, server: proxying.BackendServer) -> None:
+        """Probe a server unless a connection shows that it lives.
+
+        Ends when it has crashed, or some time after the last request that was
+        given up.
+        """
+        checked_at = self.clock()
+        while abandoned := self.abandoned_by_server.get(server.id):
+            if not self.connection_pool.has_open_since(server, checked_at):
+                await asyncio.wait((self._start_probe(server).probe_task,))
+            checked_at = self.clock()
+            await asyncio.sleep(WATCH_INTERVAL_S)
+            if max(abandoned.values()) < self.clock() - WATCH_S:
+                break
+        self.abandoned_by_server.pop(server.id, None)
+
+    def _start_probe(self, server: proxying.BackendServer) -> _BrokenRequests:
+        """Probe a server, unless it is being probed."""
+        broken = self.broken_by_server.setdefault(server.id, _BrokenRequests())
         if broken.probe_task is None:
             broken.probe_task = asyncio.create_task(self._probe(server))
         return broken
@@ -211,13 +254,12 @@
         self, server: proxying.BackendServer, broken: _BrokenRequests
     ) -> None:
         """Count a crash against the requests that it interrupted."""
-        earliest = self.clock() - CRASH_WINDOW_S
         incarnation = f'{server.id}/{server.started_at_ms}'
-        interrupted = [
-            suspects
-            for suspects, broken_at in broken.broken_at.items()
-            if broken_at >= earliest
-        ]
+        abandoned = self.abandoned_by_server.pop(server.id, {})
+        interrupted = dict.fromkeys(
+            _list_later(broken.broken_at, self.clock() - CRASH_WINDOW_S)
+            + _list_later(abandoned, self.clock() - WATCH_S)
+        )
         self.exchange.report_crash(
             incarnation,
             {digest for request in interrupted for digest in request},
@@ -252,6 +294,13 @@
         )
 
 
+def _list_later(
+    times: dict[Suspects, float], earliest: float
+) -> list[Suspects]:
+    """Return the requests whose time isn't before the earliest."""
+    return [suspects for suspects, at in times.items() if at >= earliest]
+
+
 def list_suspects(
     fingerprints: Iterable[bytes],
     organisation: str,
--- a/arbutusvale/coordination/edge_reporter.py
+++ b/arbutusvale/coordination/edge_reporter.py
@@ -163,6 +163,7 @@
 
     def record_caller_gone(self, server: proxying.BackendServer) -> None:
         """Record that the caller left before its response was complete."""
+        self.context.crashes.record_abandoned(server, self.request.suspects)
         self.context.metrics.increment('callers_gone', self.request.pool)
         self.write(
             'caller-gone',
@@ -259,10 +260,7 @@
         match outcome:
             case edge_requests.Delivered(_, _, cut_cause) if cut_cause:
                 self.context.outlier_detector.record_failure(server.id)
-                if cut_cause.startswith('connection'):
-                    self.context.crashes.record_broken_connection(
-                        server, self.request.suspects
-                    )
+                self._record_unanswered(server, cut_cause)
             case edge_requests.Delivered(_, status) if (
                 status < MIN_SERVER_ERROR_STATUS
             ):
@@ -282,13 +280,21 @@
             case edge_requests.Failed('deadline'):
                 # The request ran out of time, which needn't be the server's
                 # fault.
-                pass
+                self._record_unanswered(server, 'deadline')
             case edge_requests.Failed(cause, head):
                 self.context.outlier_detector.record_failure(server.id)
-                if head is None and cause.startswith('connection'):
-                    self.context.crashes.record_broken_connection(
-                        server, self.request.suspects
-                    )
+                if head is None:
+                    self._record_unanswered(server, cause)
+
+    def _record_unanswered(
+        self, server: proxying.BackendServer, cause: str
+    ) -> None:
+        """Record that the request, which may crash its server, has no end."""
+        crashes = self.context.crashes
+        if cause.startswith('connection'):
+            crashes.record_broken_connection(server, self.request.suspects)
+        else:
+            crashes.record_abandoned(server, self.request.suspects)
 
 
 def _format_prompt(metadata: proxying.RequestMetadata) -> str:
--- a/arbutusvale/protocol/edge_ports.py
+++ b/arbutusvale/protocol/edge_ports.py
@@ -85,6 +85,14 @@
     ) -> ServerConnection:
         """Return a new connection; raise ServerFailed if it can't be made."""
 
+    def has_open_since(
+        self, server: proxying.BackendServer, opened_by: float
+    ) -> bool:
+        """Return whether a connection is open that was made by then.
+
+        ``opened_by`` is on the monotonic clock, in seconds.
+        """
+
     def release(
         self,
         server: proxying.BackendServer,
--- a/arbutusvale/transport/connection_pool.py
+++ b/arbutusvale/transport/connection_pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import functools
 import time
 
 from arbutusvale.protocol import proxying
@@ -32,8 +33,14 @@
         on_bytes_sent: Callable[[int], None],
         max_idle_per_server: Callable[[str], int],
         max_open: int,
+        clock: Callable[[], float] = time.monotonic,
     ):
+        self.clock = clock
         self.max_open = max_open
+        # The times at which open connections were made, by server.
+        self.opened_at: dict[
+            str, dict[http_connection.HttpConnection, float]
+        ] = {}
         self.open_count = 0
         self.max_idle_per_server = max_idle_per_server
         self.on_bytes_sent = on_bytes_sent
@@ -61,10 +68,27 @@
             host, port, timeout_s
         )
         self.open_count += 1
-        connection.on_close = self._record_closed
+        self.opened_at.setdefault(server.id, {})[connection] = self.clock()
+        connection.on_close = functools.partial(
+            self._record_closed, server.id, connection
+        )
         connection.on_bytes_sent = self.on_bytes_sent
         return connection
 
+    def has_open_since(
+        self, server: proxying.BackendServer, opened_by: float
+    ) -> bool:
+        """Return whether a connection is open that was made by then.
+
+        Such a one shows that the server hasn't stopped since.
+        """
+        return any(
+            opened_at <= opened_by and not connection.closing
+            for connection, opened_at in self.opened_at.get(
+                server.id, {}
+            ).items()
+        )
+
     def release(
         self,
         server: proxying.BackendServer,
@@ -108,9 +132,15 @@
                 connection.abort()
         self.idle.clear()
 
-    def _record_closed(self) -> None:
-        """Count a closed connection."""
+    def _record_closed(
+        self, server_id: str, connection: http_connection.HttpConnection
+    ) -> None:
+        """Forget a closed connection."""
         self.open_count -= 1
+        opened_at = self.opened_at[server_id]
+        del opened_at[connection]
+        if not opened_at:
+            del self.opened_at[server_id]
 
     def _close_longest_idle(self) -> None:
         """Close the connection that has been idle longest, of any server."""
--- a/arbutusvale/transport/http_connection.py
+++ b/arbutusvale/transport/http_connection.py
@@ -138,6 +138,8 @@
         self.bodiless_bytes = 0
         self.reusable = True
         self.closed = False
+        # Whether this side has closed it.
+        self.closing = False
         self.requests = 0
         self.idle_since = 0.0
         self.idle_limit_s = 0.0
@@ -264,6 +266,7 @@
     def abort(self) -> None:
         """Close at once and discard unsent data."""
         self.reusable = False
+        self.closing = True
         if self.transport is not None and not self.closed:
             self.transport.abort()
 
--- a/tests/coordination/test_crash_tracker.py
+++ b/tests/coordination/test_crash_tracker.py
@@ -15,6 +15,7 @@
         self.crashed_ids = crashed_ids
         self.refuses = refuses
         self.opened = 0
+        self.has_witness = False
 
     async def acquire(self, server, fresh, timeout_s):
         return self  # An idle connection that is still thought to be open.
@@ -29,6 +30,9 @@
     def release(self, server, connection, keep_alive_s):
         pass
 
+    def has_open_since(self, server, opened_by):
+        return self.has_witness
+
 
 def make_tracker(crashed_ids):
     clock = helpers_edge.Clock()
@@ -125,3 +129,34 @@
         assert not tracker.evidence.crashes
 
     asyncio.run(run())
+
+
+def test_request_whose_caller_left_is_a_suspect_of_a_crash_soon_after():
+    async def run():
+        clock, pool, tracker = make_tracker(set())
+        server = helpers_edge.make_server('a')
+        tracker.record_abandoned(server, make_suspects(b'x'))
+        await asyncio.sleep(0.01)
+        assert not tracker.evidence.crashes
+        clock.now += crash_tracker.WATCH_INTERVAL_S
+        pool.crashed_ids.add('a')
+        await asyncio.sleep(crash_tracker.WATCH_INTERVAL_S + 0.05)
+        assert tracker.evidence.is_suspect(make_suspects(b'x')[0])
+        assert not tracker.abandoned_by_server
+
+    asyncio.run(run())
+
+
+def test_server_with_a_connection_from_before_is_not_probed():
+    async def run():
+        clock, pool, tracker = make_tracker(set())
+        pool.has_witness = True
+        server = helpers_edge.make_server('a')
+        tracker.record_abandoned(server, make_suspects(b'x'))
+        await asyncio.sleep(0.01)
+        clock.now += crash_tracker.WATCH_S + 0.1
+        await asyncio.sleep(crash_tracker.WATCH_INTERVAL_S + 0.05)
+        assert pool.opened == 0
+        assert not tracker.abandoned_by_server
+
+    asyncio.run(run())
--- a/tests/transport/test_connection_pool.py
+++ b/tests/transport/test_connection_pool.py
@@ -100,3 +100,35 @@
         server_socket.close()
 
     asyncio.run(run())
+
+
+async def _wait_until_closed(connection):
+    while not connection.closed:  # noqa: ASYNC110
+        await asyncio.sleep(0.01)
+
+
+def test_connection_that_stays_open_shows_that_its_server_lives():
+    async def run():
+        writers = []
+        server_socket = await asyncio.start_server(
+            lambda reader, writer: writers.append(writer), '127.0.0.1', 0
+        )
+        port = server_socket.sockets[0].getsockname()[1]
+        pool = make_pool(9)
+        server = helpers_edge.make_server('a', address=f'127.0.0.1:{port}')
+        before = time.monotonic()
+        own = await pool.acquire(server, False, 1.0)
+        other = await pool.acquire(server, False, 1.0)
+        after = time.monotonic()
+        assert not pool.has_open_since(server, before)
+        assert pool.has_open_since(server, after)
+        own.abort()
+        assert pool.has_open_since(server, after)
+        for writer in writers:
+            writer.transport.abort()
+        await asyncio.wait_for(_wait_until_closed(other), 5.0)
+        assert not pool.has_open_since(server, after)
+        assert not pool.opened_at
+        server_socket.close()
+
+    asyncio.run(run())
