Keep what is known of a request's success for its other digest

A read that many callers repeat, blocked at a crash, was tried only 15 s later once its organisation had been renamed: its new digest, linked to the crashes, hadn't succeeded itself.

--- a/arbutusvale/state/crash_evidence.py
+++ b/arbutusvale/state/crash_evidence.py
@@ -164,6 +164,8 @@
             self.changed = True
         for crash_id in added:
             self.crashes[crash_id].suspects.add(alias)
+        if self.is_proven(suspect):
+            self.record_progress(alias)
         return sorted(added)
 
     def record_completion(
