Take only a success for a sign that a server has run a request through

An error doesn't show that the server ran the request through, so only answers of 200 to 299 clear it now, also those that end with their connection.

The scenario waited for a third crash, which no longer comes where the request is blocked at its second; it sends three times now.

--- a/arbutusvale/coordination/crash_tracker.py
+++ b/arbutusvale/coordination/crash_tracker.py
@@ -39,7 +39,7 @@
 
     # Each with the steady time at which its connection broke.
     broken_at: dict[Suspects, float] = dataclasses.field(default_factory=dict)
-    # Those whose answer ended with its connection, whole or not.
+    # Successes that ended with their connection, whole or not.
     unframed: set[Suspects] = dataclasses.field(default_factory=set)
     probe_task: asyncio.Task | None = None
 
@@ -160,18 +160,23 @@
         self._add_broken(server, suspects)
 
     def record_unframed_end(
-        self, server: proxying.BackendServer, suspects: Suspects
+        self,
+        server: proxying.BackendServer,
+        suspects: Suspects,
+        succeeded: bool,
     ) -> None:
         """Record an answer that ended with its connection.
 
-        A server that crashes between two events leaves the same, so the
-        request is completed only if the server lives.  A request whose parts
-        all were completed before isn't worth a probe.
+        A server that crashes between two events leaves the same, so a
+        successful one completes the request only if the server lives.  A
+        request whose parts all were completed before isn't worth a probe.
         """
         if any(
             map(self.evidence.is_suspect, list_requests(suspects))
         ) or not all(map(self.evidence.is_proven, list_parts(suspects))):
-            self._add_broken(server, suspects).unframed.add(suspects)
+            broken = self._add_broken(server, suspects)
+            if succeeded:
+                broken.unframed.add(suspects)
 
     def _add_broken(
         self, server: proxying.BackendServer, suspects: Suspects
--- a/arbutusvale/coordination/edge_relay.py
+++ b/arbutusvale/coordination/edge_relay.py
@@ -29,7 +29,6 @@
 # A server that has sent events for so long bears the prompt.
 PROGRESS_S = 1.0
 
-_SUCCESSES = range(200, 300)
 _NEVER = -1e9
 
 
@@ -149,7 +148,7 @@
                     edge_requests.Failed('refusal without an id')
                 )
             return await self._read_refusal(exchange, head)
-        if head.status in _SUCCESSES:
+        if head.status in edge_reporter.SUCCESSES:
             if not head.signed or head.encoded:
                 return RelayResult(
                     edge_requests.Failed('answer without signature')
--- a/arbutusvale/coordination/edge_reporter.py
+++ b/arbutusvale/coordination/edge_reporter.py
@@ -9,6 +9,7 @@
 from arbutusvale.protocol import edge_ports
 from arbutusvale.protocol import proxying
 
+SUCCESSES = range(200, 300)
 MIN_SERVER_ERROR_STATUS = 500
 MAX_LOGGED_PARTS = 8
 LOGGED_PART_CHARS = 16
@@ -265,14 +266,7 @@
                 status < MIN_SERVER_ERROR_STATUS
             ):
                 self.context.outlier_detector.record_success(server.id)
-                if self.framing is edge_ports.Framing.CLOSE:
-                    self.context.crashes.record_unframed_end(
-                        server, self.request.suspects
-                    )
-                else:
-                    self.context.crashes.record_completion(
-                        self.request.suspects
-                    )
+                self._record_answered(server, status)
             case edge_requests.Delivered():
                 self.context.outlier_detector.record_failure(server.id)
             case edge_requests.NotRun('misdirected'):
@@ -286,6 +280,18 @@
                 if head is None:
                     self._record_unanswered(server, cause)
 
+    def _record_answered(
+        self, server: proxying.BackendServer, status: int
+    ) -> None:
+        """Record a whole answer; only a success shows a whole run."""
+        succeeded = status in SUCCESSES
+        if self.framing is edge_ports.Framing.CLOSE:
+            self.context.crashes.record_unframed_end(
+                server, self.request.suspects, succeeded
+            )
+        elif succeeded:
+            self.context.crashes.record_completion(self.request.suspects)
+
     def _record_unanswered(
         self, server: proxying.BackendServer, cause: str
     ) -> None:
--- a/tests/platform/test_edge_crashing_requests.py
+++ b/tests/platform/test_edge_crashing_requests.py
@@ -161,7 +161,7 @@
         pool.wait_until_up()
         pool.send(BODY, router)
 
-    while pool.count_crashes(BODY) < CRASHES:
+    for _ in range(CRASHES):
         crash_and_err()
     time.sleep(CONTACT_S)
     before = pool.count_crashes(BODY)
