Tell two crashes of one listed incarnation apart by when they broke

Cause: crashes of one incarnation within a second counted as one, as the time of a crash was that at which a probe ended, at each router. It is now the time at which the first connection broke, so reports of one crash agree within a few milliseconds and 0.25 s suffice. A router that notices late, as one that was frozen, attributes what it had sent before a known crash to that crash.

--- a/arbutusvale/coordination/crash_exchange.py
+++ b/arbutusvale/coordination/crash_exchange.py
@@ -51,11 +51,11 @@
         self.send_requested = asyncio.Event()
 
     def report_crash(
-        self, incarnation: str, suspects: Iterable[bytes]
+        self, incarnation: str, suspects: Iterable[bytes], occurred_at: float
     ) -> None:
         """Add what this router had in flight at a crash; tell peers soon."""
         suspects = set(suspects)
-        crash_id = self.evidence.add(incarnation, self.clock(), suspects)
+        crash_id = self.evidence.add(incarnation, occurred_at, suspects)
         self._announce(crash_id, suspects)
 
     def report_alias(self, suspect: bytes, alias: bytes) -> None:
--- a/arbutusvale/coordination/crash_tracker.py
+++ b/arbutusvale/coordination/crash_tracker.py
@@ -33,12 +33,21 @@
 Suspects = tuple[bytes, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unanswered:
+    """An attempt without an answer; times are steady seconds."""
+
+    sent_at: float
+    ended_at: float
+
+
 @dataclasses.dataclass(slots=True)
 class _BrokenRequests:
     """Requests whose connection to a server recently broke."""
 
-    # Each with the steady time at which its connection broke.
-    broken_at: dict[Suspects, float] = dataclasses.field(default_factory=dict)
+    attempts: dict[Suspects, Unanswered] = dataclasses.field(
+        default_factory=dict
+    )
     # Successes that ended with their connection, whole or not.
     unframed: set[Suspects] = dataclasses.field(default_factory=set)
     probe_task: asyncio.Task | None = None
@@ -65,8 +74,8 @@
         self.clock = clock
         self.list_live_peers = list_live_peers
         self.broken_by_server: dict[str, _BrokenRequests] = {}
-        # When requests were given up that a server may still run.
-        self.abandoned_by_server: dict[str, dict[Suspects, float]] = {}
+        # Requests that were given up and that a server may still run.
+        self.abandoned_by_server: dict[str, dict[Suspects, Unanswered]] = {}
         self.watch_tasks: set[asyncio.Task] = set()
         self.logged_culprits: set[frozenset[bytes]] = set()
 
@@ -154,15 +163,19 @@
             self.evidence.record_progress(digest)
 
     def record_broken_connection(
-        self, server: proxying.BackendServer, suspects: Suspects
+        self,
+        server: proxying.BackendServer,
+        suspects: Suspects,
+        sent_at: float,
     ) -> None:
         """Record a request whose connection ended without an answer."""
-        self._add_broken(server, suspects)
+        self._add_broken(server, suspects, sent_at)
 
     def record_unframed_end(
         self,
         server: proxying.BackendServer,
         suspects: Suspects,
+        sent_at: float,
         succeeded: bool,
     ) -> None:
         """Record an answer that ended with its connection.
@@ -174,20 +187,26 @@
         if any(
             map(self.evidence.is_suspect, list_requests(suspects))
         ) or not all(map(self.evidence.is_proven, list_parts(suspects))):
-            broken = self._add_broken(server, suspects)
+            broken = self._add_broken(server, suspects, sent_at)
             if succeeded:
                 broken.unframed.add(suspects)
 
     def _add_broken(
-        self, server: proxying.BackendServer, suspects: Suspects
+        self,
+        server: proxying.BackendServer,
+        suspects: Suspects,
+        sent_at: float,
     ) -> _BrokenRequests:
         """Add a request that may have crashed a server; probe the server."""
         broken = self._start_probe(server)
-        broken.broken_at[suspects] = self.clock()
+        broken.attempts[suspects] = Unanswered(sent_at, self.clock())
         return broken
 
     def record_abandoned(
-        self, server: proxying.BackendServer, suspects: Suspects
+        self,
+        server: proxying.BackendServer,
+        suspects: Suspects,
+        sent_at: float,
     ) -> None:
         """Record a request that was given up without an answer.
 
@@ -195,7 +214,7 @@
         """
         is_watched = server.id in self.abandoned_by_server
         abandoned = self.abandoned_by_server.setdefault(server.id, {})
-        abandoned[suspects] = self.clock()
+        abandoned[suspects] = Unanswered(sent_at, self.clock())
         if not is_watched:
             task = asyncio.create_task(self._watch(server))
             self.watch_tasks.add(task)
@@ -213,7 +232,7 @@
                 await asyncio.wait((self._start_probe(server).probe_task,))
             checked_at = self.clock()
             await asyncio.sleep(WATCH_INTERVAL_S)
-            if max(abandoned.values()) < self.clock() - WATCH_S:
+            if not _list_later(abandoned, self.clock() - WATCH_S):
                 break
         self.abandoned_by_server.pop(server.id, None)
 
@@ -236,7 +255,7 @@
             self.events.write(
                 'server-alive',
                 server=server.id,
-                broken=len(self.broken_by_server[server.id].broken_at),
+                broken=len(self.broken_by_server[server.id].attempts),
             )
         except errors.ServerFailed as error:
             # No answer in time may also be due to the path or a full queue.
@@ -245,7 +264,7 @@
                 'server-crashed' if crashed else 'server-unreachable',
                 server=server.id,
                 cause=error.cause,
-                broken=len(self.broken_by_server[server.id].broken_at),
+                broken=len(self.broken_by_server[server.id].attempts),
                 suspects=len(self.evidence.crashes_by_suspect),
             )
         broken = self.broken_by_server.pop(server.id)
@@ -261,14 +280,25 @@
         """Count a crash against the requests that it interrupted."""
         incarnation = f'{server.id}/{server.started_at_ms}'
         abandoned = self.abandoned_by_server.pop(server.id, {})
-        interrupted = dict.fromkeys(
-            _list_later(broken.broken_at, self.clock() - CRASH_WINDOW_S)
-            + _list_later(abandoned, self.clock() - WATCH_S)
-        )
-        self.exchange.report_crash(
-            incarnation,
-            {digest for request in interrupted for digest in request},
+        interrupted = _list_later(
+            abandoned, self.clock() - WATCH_S
+        ) | _list_later(broken.attempts, self.clock() - CRASH_WINDOW_S)
+        suspects_by_time: dict[float, set[bytes]] = {}
+        broken_at = min(
+            (attempt.ended_at for attempt in broken.attempts.values()),
+            default=self.clock(),
         )
+        for suspects, attempt in interrupted.items():
+            # What was sent before a known crash was interrupted by that one,
+            # though this router notices late.
+            occurred_at = self.evidence.find_crash_time(
+                incarnation, attempt.sent_at
+            )
+            if occurred_at is None:
+                occurred_at = broken_at
+            suspects_by_time.setdefault(occurred_at, set()).update(suspects)
+        for occurred_at, digests in suspects_by_time.items():
+            self.exchange.report_crash(incarnation, digests, occurred_at)
         for suspects in interrupted:
             request = suspects[0]
             self.events.write(
@@ -300,10 +330,14 @@
 
 
 def _list_later(
-    times: dict[Suspects, float], earliest: float
-) -> list[Suspects]:
-    """Return the requests whose time isn't before the earliest."""
-    return [suspects for suspects, at in times.items() if at >= earliest]
+    attempts: dict[Suspects, Unanswered], earliest: float
+) -> dict[Suspects, Unanswered]:
+    """Return the attempts that didn't end before the earliest time."""
+    return {
+        suspects: attempt
+        for suspects, attempt in attempts.items()
+        if attempt.ended_at >= earliest
+    }
 
 
 def list_suspects(
--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -236,7 +236,7 @@
         self.reporter.log_placement(
             placement, self.attempts, self.event_buffer.last_event_id
         )
-        self.reporter.reset_response()
+        self.reporter.start_attempt()
         if self.attempts == 1:
             self.context.retry_budget(self.request.pool).add_request()
         self._record_cached_parts(placement)
--- a/arbutusvale/coordination/edge_reporter.py
+++ b/arbutusvale/coordination/edge_reporter.py
@@ -26,6 +26,8 @@
         self.context = context
         self.request = request
         self.first_byte_s: float | None = None
+        # When the request was sent to the server that has it now.
+        self.sent_at = 0.0
         self.framing: edge_ports.Framing | None = None
         # Length of the incomplete event at the end of an event stream.
         self.partial_bytes = 0
@@ -58,8 +60,9 @@
             attempt=attempt,
         )
 
-    def reset_response(self) -> None:
+    def start_attempt(self) -> None:
         """Forget the response to the attempt before."""
+        self.sent_at = self.context.clock()
         self.framing = None
         self.partial_bytes = 0
 
@@ -164,7 +167,9 @@
 
     def record_caller_gone(self, server: proxying.BackendServer) -> None:
         """Record that the caller left before its response was complete."""
-        self.context.crashes.record_abandoned(server, self.request.suspects)
+        self.context.crashes.record_abandoned(
+            server, self.request.suspects, self.sent_at
+        )
         self.context.metrics.increment('callers_gone', self.request.pool)
         self.write(
             'caller-gone',
@@ -287,7 +292,7 @@
         succeeded = status in SUCCESSES
         if self.framing is edge_ports.Framing.CLOSE:
             self.context.crashes.record_unframed_end(
-                server, self.request.suspects, succeeded
+                server, self.request.suspects, self.sent_at, succeeded
             )
         elif succeeded:
             self.context.crashes.record_completion(self.request.suspects)
@@ -297,10 +302,11 @@
     ) -> None:
         """Record that the request, which may crash its server, has no end."""
         crashes = self.context.crashes
+        suspects = self.request.suspects
         if cause.startswith('connection'):
-            crashes.record_broken_connection(server, self.request.suspects)
+            crashes.record_broken_connection(server, suspects, self.sent_at)
         else:
-            crashes.record_abandoned(server, self.request.suspects)
+            crashes.record_abandoned(server, suspects, self.sent_at)
 
 
 def _format_prompt(metadata: proxying.RequestMetadata) -> str:
--- a/arbutusvale/state/crash_evidence.py
+++ b/arbutusvale/state/crash_evidence.py
@@ -33,7 +33,7 @@
 RETENTION_S = 3600.0
 EXPIRY_INTERVAL_S = 10.0
 # Reports of one crash may differ by this; a server needs longer to restart.
-SAME_CRASH_S = 1.0
+SAME_CRASH_S = 0.25
 # Weak evidence is tried again sooner, soonest on requests that succeeded.
 TRIAL_INTERVAL_S = 600.0
 WEAK_TRIAL_INTERVAL_S = 15.0
@@ -152,6 +152,18 @@
             self.changed = True
         return crash_id
 
+    def find_crash_time(self, incarnation: str, since: float) -> float | None:
+        """Return when an incarnation crashed first since then, if known."""
+        return min(
+            (
+                crash.occurred_at
+                for crash in self.crashes.values()
+                if crash.incarnation == incarnation
+                and crash.occurred_at >= since
+            ),
+            default=None,
+        )
+
     def link(self, suspect: bytes, alias: bytes) -> list[int]:
         """Add an alias to a suspect's crashes; return the keys of new ones.
 
--- a/tests/coordination/crash_day.py
+++ b/tests/coordination/crash_day.py
@@ -186,7 +186,7 @@
                 for digest in request.suspects
             }
             if suspects:
-                exchange.report_crash(crash_id, suspects)
+                exchange.report_crash(crash_id, suspects, self.clock.now)
                 exchange.flush()
         for request in requests:
             if not request.crashes and not request.retried:
--- a/tests/coordination/test_crash_tracker.py
+++ b/tests/coordination/test_crash_tracker.py
@@ -57,7 +57,7 @@
 async def break_connections(tracker, server_id, *requests):
     server = helpers_edge.make_server(server_id)
     for suspects in requests:
-        tracker.record_broken_connection(server, suspects)
+        tracker.record_broken_connection(server, suspects, tracker.clock())
     for _ in range(5):
         await asyncio.sleep(0)
 
@@ -135,7 +135,7 @@
     async def run():
         clock, pool, tracker = make_tracker(set())
         server = helpers_edge.make_server('a')
-        tracker.record_abandoned(server, make_suspects(b'x'))
+        tracker.record_abandoned(server, make_suspects(b'x'), tracker.clock())
         await asyncio.sleep(0.01)
         assert not tracker.evidence.crashes
         clock.now += crash_tracker.WATCH_INTERVAL_S
@@ -152,7 +152,7 @@
         clock, pool, tracker = make_tracker(set())
         pool.has_witness = True
         server = helpers_edge.make_server('a')
-        tracker.record_abandoned(server, make_suspects(b'x'))
+        tracker.record_abandoned(server, make_suspects(b'x'), tracker.clock())
         await asyncio.sleep(0.01)
         clock.now += crash_tracker.WATCH_S + 0.1
         await asyncio.sleep(crash_tracker.WATCH_INTERVAL_S + 0.05)
@@ -160,3 +160,25 @@
         assert not tracker.abandoned_by_server
 
     asyncio.run(run())
+
+
+def test_crash_that_a_router_notices_late_counts_once():
+    """As one that was frozen, or whose caller reads slowly."""
+
+    async def run():
+        clock, _, tracker = make_tracker({'a'})
+        server = helpers_edge.make_server('a')
+        sent_at = clock.now
+        clock.now += 0.1
+        tracker.evidence.add('a/1', clock.now, make_suspects(b'x'))
+        clock.now += 2.0
+        tracker.record_broken_connection(server, make_suspects(b'x'), sent_at)
+        await asyncio.sleep(0.01)
+        assert len(tracker.evidence.crashes) == 1
+        tracker.record_broken_connection(
+            server, make_suspects(b'x'), clock.now
+        )
+        await asyncio.sleep(0.01)
+        assert len(tracker.evidence.crashes) == 2
+
+    asyncio.run(run())
--- a/tests/coordination/test_edge_schedules.py
+++ b/tests/coordination/test_edge_schedules.py
@@ -317,7 +317,7 @@
         match generator.randrange(4):
             case 0:
                 suspects = generator.sample(digests, 3)
-                exchange.report_crash(f'e/{step // 3}', suspects)
+                exchange.report_crash(f'e/{step // 3}', suspects, clock.now)
             case 1:
                 exchange.report_completion(generator.choice(digests))
             case 2:
--- a/tests/coordination/test_peers.py
+++ b/tests/coordination/test_peers.py
@@ -168,8 +168,8 @@
     network.run(2)
     exchanges = list(network.exchanges.values())
     request = crash_evidence.digest_request(b'f' * 16)
-    exchanges[0].report_crash('e1/1', [request])
-    exchanges[1].report_crash('e2/1', [request])
+    exchanges[0].report_crash('e1/1', [request], network.clock.now)
+    exchanges[1].report_crash('e2/1', [request], network.clock.now)
     network.run(2)
     assert all(
         exchange.evidence.find_culprit([request]) for exchange in exchanges
@@ -182,7 +182,7 @@
     for number in numbers:
         network.clock.now += 2.0
         exchange = exchanges[number % len(exchanges)]
-        exchange.report_crash(f'e{number}/1', [part])
+        exchange.report_crash(f'e{number}/1', [part], network.clock.now)
 
 
 def test_evidence_reaches_a_router_that_started_or_was_out_of_touch():
@@ -233,9 +233,9 @@
     second = network.exchanges['10.0.0.1']
     for number, exchange in enumerate((first, second, first, second)):
         network.clock.now += 2.0
-        exchange.report_crash(f'e{number + 2}/1', [part])
+        exchange.report_crash(f'e{number + 2}/1', [part], network.clock.now)
     network.clock.now += 2.0
-    first.report_crash('e9/1', [request])
+    first.report_crash('e9/1', [request], network.clock.now)
     network.run(1)
     for exchange in (first, second):
         assert exchange.evidence.find_culprit([part])
--- a/tests/state/test_crash_evidence.py
+++ b/tests/state/test_crash_evidence.py
@@ -95,7 +95,8 @@
     for _ in range(crash_evidence.PART_CRASHES):
         clock.now += 2 * crash_evidence.SAME_CRASH_S
         evidence.add('e/1', clock.now, [BAD])
-        evidence.add('e/1', clock.now - 0.5, [BAD])
+        evidence.add('e/1', clock.now - 0.1, [BAD])
+    assert len(evidence.crashes) == crash_evidence.PART_CRASHES
     assert evidence.find_culprit([BAD]) == {BAD}
 
 
