Let only a success clear a request of a crash at sidecars

The same cause as at the edge router: a whole answer of any status cleared a request, so that one which was answered 404 between its crashes was never quarantined. The new test fails without the change.

--- a/arbutusvale/coordination/server_call.py
+++ b/arbutusvale/coordination/server_call.py
@@ -17,6 +17,7 @@
 
 MIN_NON_IDEMPOTENT_TIMEOUT_S = 60.0
 _EVENT_STREAM = 'text/event-stream'
+_SUCCESSES = range(200, 300)
 
 
 class ServerCaller:
@@ -72,7 +73,8 @@
         if not is_whole:
             logging.warning('event=server-broken cause="event broken off"')
             return await self._classify_broken(run, in_flight)
-        self.quarantine.clear(run.submit)
+        if run.head is not None and run.head.status in _SUCCESSES:
+            self.quarantine.clear(run.submit)
         return answer_fanout.Complete()
 
     async def _relay(self, run: answer_fanout.Run) -> bool:
--- a/tests/coordination/test_runs.py
+++ b/tests/coordination/test_runs.py
@@ -7,6 +7,7 @@
 from arbutusvale.coordination import quarantine
 from arbutusvale.coordination import runs
 from arbutusvale.protocol import messages
+from arbutusvale.protocol import ports
 from arbutusvale.state import claim_index
 from tests import helpers_runs
 
@@ -247,3 +248,16 @@
         assert outcomes == {'r1-1': 'quarantined', 'r1-2': 'not-run'}
 
     run_case(case)
+
+
+@pytest.mark.parametrize(('status', 'is_cleared'), [(200, True), (404, False)])
+def test_only_a_success_clears_a_request_of_a_crash(status, is_cleared):
+    async def case(bench):
+        bench.quarantine.merge([[b'f1', ['vm-2/1/1'], []]])
+        bench.start()
+        head = ports.ServerResponseHead(status, [])
+        bench.server.feed('q1', head, b'a', None)
+        await helpers_runs.wait_until(lambda: bench.finished)
+        assert bench.quarantine.is_suspect(b'f1') is not is_cleared
+
+    run_case(case)
