Suspect runs that were given up if their server crashes soon, at sidecars

The sidecar checks its server's health for a second after it gave up a run. Two new tests; the first fails without the change.

--- a/arbutusvale/coordination/crash_detector.py
+++ b/arbutusvale/coordination/crash_detector.py
@@ -10,6 +10,9 @@
 GATHER_WINDOW_S = 0.05
 HEALTH_TIMEOUT_S = 1.0
 MIN_BROKEN_FOR_CRASH = 2
+# A server may run a request on, and crash, though nobody waits any more.
+WATCH_S = 1.0
+WATCH_INTERVAL_S = 0.2
 CRASHED = 'server-crashed'
 BROKEN = 'server-broken'
 
@@ -31,6 +34,27 @@
         self.broken: set[answer_fanout.Run] = set()
         self.suspects: set[answer_fanout.Run] = set()
         self.classification: asyncio.Task | None = None
+        # Runs that were given up and that the server may still run.
+        self.abandoned: set[answer_fanout.Run] = set()
+        self.watch_tasks: set[asyncio.Task] = set()
+
+    def watch(self, run: answer_fanout.Run) -> None:
+        """Suspect a run that was given up if the server crashes soon."""
+        self.abandoned.add(run)
+        task = asyncio.create_task(self._watch(run))
+        self.watch_tasks.add(task)
+        task.add_done_callback(self.watch_tasks.discard)
+
+    async def _watch(self, run: answer_fanout.Run) -> None:
+        """Check the server's health for a while after a run was given up."""
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + WATCH_S
+        while loop.time() < ends_at and not run.crashed:
+            await asyncio.sleep(WATCH_INTERVAL_S)
+            if not await self._is_healthy():
+                await self.classify(run, ())
+                break
+        self.abandoned.discard(run)
 
     async def classify(
         self, run: answer_fanout.Run, in_flight: Iterable[answer_fanout.Run]
@@ -48,6 +72,7 @@
             self.suspects.update(
                 other for other in in_flight if other.sent_to_server
             )
+            self.suspects.update(self.abandoned)
             self.classification = asyncio.create_task(self._classify_broken())
         await asyncio.shield(self.classification)
         return CRASHED if run.crashed else BROKEN
--- a/arbutusvale/coordination/server_call.py
+++ b/arbutusvale/coordination/server_call.py
@@ -68,6 +68,8 @@
         except TimeoutError:
             return await self._end_timed_out(run)
         except asyncio.CancelledError:
+            if run.sent_to_server:
+                self.crash_detector.watch(run)
             await self.server.cancel(run.submit.request_id)
             raise
         if not is_whole:
@@ -161,6 +163,7 @@
             return answer_fanout.Incomplete(
                 messages.Outcome.NOT_RUN, 'expired'
             )
+        self.crash_detector.watch(run)
         await self.server.cancel(run.submit.request_id)
         return answer_fanout.Incomplete(messages.Outcome.UNKNOWN, 'timeout')
 
--- a/tests/coordination/test_runs.py
+++ b/tests/coordination/test_runs.py
@@ -261,3 +261,33 @@
         assert bench.quarantine.is_suspect(b'f1') is not is_cleared
 
     run_case(case)
+
+
+def test_request_whose_caller_left_is_a_suspect_of_a_crash_soon_after():
+    async def case(bench):
+        run = bench.start()
+        await helpers_runs.wait_until(lambda: bench.server.runs)
+        bench.table.cancel('r1-1')
+        await helpers_runs.wait_until(lambda: run.ending is not None)
+        bench.server.up = False
+        await helpers_runs.wait_until(
+            lambda: bench.quarantine.is_suspect(b'f1')
+        )
+        assert bench.quarantine.crash_count == 1
+
+    run_case(case)
+
+
+def test_request_whose_caller_left_is_no_suspect_while_the_server_lives():
+    async def case(bench):
+        bench.start()
+        await helpers_runs.wait_until(lambda: bench.server.runs)
+        bench.table.cancel('r1-1')
+        detector = bench.table.server_caller.crash_detector
+        await helpers_runs.wait_until(lambda: detector.watch_tasks)
+        await helpers_runs.wait_until(lambda: not detector.watch_tasks)
+        bench.server.up = False
+        assert not bench.quarantine.is_suspect(b'f1')
+        assert not detector.abandoned
+
+    run_case(case)
