Play requests that crash engines in the soak, with callers that leave

The soak's schedules gain a fault that sends one crashing request again and again, some of its callers leaving before the engine crashes; other faults of a seed stay as they were. Two scenarios with a router that starts or wakes after the crashes.

--- a/arbutusvale/standins/edge_engine.py
+++ b/arbutusvale/standins/edge_engine.py
@@ -292,6 +292,7 @@
         if incarnation != self.incarnation:
             return
         self.incarnation += 1
+        await self.before_crash(self.name)
         await self.server.close()
         self.on_crash(self.name)
 
--- a/tests/platform/test_edge_crashing_requests.py
+++ b/tests/platform/test_edge_crashing_requests.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import http.client
+import signal
 import time
 
 import pytest
@@ -170,6 +171,31 @@
     assert pool.count_crashes(BODY) - before <= MAX_LATE_RETRIES
 
 
+@pytest.mark.parametrize('fault', ['kill', 'freeze'])
+def test_router_that_starts_or_wakes_sends_no_crashing_request_on(
+    fleet, fault
+):
+    pool = CrashingPool(fleet)
+    pool.set_crashing(BODY)
+    victim = fleet.routers[-1]
+    if fault == 'freeze':
+        victim.send_signal(signal.SIGSTOP)
+    while pool.count_crashes(BODY) < 2:
+        pool.wait_until_up()
+        pool.send(BODY, fleet.routers[0])
+    if fault == 'kill':
+        victim.kill()
+        victim.start().wait_until_ready()
+    else:
+        victim.send_signal(signal.SIGCONT)
+    time.sleep(CONTACT_S)
+    before = pool.count_arrivals(BODY)
+    for _ in range(8):
+        pool.wait_until_up()
+        pool.send(BODY, victim)
+    assert pool.count_arrivals(BODY) - before <= MAX_LATE_RETRIES
+
+
 def test_sound_requests_beside_a_crashing_one_are_served(fleet):
     """Counted before and after; the engines are up at each."""
     pool = CrashingPool(fleet)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -14,6 +14,8 @@
 MIN_SERVED_SHARE = 0.9
 # A part may crash five engines, and three more while routers restart.
 MAX_CRASH_CAUSES = 8
+# A request may crash three engines, and three more later.
+MAX_REQUEST_CRASHES = 6
 LIMIT_WINDOW_S = 4.0
 
 
@@ -36,7 +38,7 @@
         *check_versions(attempts),
         *check_executions(attempts, executions_by_id),
         *check_propagation(soak_run),
-        *check_crashing_parts(soak_run),
+        *check_crash_causes(soak_run),
         *check_limits(soak_run),
         *check_processes(soak_run),
         *check_recovery(soak_run, attempts),
@@ -132,11 +134,15 @@
                     yield f'{attempt.id}: served with a revoked key'
 
 
-def check_crashing_parts(soak_run):
+def check_crash_causes(soak_run):
     for part in soak_run.crashing_parts:
         causes = soak_run.count_crash_causes(part)
         if causes > MAX_CRASH_CAUSES:
             yield f'{part}: crashed {causes} engines'
+    for name in soak_run.crashing_requests:
+        causes = soak_run.count_crash_causes(name)
+        if causes > MAX_REQUEST_CRASHES:
+            yield f'{name}: crashed {causes} engines'
 
 
 def check_limits(soak_run):
--- a/tests/soak/fault_schedule.py
+++ b/tests/soak/fault_schedule.py
@@ -15,6 +15,9 @@
     'leave-engine', 'crash-engine', 'configure', 'revoke-key', 'burst',
     'crashing-part', 'limit-engine',
 )  # fmt: skip
+# Drawn beside the others, so that a seed's other faults stay the same.
+ADDED_KINDS = ('crashing-request',)
+ADDED_SHARE = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,6 +52,11 @@
                 )
             )
     last_fault_s = seconds * FAULT_PERIOD_SHARE
+    for kind in ADDED_KINDS:
+        added_rng = random.Random(f'{kind} {seed}')
+        if added_rng.random() < ADDED_SHARE:
+            at_s = added_rng.uniform(0.3, last_fault_s)
+            faults.append(Fault(at_s, kind, added_rng.randrange(1000), 0.0))
     return sorted(
         (fault for fault in faults if fault.at_s <= last_fault_s),
         key=lambda fault: fault.at_s,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -51,6 +51,9 @@
 # Requests with one crashing part, at intervals; engines restart in between.
 CRASHING_REQUESTS = 12
 CRASHING_INTERVAL_S = 0.3
+# Some callers of a crashing request leave before its engine crashes.
+PATIENCES_S = (2.0, 0.05, 2.0)
+REQUEST_CRASH_DELAY_S = 0.1
 CRASH_DOWN_S = 1.2
 ENGINE_LIMIT = 5.0
 SOFTWARE_VERSIONS = ('v1', 'v2')
@@ -82,6 +85,7 @@
         self.faults_ended_at = 0.0
         self.injected_faults = []
         self.crashing_parts = []
+        self.crashing_requests = []
         # Each item is an engine and the time at which it named a limit.
         self.limited = []
         self.engine_limit = ENGINE_LIMIT
@@ -386,10 +390,30 @@
             time.sleep(CRASHING_INTERVAL_S)
         return CRASH_DOWN_S + 1.0
 
-    def count_crash_causes(self, part):
-        """Count the requests with a part that crashed an engine."""
+    def inject_crashing_request(self, fault):
+        """Send a request that crashes engines again and again."""
+        name = f'request{len(self.crashing_requests)}'
+        self.crashing_requests.append(name)
+        for engine in self.all_engines:
+            engine.crashing_bodies.add(name.encode())
+            engine.crash_delay_s = REQUEST_CRASH_DELAY_S
+        for number in range(CRASHING_REQUESTS):
+            router = self.fleet.routers[number % len(self.fleet.routers)]
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                router.send_request(
+                    '/chat/read',
+                    'POST',
+                    name.encode(),
+                    timeout=PATIENCES_S[number % len(PATIENCES_S)],
+                    X_Arbutusvale_Attempt_Id=f'crash-{name}-{number}',
+                )
+            time.sleep(CRASHING_INTERVAL_S)
+        return CRASH_DOWN_S + 1.0
+
+    def count_crash_causes(self, name):
+        """Count the requests with a part, or its repeats, that crashed one."""
         return sum(
-            cause.attempt_id.startswith(f'crash-{part}-')
+            cause.attempt_id.startswith(f'crash-{name}-')
             for engine in self.all_engines
             for cause in engine.crash_causes
         )
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -38,4 +38,5 @@
         for seed in range(200)
         for fault in fault_schedule.draw_faults(seed, 8.0)
     }
-    assert drawn_kinds == set(fault_schedule.FAULT_KINDS)
+    kinds = fault_schedule.FAULT_KINDS + fault_schedule.ADDED_KINDS
+    assert drawn_kinds == set(kinds)
