Watch no server once the router's process ends

A router that stopped while requests were in flight wrote 'Task was destroyed but it is pending': its own cancellation of them looked like callers that leave.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -297,6 +297,7 @@
             )
         ]
         await self.stopped.wait()
+        self.context.crashes.stop()
         for server in listening:
             server.close()
         for task in tasks:
--- a/arbutusvale/coordination/crash_tracker.py
+++ b/arbutusvale/coordination/crash_tracker.py
@@ -77,8 +77,13 @@
         # Requests that were given up and that a server may still run.
         self.abandoned_by_server: dict[str, dict[Suspects, Unanswered]] = {}
         self.watch_tasks: set[asyncio.Task] = set()
+        self.stopped = False
         self.logged_culprits: set[frozenset[bytes]] = set()
 
+    def stop(self) -> None:
+        """Start no more tasks, as the process ends."""
+        self.stopped = True
+
     def is_quarantined(self, suspects: Suspects) -> bool:
         """Return whether a request holds what crashes servers."""
         return self.evidence.find_culprit(suspects) is not None
@@ -212,6 +217,8 @@
 
         Its server is watched for a while.
         """
+        if self.stopped:
+            return
         is_watched = server.id in self.abandoned_by_server
         abandoned = self.abandoned_by_server.setdefault(server.id, {})
         abandoned[suspects] = Unanswered(sent_at, self.clock())
--- a/tests/coordination/test_crash_tracker.py
+++ b/tests/coordination/test_crash_tracker.py
@@ -182,3 +182,19 @@
         assert len(tracker.evidence.crashes) == 2
 
     asyncio.run(run())
+
+
+def test_no_server_is_watched_once_the_process_ends():
+    """Its requests are cancelled then, as if their callers had left."""
+
+    async def run():
+        _, _, tracker = make_tracker(set())
+        tracker.stop()
+        tracker.record_abandoned(
+            helpers_edge.make_server('a'),
+            make_suspects(b'x'),
+            tracker.clock(),
+        )
+        assert len(asyncio.all_tasks()) == 1
+
+    asyncio.run(run())
