Probe a server before the end of an answer without framing is passed on

The router learned of the crash by a probe, but only after the answer had gone out.

It probes first now: if connections are refused, the answer is broken off, and fails over where that is allowed. The answer has used its connection up, so the probe's takes its place in the pool.

--- a/arbutusvale/coordination/crash_tracker.py
+++ b/arbutusvale/coordination/crash_tracker.py
@@ -51,6 +51,8 @@
     # Successes that ended with their connection, whole or not.
     unframed: set[Suspects] = dataclasses.field(default_factory=set)
     probe_task: asyncio.Task | None = None
+    # What the probe found.
+    crashed: bool = False
 
 
 class CrashTracker:
@@ -157,6 +159,12 @@
             suspects
         )
 
+    async def has_crashed(self, server: proxying.BackendServer) -> bool:
+        """Probe a server; return whether it has surely crashed."""
+        broken = self._start_probe(server)
+        await asyncio.wait((broken.probe_task,))
+        return broken.crashed
+
     def record_completion(self, suspects: Suspects) -> None:
         """Clear a request that a server ran to completion."""
         for digest in suspects:
@@ -275,6 +283,7 @@
                 suspects=len(self.evidence.crashes_by_suspect),
             )
         broken = self.broken_by_server.pop(server.id)
+        broken.crashed = crashed
         if crashed:
             self._record_crash(server, broken)
         if alive:
--- a/arbutusvale/coordination/edge_relay.py
+++ b/arbutusvale/coordination/edge_relay.py
@@ -186,6 +186,8 @@
                     return await self._relay_unbuffered(
                         exchange, head, buffered
                     )
+        if await self._ends_in_crash(exchange):
+            return RelayResult(edge_requests.Failed('connection closed'))
         body = b''.join(buffered)
         failed = head.status >= edge_reporter.MIN_SERVER_ERROR_STATUS
         if self.caller.started:
@@ -213,6 +215,8 @@
             while data := await self.connection.read(exchange):
                 self.caller.write(data)
                 await self.caller.wait_until_drained()
+            if await self._ends_in_crash(exchange):
+                raise errors.ServerFailed('connection closed', True)
         except errors.ServerFailed as error:
             self.caller.abort()
             result = f'cut-{error.cause}'
@@ -253,8 +257,10 @@
                 self.on_events(self.server)
                 self.caller.write(passed_on)
                 await self.caller.wait_until_drained()
-        if self._is_broken_off(exchange):
-            ends_at_close = exchange.framing is edge_ports.Framing.CLOSE
+        ends_at_close = exchange.framing is edge_ports.Framing.CLOSE
+        if self._is_broken_off(exchange) or await self._ends_in_crash(
+            exchange
+        ):
             cause = 'connection closed' if ends_at_close else 'event cut'
             return RelayResult(edge_requests.Failed(cause))
         if not self.caller.started:
@@ -264,6 +270,17 @@
             edge_requests.Delivered('answered', head.status), head
         )
 
+    async def _ends_in_crash(
+        self, exchange: edge_ports.ServerExchange
+    ) -> bool:
+        """Return whether a crash may have ended a response without framing.
+
+        Its connection is used up, so the probe's takes its place.
+        """
+        if exchange.framing is not edge_ports.Framing.CLOSE:
+            return False
+        return await self.context.crashes.has_crashed(self.server)
+
     def _is_broken_off(self, exchange: edge_ports.ServerExchange) -> bool:
         """Check whether an ended event stream lacks its rest.
 
--- a/arbutusvale/standins/edge_engine.py
+++ b/arbutusvale/standins/edge_engine.py
@@ -259,9 +259,10 @@
         """Begin an answer, then stop like a killed process."""
         await asyncio.sleep(EVENT_INTERVAL_S)
         if self.bytes_before_crash:
-            response_headers['Content-Length'] = str(
-                2 * self.bytes_before_crash
-            )
+            if not self.crash_unframed:
+                response_headers['Content-Length'] = str(
+                    2 * self.bytes_before_crash
+                )
             body = b'p' * self.bytes_before_crash
             writer.write(
                 raw_server.format_response(200, response_headers, body, False)
--- a/tests/platform/test_edge_crashing_parts.py
+++ b/tests/platform/test_edge_crashing_parts.py
@@ -239,6 +239,28 @@
     assert count_causes(edge) <= CRASHES + 1
 
 
+def test_stream_without_framing_that_a_crash_ends_looks_whole_to_callers(edge):
+    for engine in edge.engines.values():
+        engine.events_before_crash = 2
+        engine.crash_unframed = True
+    caller = Caller(edge)
+    for _ in range(2):
+        assert caller.send('system', 'bad') == 0
+        wait_until_engines_accept(edge)
+
+
+@pytest.mark.parametrize('size', [1_000, 400_000])
+def test_plain_answer_without_framing_that_a_crash_ends_looks_whole(
+    edge, size
+):
+    for engine in edge.engines.values():
+        engine.stream_prefix = ''
+        engine.bytes_before_crash = size
+        engine.crash_unframed = True
+    status = Caller(edge, '/once/x').send('system', 'bad')
+    assert status == (502 if size == 1_000 else 0)
+
+
 def test_whole_answers_without_framing_clear_their_parts(edge):
     caller = Caller(edge)
     for engine in edge.engines.values():
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -133,10 +133,14 @@
         )
 
     async def refuse_connections(self, name):
-        """Let an engine that crashes refuse connections."""
+        """Let an engine that crashes refuse connections.
+
+        Those of the engine without framing are closed without a reset.
+        """
         proxy = self.engine_proxies[name]
         await proxy.set_refusing(True)
-        proxy.reset_connections()
+        if name != UNFRAMED_ENGINE:
+            proxy.reset_connections()
 
     def start_restart(self, name):
         """Start a crashed engine again after a while."""
