Keep the rate that a server names at its sidecar

Sidecars didn't read Server-Limit: a booking service that names one request a second got 422 in four seconds through two routers (11 allowed). The sidecar sees all requests to its server, so it keeps the limit with one token bucket; it refuses others as busy, and routers try the next sidecar.

--- a/arbutusvale/compose.py
+++ b/arbutusvale/compose.py
@@ -37,6 +37,7 @@
 from arbutusvale.state import bundle_chain
 from arbutusvale.state import directory
 from arbutusvale.state import pool_load_table
+from arbutusvale.state import rate_limit
 from arbutusvale.state import status
 from arbutusvale.transport import admin_server
 from arbutusvale.transport import caller_api_server
@@ -165,11 +166,13 @@
         self.slot_scheduler = slots.SlotScheduler(
             on_change=self.gossip.on_load_changed
         )
+        server_rate = rate_limit.RateLimit()
         self.admission_controller = admission.AdmissionController(
             self.load_table,
             self.slot_scheduler,
             self.gossip.refresh_loads,
             self.locator.find_cache_holder,
+            server_rate=server_rate,
         )
         self.claims = claims.ClaimManager(
             self.log_service,
@@ -184,6 +187,7 @@
             answer_retention_s=lambda: (
                 self.claims.window_s or runs.DEFAULT_ANSWER_RETENTION_S
             ),
+            server_rate=server_rate,
         )
         self.health_checker = health.HealthChecker(
             self.server, self._on_health_changed
--- a/arbutusvale/coordination/admission.py
+++ b/arbutusvale/coordination/admission.py
@@ -13,6 +13,7 @@
 from arbutusvale.protocol import bundle
 from arbutusvale.protocol import messages
 from arbutusvale.state import pool_load_table
+from arbutusvale.state import rate_limit
 
 # Least loaded peers that a refusal names for the attempt's next hop.
 MAX_ALTERNATIVES = 2
@@ -42,7 +43,7 @@
     hashing with bounded loads; the slots and the queue limit the absolute
     load.  ``refresh_loads`` fetches the loads of the pool's other sidecars;
     ``find_cache_holder`` returns the VM whose engine caches the chat, or an
-    empty name.
+    empty name.  ``server_rate`` is the rate that the server names.
     """
 
     def __init__(
@@ -52,7 +53,9 @@
         refresh_loads: Refresh,
         find_cache_holder: FindCacheHolder,
         clock: Callable[[], float] = time.monotonic,
+        server_rate: rate_limit.RateLimit | None = None,
     ):
+        self.server_rate = server_rate or rate_limit.RateLimit(clock)
         self.table = table
         self.scheduler = scheduler
         self.refresh_loads = refresh_loads
@@ -75,6 +78,7 @@
             self._log_decision(submit, f'redirect:{holder}', bound)
             return messages.Redirect(submit.attempt, holder, 'cache-holder')
         max_wait_s = self._max_wait_s(submit, holder)
+        await self._wait_for_rate(max_wait_s)
         within_bound = await self._wait_for_bound(bound, max_wait_s)
         # No await from here on: the load must not change between the check
         # of the bound and try_enqueue().
@@ -86,10 +90,11 @@
         )
         if ticket.deadline <= self.clock():
             return self.refuse(submit, messages.Refusal.EXPIRED)
-        if not within_bound:
+        if not within_bound or self.server_rate.time_until_free_s():
             return self.refuse(submit, messages.Refusal.BUSY, bound=bound)
         if not self.scheduler.try_enqueue(ticket):
             return self.refuse(submit, messages.Refusal.FULL, bound=bound)
+        self.server_rate.spend()
         self._log_decision(submit, 'admitted', bound)
         return Admitted(ticket)
 
@@ -129,6 +134,14 @@
             return min(MAX_CACHE_HOLDER_WAIT_S, submit.time_left / 2)
         return 0.0
 
+    async def _wait_for_rate(self, max_wait_s: float) -> None:
+        """Wait until the server takes one more request, or not at all."""
+        deadline = self.clock() + max_wait_s
+        while wait_s := self.server_rate.time_until_free_s():
+            if self.clock() + wait_s > deadline:
+                return
+            await asyncio.sleep(wait_s)
+
     async def _wait_for_bound(self, bound: float, max_wait_s: float) -> bool:
         """Poll the pool's loads until the bound admits one more request.
 
--- a/arbutusvale/coordination/runs.py
+++ b/arbutusvale/coordination/runs.py
@@ -16,6 +16,7 @@
 from arbutusvale.protocol import ports
 from arbutusvale.state import answers
 from arbutusvale.state import finished_attempts
+from arbutusvale.state import rate_limit
 
 EXPIRY_INTERVAL_S = 1.0
 REATTACH_TIMEOUT_S = 20.0
@@ -44,9 +45,13 @@
             DEFAULT_ANSWER_RETENTION_S
         ),
         clock: Callable[[], float] = time.monotonic,
+        server_rate: rate_limit.RateLimit | None = None,
     ):
         self.server_caller = server_call.ServerCaller(
-            server, request_quarantine, answer_retention_s
+            server,
+            request_quarantine,
+            answer_retention_s,
+            server_rate or rate_limit.RateLimit(clock),
         )
         self.store = store or answers.AnswerStore(clock=clock)
         self.answer_retention_s = answer_retention_s
--- a/arbutusvale/coordination/server_call.py
+++ b/arbutusvale/coordination/server_call.py
@@ -14,8 +14,11 @@
 from arbutusvale.protocol import caller_api
 from arbutusvale.protocol import messages
 from arbutusvale.protocol import ports
+from arbutusvale.state import rate_limit
 
 MIN_NON_IDEMPOTENT_TIMEOUT_S = 60.0
+RATE_LIMIT_HEADER = 'server-limit'
+MAX_LOGGED_VALUE_CHARS = 80
 _EVENT_STREAM = 'text/event-stream'
 _SUCCESSES = range(200, 300)
 
@@ -31,8 +34,10 @@
         server: ports.BackendServer,
         request_quarantine: quarantine.Quarantine,
         claim_window_s: Callable[[], float],
+        server_rate: rate_limit.RateLimit,
     ):
         self.server = server
+        self.server_rate = server_rate
         self.claim_window_s = claim_window_s
         self.quarantine = request_quarantine
         self.crash_detector = crash_detector.CrashDetector(
@@ -97,11 +102,13 @@
             _get_timeout_s(run),
         )
         run.sent_to_server = True
+        sent_at = self.server_rate.clock()
         event_buffer: event_stream.EventBuffer | None = None
         async with contextlib.aclosing(self.server.run(request)) as pieces:
             async for piece in pieces:
                 match piece:
                     case ports.ServerResponseHead():
+                        self._observe_rate(piece, sent_at)
                         run.set_head(self._add_claim_window(run, piece))
                         if _is_event_stream(piece):
                             event_buffer = event_stream.EventBuffer(None)
@@ -114,6 +121,25 @@
                         await run.add_piece(piece)
         return event_buffer is None or not event_buffer.is_inside_event
 
+    def _observe_rate(
+        self, head: ports.ServerResponseHead, sent_at: float
+    ) -> None:
+        """Record the rate that an answer names, or that it names none."""
+        values = [
+            value
+            for name, value in head.headers
+            if name.lower() == RATE_LIMIT_HEADER
+        ]
+        rate = rate_limit.parse_rate(values[-1]) if values else None
+        if values and rate is None:
+            logging.warning(
+                'event=limit-malformed value="%s"',
+                values[-1][:MAX_LOGGED_VALUE_CHARS],
+            )
+            return
+        if self.server_rate.observe(rate, sent_at):
+            logging.info('event=server-limit rate=%s', rate)
+
     def _add_claim_window(
         self, run: answer_fanout.Run, head: ports.ServerResponseHead
     ) -> ports.ServerResponseHead:
--- a/arbutusvale/standins/service.py
+++ b/arbutusvale/standins/service.py
@@ -18,6 +18,7 @@
     answered, and the next ``cross_answers`` answers carry a wrong request
     id.  A request whose body contains ``crash_marker`` closes all
     connections and keeps the service down for ``restart_s``.
+    ``rate_limit`` is named in all answers, unless it is empty.
     """
 
     delay_s: float = 0.0
@@ -27,6 +28,7 @@
     drop_answers_after_effect: int = 0
     cross_answers: int = 0
     crash_marker: str = ''
+    rate_limit: str = ''
     restart_s: float = 1.0
 
 
@@ -121,6 +123,8 @@
             request_id = f'not-{request_id}'
         if not self.is_client_gone:
             self.set_header(caller_api.REQUEST_ID, request_id)
+            if faults.rate_limit:
+                self.set_header('Server-Limit', faults.rate_limit)
             self.send_json({**document, 'by': self.standin.name}, status)
 
 
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -145,3 +145,15 @@
 def test_expired_request_is_refused():
     _, decision = admit_once(submit={'time_left': 0.0})
     assert decision.reason == messages.Refusal.EXPIRED
+
+
+def test_server_gets_no_more_requests_than_the_rate_that_it_names():
+    async def admit_five():
+        bench = Bench(peer_loads=[5, 5])
+        bench.admission.server_rate.observe(1.0, bench.clock.now)
+        bench.clock.now += 1.0
+        return [await bench.admit() for _ in range(5)]
+
+    first, *others = asyncio.run(admit_five())
+    assert isinstance(first, admission.Admitted)
+    assert {other.reason for other in others} == {messages.Refusal.BUSY}
--- a/tests/coordination/test_runs.py
+++ b/tests/coordination/test_runs.py
@@ -291,3 +291,22 @@
         assert not detector.abandoned
 
     run_case(case)
+
+
+def test_rate_that_an_answer_names_is_observed():
+    async def case(bench):
+        limit = bench.table.server_caller.server_rate
+        for number, (value, rate) in enumerate(
+            (('2.5', 2.5), ('soon', 2.5), (None, None))
+        ):
+            headers = [['Server-Limit', value]] if value else []
+            head = ports.ServerResponseHead(200, headers)
+            request_id = f'q{number}'
+            bench.start(attempt=f'r1-{number}', request_id=request_id)
+            bench.server.feed(request_id, head, b'a', None)
+            await helpers_runs.wait_until(
+                lambda count=number + 1: len(bench.finished) == count
+            )
+            assert limit.rate == rate
+
+    run_case(case)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -2,11 +2,14 @@
 
 import http.client
 import json
+import time
 
 import pytest
 
 pytestmark = pytest.mark.process
 
+LIMIT_WINDOW_S = 4.0
+
 
 def join_stream_text(body: bytes) -> str:
     """Join the text of a streamed chat response."""
@@ -87,3 +90,29 @@
             deployment.send_chat(['oil'], stream=True)
         assert b'[D' not in caught.value.partial
         assert b'event: error' in caught.value.partial
+
+
+def test_server_that_names_a_rate_gets_no_more_from_all_routers(
+    start_deployment,
+):
+    """Its one sidecar keeps the limit; what it refuses did not run."""
+    deployment = start_deployment()
+    [backend] = [
+        backend
+        for name, backend in deployment.backends.items()
+        if name.startswith('service')
+    ]
+    deployment.set_faults(backend.server_address, rate_limit='1')
+    deployment.post_booking('first')
+    started_at = time.monotonic()
+    statuses = []
+    while time.monotonic() < started_at + LIMIT_WINDOW_S:
+        for router in ('entry-1', 'entry-2'):
+            answer = deployment.post_booking(
+                f'bay-{len(statuses)}', router=router
+            )
+            statuses.append(answer.status)
+    runs = sum(deployment.count_booking_runs().values()) - 1
+    assert 1 <= runs <= 1.5 * LIMIT_WINDOW_S + 5
+    assert statuses.count(201) == runs
+    assert set(statuses) <= {201, 503}
