Let a success clear a request of crashes before it was sent only

A router that was frozen reads an answer seconds late. It counted as a success of that moment and cleared the request, at all routers, of crashes since: found by reading, as no drawn schedule had it. What clears a request is now the time at which it was sent.

--- a/arbutusvale/coordination/crash_exchange.py
+++ b/arbutusvale/coordination/crash_exchange.py
@@ -69,12 +69,12 @@
         self.pending_crashes[crash_id] = REPEATS
         self.send_requested.set()
 
-    def report_completion(self, digest: bytes) -> None:
+    def report_completion(self, digest: bytes, completed_at: float) -> None:
         """Record that a request or part was completed; tell peers if needed.
 
         Peers need to know of suspects only.
         """
-        if self.evidence.record_completion(digest):
+        if self.evidence.record_completion(digest, completed_at):
             self.pending_completions[digest] = REPEATS
             self.send_requested.set()
 
--- a/arbutusvale/coordination/crash_tracker.py
+++ b/arbutusvale/coordination/crash_tracker.py
@@ -165,10 +165,16 @@
         await asyncio.wait((broken.probe_task,))
         return broken.crashed
 
-    def record_completion(self, suspects: Suspects) -> None:
-        """Clear a request that a server ran to completion."""
-        for digest in suspects:
-            self.exchange.report_completion(digest)
+    def record_completion(self, suspects: Suspects, sent_at: float) -> None:
+        """Clear a request that a server ran to completion.
+
+        It tells nothing of crashes since it was sent, as a router that was
+        frozen notices late.
+        """
+        for digest in list_requests(suspects):
+            self.exchange.report_completion(digest, sent_at)
+        for digest in list_parts(suspects):
+            self.exchange.report_completion(digest, self.clock())
 
     def record_progress(self, suspects: Suspects) -> None:
         """Record that a server works on a request and didn't crash."""
@@ -288,7 +294,9 @@
             self._record_crash(server, broken)
         if alive:
             for suspects in broken.unframed:
-                self.record_completion(suspects)
+                self.record_completion(
+                    suspects, broken.attempts[suspects].sent_at
+                )
 
     def _record_crash(
         self, server: proxying.BackendServer, broken: _BrokenRequests
--- a/arbutusvale/coordination/edge_reporter.py
+++ b/arbutusvale/coordination/edge_reporter.py
@@ -295,7 +295,9 @@
                 server, self.request.suspects, self.sent_at, succeeded
             )
         elif succeeded:
-            self.context.crashes.record_completion(self.request.suspects)
+            self.context.crashes.record_completion(
+                self.request.suspects, self.sent_at
+            )
 
     def _record_unanswered(
         self, server: proxying.BackendServer, cause: str
--- a/tests/coordination/crash_day.py
+++ b/tests/coordination/crash_day.py
@@ -161,7 +161,8 @@
             for request in ended:
                 requests.remove(request)
                 for digest in request.suspects:
-                    self.exchanges[request.router].report_completion(digest)
+                    exchange = self.exchanges[request.router]
+                    exchange.report_completion(digest, self.clock.now)
 
     def record_progress(self, requests):
         latest = self.clock.now - PROGRESS_S
--- a/tests/coordination/test_crash_tracker.py
+++ b/tests/coordination/test_crash_tracker.py
@@ -110,7 +110,7 @@
     async def run():
         _, _, tracker = make_tracker({'a', 'b'})
         await break_connections(tracker, 'a', make_suspects(b'x'))
-        tracker.record_completion(make_suspects(b'x'))
+        tracker.record_completion(make_suspects(b'x'), tracker.clock())
         await break_connections(tracker, 'b', make_suspects(b'x'))
         assert not tracker.is_quarantined(make_suspects(b'x'))
 
@@ -198,3 +198,20 @@
         assert len(asyncio.all_tasks()) == 1
 
     asyncio.run(run())
+
+
+def test_answer_that_a_frozen_router_reads_late_clears_no_crash_since():
+    async def run():
+        clock, _, tracker = make_tracker(set())
+        suspects = make_suspects(b'x')
+        sent_at = clock.now
+        clock.now += 1.0
+        for number in range(3):
+            tracker.evidence.add(f'e{number}/1', clock.now, suspects)
+        clock.now += 2.0
+        tracker.record_completion(suspects, sent_at)
+        assert tracker.is_quarantined(suspects)
+        tracker.record_completion(suspects, clock.now)
+        assert not tracker.is_quarantined(suspects)
+
+    asyncio.run(run())
--- a/tests/coordination/test_edge_schedules.py
+++ b/tests/coordination/test_edge_schedules.py
@@ -319,7 +319,9 @@
                 suspects = generator.sample(digests, 3)
                 exchange.report_crash(f'e/{step // 3}', suspects, clock.now)
             case 1:
-                exchange.report_completion(generator.choice(digests))
+                exchange.report_completion(
+                    generator.choice(digests), clock.now
+                )
             case 2:
                 exchange.flush()
             case 3:
