--- a/arbutusvale/state/crash_evidence.py
+++ b/arbutusvale/state/crash_evidence.py
@@ -39,7 +39,7 @@
 WEAK_TRIAL_INTERVAL_S = 15.0
 PROVEN_REQUEST_TRIAL_INTERVAL_S = 1.0
 WEAK_CRASHES = 4
-# A request that crashes servers once it is blocked was let through as a trial.
+# A blocked request that crashes a server was let through as a trial.
 MAX_FAILED_TRIALS = 2
 # A pool of servers that a request is sent to at once falls within this time.
 BLOCKING_DELAY_S = 1.0
