--- a/tests/coordination/test_crash_tracker.py
+++ b/tests/coordination/test_crash_tracker.py
@@ -215,3 +215,29 @@
         assert not tracker.is_quarantined(suspects)
 
     asyncio.run(run())
+
+
+def make_suspects_of(caller, key):
+    """Return the digests of one request by its organisation and a key."""
+    metadata = proxying.RequestMetadata(
+        'id', 'host', '', None, None, '', 'm', (), ''
+    )
+    fingerprints = [b'read of ' + name for name in (caller, key)]
+    return crash_tracker.list_suspects(fingerprints, 'acme', metadata)
+
+
+def test_success_under_one_key_leaves_the_request_blocked_under_another():
+    async def run():
+        clock, _, tracker = make_tracker(set())
+        first = make_suspects_of(b'acme', b'key-1')
+        second = make_suspects_of(b'acme', b'key-2')
+        for number in range(3):
+            tracker.evidence.add(f'e{number}/1', clock.now, first)
+        assert not tracker.admits(second)
+        clock.now += 1.0
+        tracker.record_completion(first, clock.now)
+        assert not tracker.is_quarantined(second)
+        assert tracker.admits(second)
+        assert tracker.admits(first)
+
+    asyncio.run(run())
