Take a success under one key for one of the request under all its keys

Callers of an organisation with two keys got a request refused as quarantined under one key though it had succeeded under the other: a block by the organisation's digest is linked to the digest of each key, and a success clears only the digests that the succeeding request bears. The other key's digest then linked the organisation's again.

The digests of a request are now reconciled where it is looked up: what occurred before the last success under any of them counts under none. No message is needed, as each router that knows of the success does the same. Crashes since that success count on, under every key.

--- a/arbutusvale/state/crash_evidence.py
+++ b/arbutusvale/state/crash_evidence.py
@@ -207,6 +207,24 @@
             self._remove(digest, crash_id)
         return bool(cleared)
 
+    def _share_completions(self, digests: Iterable[bytes]) -> None:
+        """Clear all digests of one request where one of them was completed.
+
+        Crashes counted against a request under one key reach its other keys
+        by the digest that they have in common.
+        """
+        requests = [digest for digest in digests if not is_part(digest)]
+        completed_at = max(
+            (self.completed_at.get(digest, _LONG_AGO) for digest in requests),
+            default=_LONG_AGO,
+        )
+        for digest in requests:
+            if any(
+                self.crashes[crash_id].occurred_at <= completed_at
+                for crash_id in self.crashes_by_suspect.get(digest, ())
+            ):
+                self.record_completion(digest, completed_at)
+
     def record_progress(self, digest: bytes) -> None:
         """Record that a server works on a part and didn't crash at once."""
         self.completed_at.setdefault(digest, _LONG_AGO)
@@ -241,6 +259,7 @@
         if not self.crashes_by_suspect:
             return None
         self._expire()
+        self._share_completions(digests)
         for digest in digests:
             if (
                 not is_part(digest)
--- a/tests/state/test_crash_evidence.py
+++ b/tests/state/test_crash_evidence.py
@@ -192,6 +192,21 @@
     assert not evidence.link(make_request(500), make_request(501))
 
 
+def test_success_under_one_key_clears_no_crash_since_under_another():
+    clock, evidence = make_evidence()
+    shared, first, second = map(make_request, (500, 501, 502))
+    for number in range(3):
+        crash(clock, evidence, number, shared, first)
+    evidence.link(shared, second)
+    completed_at = clock.now + 0.5
+    for number in range(3, 6):
+        crash(clock, evidence, number, shared, first)
+    evidence.link(shared, second)
+    evidence.record_completion(shared, completed_at)
+    assert evidence.find_culprit([shared, second]) == {shared}
+    assert evidence.count_crashes(second) == 3
+
+
 def count_trials(clock, evidence, request, crashes):
     """Count the trials of an hour, each of which crashes a server or not."""
     count = 0
