Let a second server confirm an empty resumed answer without framing

Such an answer now counts as ambiguous: another server of the version is asked, and the stream ends if that one has no event either. If no attempt or retry is left, the stream is broken off, as it must not look complete; with no other server it ends as before. The first server isn't charged with a failure.

test_empty_unframed_answer_to_a_resumption_never_ends_the_stream failed before (empty bodies) and passes.

--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -121,6 +121,8 @@
                 case edge_requests.Failed(cause):
                     self.possibly_executed = True
                     self.last_failure = outcome
+                case edge_requests.Ambiguous(cause):
+                    self.possibly_executed = True
             if isinstance(
                 outcome, edge_requests.Failed
             ) and await self.context.crashes.forbids_retry(
@@ -244,7 +246,7 @@
             self.reporter,
             self.caller,
             self.event_buffer,
-            self._can_fail_over,
+            edge_relay.Alternatives(self._can_fail_over, self._list_untried),
             self._record_events,
             server,
             connection,
@@ -318,18 +320,25 @@
         if self.attempts >= self.request.route.max_attempts:
             return False
         alternatives_exist = any(
-            listed.server.id not in self.tried_servers
-            and not self.context.outlier_detector.is_ejected(listed.server.id)
-            and not self.context.pauses.time_left_s(listed.server)
-            and not self.context.limits.time_until_free_s(listed.server)
-            for listed in self.context.servers.list_ready_servers(
-                self.request.pool, self.software_version
-            )
+            not self.context.outlier_detector.is_ejected(server.id)
+            and not self.context.pauses.time_left_s(server)
+            and not self.context.limits.time_until_free_s(server)
+            for server in self._list_untried()
         )
         return alternatives_exist and self.context.retry_budget(
             self.request.pool
         ).can_spend(self.context.peers.count_live())
 
+    def _list_untried(self) -> list[proxying.BackendServer]:
+        """List the servers of the pool and version that weren't tried yet."""
+        return [
+            listed.server
+            for listed in self.context.servers.list_ready_servers(
+                self.request.pool, self.software_version
+            )
+            if listed.server.id not in self.tried_servers
+        ]
+
     def _spend_retry(self, outcome: edge_requests.Outcome) -> bool:
         """Spend a retry if the request may be sent to another server."""
         failed = isinstance(outcome, edge_requests.Failed)
--- a/arbutusvale/coordination/edge_relay.py
+++ b/arbutusvale/coordination/edge_relay.py
@@ -40,11 +40,22 @@
     head: proxying.ResponseHead | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Alternatives:
+    """Where else a request could be sent.
+
+    ``can_fail_over`` checks whether it could be sent to another server now;
+    ``list_untried`` lists other servers, whether they take requests or not.
+    """
+
+    can_fail_over: Callable[[], bool]
+    list_untried: Callable[[], list[proxying.BackendServer]]
+
+
 class ResponseRelay:
     """Relay of the response to one attempt.
 
-    ``can_fail_over`` checks whether the request could be sent to another
-    server; ``on_events`` is called before events are passed on.
+    ``on_events`` is called before events are passed on.
     """
 
     def __init__(
@@ -52,7 +63,7 @@
         reporter: edge_reporter.RequestReporter,
         caller: edge_ports.CallerStream,
         event_buffer: event_stream.EventBuffer,
-        can_fail_over: Callable[[], bool],
+        alternatives: Alternatives,
         on_events: Callable[[proxying.BackendServer], None],
         server: proxying.BackendServer,
         connection: edge_ports.ServerConnection,
@@ -62,7 +73,7 @@
         self.request = reporter.request
         self.caller = caller
         self.event_buffer = event_buffer
-        self.can_fail_over = can_fail_over
+        self.alternatives = alternatives
         self.on_events = on_events
         self.server = server
         self.connection = connection
@@ -114,7 +125,7 @@
         while True:
             now = self.context.clock()
             wait_until = self.request.deadline + DEADLINE_SLACK_S
-            if self.can_fail_over():
+            if self.alternatives.can_fail_over():
                 wait_until = min(
                     wait_until,
                     sent_at + self._first_byte_timeout_s(now - sent_at),
@@ -263,6 +274,8 @@
         ):
             cause = 'connection closed' if ends_at_close else 'event cut'
             return RelayResult(edge_requests.Failed(cause))
+        if ends_at_close and progress_at is None and self._needs_second_end():
+            return RelayResult(edge_requests.Ambiguous('no event left'), head)
         if not self.caller.started:
             self.caller.start(head.status, head.headers)
         self.caller.finish()
@@ -297,10 +310,25 @@
             and self.event_buffer.last_event_id is None
         )
 
+    def _needs_second_end(self) -> bool:
+        """Check whether another server should confirm the end of a stream.
+
+        A resumed answer without framing and without events looks the same
+        whether its server had no event left or failed before the next one.
+        """
+        if (
+            self.event_buffer.last_event_id is None
+            or self.request.caller_request.method == b'HEAD'
+        ):
+            return False
+        is_second = self.event_buffer.has_unconfirmed_end
+        self.event_buffer.has_unconfirmed_end = True
+        return not is_second and bool(self.alternatives.list_untried())
+
     def _event_gap_timeout_s(self) -> float:
         """Return how long to wait for the next event, in seconds."""
         timeout_s = self._time_left_s() + DEADLINE_SLACK_S
-        if self.can_fail_over():
+        if self.alternatives.can_fail_over():
             timeout_s = min(
                 timeout_s,
                 response_timeouts.event_gap_timeout_s(self.request.route),
--- a/arbutusvale/coordination/edge_requests.py
+++ b/arbutusvale/coordination/edge_requests.py
@@ -67,7 +67,14 @@
     body: bytes = b''
 
 
-Outcome = Delivered | NotRun | Failed
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ambiguous:
+    """The server ended the stream, or failed, which looks the same."""
+
+    cause: str
+
+
+Outcome = Delivered | NotRun | Failed | Ambiguous
 
 
 def error_body(cause: str) -> bytes:
--- a/arbutusvale/coordination/event_stream.py
+++ b/arbutusvale/coordination/event_stream.py
@@ -19,6 +19,8 @@
     def __init__(self, last_event_id: int | None):
         self.last_event_id = last_event_id
         self.partial = b''
+        # A server answered a resumption without framing and without events.
+        self.has_unconfirmed_end = False
 
     @property
     def is_inside_event(self) -> bool:
--- a/tests/platform/test_edge_path.py
+++ b/tests/platform/test_edge_path.py
@@ -241,6 +241,21 @@
     assert edge.router.send_request('/talk/x', 'POST', b'p')[0] == 502
 
 
+# It was taken for the answer of an engine with no event left.
+def test_empty_unframed_answer_to_a_resumption_never_ends_the_stream(edge):
+    for engine in edge.engines.values():
+        engine.stream_prefix = '/stream/'
+    edge.engines['e1'].default_fault = 'unframed-empty'
+    bodies = [
+        edge.router.send_request('/stream/x', 'POST', b'p', Last_Event_Id='3')[
+            2
+        ]
+        for _ in range(20)
+    ]
+    assert bodies == [EVENTS[EVENTS.index(b'id: 4') :]] * 20
+    assert edge.engines['e1'].received
+
+
 @pytest.mark.parametrize('path', ['/stream/x', '/talk/x'])
 def test_unframed_stream_is_forwarded_whole(edge, path):
     for engine in edge.engines.values():
