Copy prompt parts from any engine that holds them, not the best ranked only

Callers waited for parts to be read anew though an engine had them: the copy's source was the holder that ranks first for the prompt, and where that one was ejected or off the list, as after crashes, nothing was copied at all.

Holders that can't serve a copy are left out before one is chosen. A test fails before (no source) and passes.

--- a/arbutusvale/coordination/edge_placement.py
+++ b/arbutusvale/coordination/edge_placement.py
@@ -1,5 +1,6 @@
 """Placement of a request on a backend server of its pool."""
 
+from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
 import typing
@@ -80,7 +81,12 @@
         source = ''
         if choice is not None:
             source = edge_placement_policy.find_cache_source(
-                ranking, holders_by_part, choice.id
+                ranking,
+                [
+                    _select_sources(context, holders)
+                    for holders in holders_by_part
+                ],
+                choice.id,
             )
     if choice is None:
         return None
@@ -89,7 +95,9 @@
         reason=choice.reason,
         load=context.loads.estimate(choice.id),
         bound=choice.bound,
-        cache_source=_find_source_address(context, source),
+        cache_source=(
+            context.servers.by_id[source].server.address if source else ''
+        ),
         shared_parts=shared_parts,
     )
 
@@ -151,14 +159,16 @@
     )
 
 
-def _find_source_address(
-    context: edge_context.EdgeContext, server_id: str
-) -> str:
-    """Return the address of a cache source, or empty.
+def _select_sources(
+    context: edge_context.EdgeContext, holders: Mapping[str, float]
+) -> dict[str, float]:
+    """Return the holders of a part that it can be copied from.
 
     An ejected server isn't used: the copy would hang if it hangs.
     """
-    source = context.servers.by_id.get(server_id)
-    if source is None or context.outlier_detector.is_ejected(server_id):
-        return ''
-    return source.server.address
+    return {
+        server_id: cached_at
+        for server_id, cached_at in holders.items()
+        if server_id in context.servers.by_id
+        and not context.outlier_detector.is_ejected(server_id)
+    }
--- /dev/null
+++ b/tests/coordination/test_edge_placement.py
@@ -0,0 +1,62 @@
+"""Tests of placing a request with what a router knows of its servers."""
+
+import types
+
+from arbutusvale import composeedge
+from arbutusvale.coordination import edge_placement
+from arbutusvale.protocol import edge_settings
+from arbutusvale.protocol import keyed_log
+from arbutusvale.protocol import proxying
+from tests import helpers_edge
+
+PROMPT = (proxying.PromptPart('shared', 9000), proxying.PromptPart('own', 9))
+
+
+def make_context(engines):
+    address = edge_settings.Address('10.0.0.1', 1)
+    settings = edge_settings.EdgeSettings(
+        name='vm',
+        data_centre='north',
+        host='10.0.0.1',
+        callers=address,
+        readiness=address,
+        store=address,
+        seeds=(),
+        peer_port=1,
+        metrics_port=1,
+        memory_bytes=10**8,
+        link_mbit_per_s=0,
+        max_sockets=1000,
+        bounds=helpers_edge.make_bounds(),
+    )
+    program = composeedge.EdgeProgram('', settings, helpers_edge.Clock())
+    for number in range(engines):
+        entry = helpers_edge.make_entry(f'10.1.0.1:{number + 1}')
+        record = keyed_log.Record(f'e{number + 1}', entry)
+        program.server_view.update([record], None)
+    return program.context
+
+
+def place(context):
+    metadata = proxying.RequestMetadata(
+        'id', 'host', '', None, None, '', 'm', PROMPT, ''
+    )
+    request = types.SimpleNamespace(metadata=metadata, pool='chat')
+    return edge_placement.place_request(context, request, [])
+
+
+# The best ranked holder was the only one looked at, and nothing was copied.
+def test_parts_are_copied_from_a_holder_that_is_not_ejected():
+    context = make_context(5)
+    ranked = [place(context).server.id for _ in range(1)]
+    ranked.append(next(each for each in ('e1', 'e2') if each not in ranked))
+    ejected, holder = ranked
+    for server_id in ranked:
+        context.prompts.record('m/shared', server_id)
+    context.outlier_detector.record_unreachable(ejected)
+    for _ in range(8):
+        context.loads.record_start(holder)
+    placement = place(context)
+    assert placement.server.id not in ranked
+    address = context.servers.by_id[holder].server.address
+    assert placement.cache_source == address
