Wait for an engine that is reading the same prompt

Cause: a prompt counted as cached from the moment at which a request with it was sent, though an engine under load needs up to 2 s to read it. Requests since then went to the same engine, which read it again, or had it copied from there, where nothing was to be had yet.

Routers now tell reading from cached, of their own requests by the first event and of peers' by their messages. A request of whose parts 1,000 tokens or more are being read waits up to 0.75 of its objective; then it goes where it went before. A request that ends without an event clears what only it had announced.

--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -27,6 +27,9 @@
 # With less time left no attempt can succeed.
 MIN_TIME_S = 0.01
 SERVER_CHECK_INTERVAL_S = 0.1
+# How long a request waits for an engine that is reading the same prompt.
+MAX_READ_WAIT_SHARE = 0.75
+READ_CHECK_INTERVAL_S = 0.02
 
 _BAD_GATEWAY = 502
 _SERVICE_UNAVAILABLE = 503
@@ -59,6 +62,8 @@
         self.last_failure: edge_requests.Failed | None = None
         # The version at which a stream must go on; None while any may serve.
         self.software_version: str | None = None
+        # The last placement whose server has sent events.
+        self.begun_placement: edge_placement.Placement | None = None
         # The place in the line of requests that wait for a server.
         self.ticket: int | None = None
         # The time until a server takes a request, if that is too late.
@@ -80,6 +85,7 @@
                 self._end_unanswered(refusal)
                 return
         cause = ''
+        await self._wait_until_read()
         while self._time_left_s() >= MIN_TIME_S:
             placement = edge_placement.place_request(
                 self.context,
@@ -152,8 +158,12 @@
             case stream_continuity.NotResumable(cause):
                 return cause
 
-    def _record_events(self, server: proxying.BackendServer) -> None:
+    def _record_events(self, placement: edge_placement.Placement) -> None:
         """Bind a stream to the version of the server that begins it."""
+        if placement is not self.begun_placement:
+            self.begun_placement = placement
+            self._finish_reading(placement)
+        server = placement.server
         if self.software_version is not None:
             return
         self.software_version = server.software_version
@@ -198,6 +208,21 @@
         )
         return True
 
+    async def _wait_until_read(self) -> None:
+        """Wait, for a while, if an engine is reading parts of the prompt."""
+        started_at = self.context.clock()
+        wait_until = started_at + min(
+            MAX_READ_WAIT_SHARE * self.request.route.target_latency_s,
+            self._time_left_s(),
+        )
+        while self.context.clock() < wait_until:
+            if not edge_placement.is_being_read(self.context, self.request):
+                break
+            await asyncio.sleep(READ_CHECK_INTERVAL_S)
+        waited_s = self.context.clock() - started_at
+        if waited_s >= READ_CHECK_INTERVAL_S:
+            self.reporter.record_read_wait(waited_s)
+
     def _stop_waiting(self) -> None:
         """Leave the line of requests that wait for a server."""
         if self.ticket is not None:
@@ -241,13 +266,13 @@
         self.reporter.start_attempt()
         if self.attempts == 1:
             self.context.retry_budget(self.request.pool).add_request()
-        self._record_cached_parts(placement)
+        self._start_reading(placement)
         relay = edge_relay.ResponseRelay(
             self.reporter,
             self.caller,
             self.event_buffer,
             edge_relay.Alternatives(self._can_fail_over, self._list_untried),
-            self._record_events,
+            lambda: self._record_events(placement),
             server,
             connection,
         )
@@ -255,10 +280,13 @@
         relay_result = None
         try:
             relay_result = await relay.run(self._encode_request(placement))
+            if isinstance(relay_result.outcome, edge_requests.Delivered):
+                self._finish_reading(placement)
         except asyncio.CancelledError:
             self.reporter.record_caller_gone(server)
             raise
         finally:
+            self._abandon_reading(placement)
             self.context.loads.record_end(server.id)
             self._release_connection(server, connection, relay_result)
         self.reporter.partial_bytes = len(self.event_buffer.partial)
@@ -285,16 +313,28 @@
             self.request.caller_request, parameters, self.forwarded_headers
         )
 
-    def _record_cached_parts(
-        self, placement: edge_placement.Placement
-    ) -> None:
-        """Record which prompt parts the server will cache; inform peers."""
+    def _start_reading(self, placement: edge_placement.Placement) -> None:
+        """Record which prompt parts the server will read; inform peers."""
+        for part in placement.shared_parts:
+            if self.context.prompts.start_reading(part, placement.server.id):
+                self.context.peers.announce_cache_location(
+                    part, placement.server.id, is_reading=True
+                )
+
+    def _finish_reading(self, placement: edge_placement.Placement) -> None:
+        """Record that the server has the prompt cached; inform peers."""
         for part in placement.shared_parts:
             if self.context.prompts.record(part, placement.server.id):
                 self.context.peers.announce_cache_location(
-                    part, placement.server.id
+                    part, placement.server.id, is_reading=False
                 )
 
+    def _abandon_reading(self, placement: edge_placement.Placement) -> None:
+        """Forget what the server has begun to read for this request only."""
+        if placement is not self.begun_placement:
+            for part in placement.shared_parts:
+                self.context.prompts.abandon_reading(part, placement.server.id)
+
     def _release_connection(
         self,
         server: proxying.BackendServer,
--- a/arbutusvale/coordination/edge_placement.py
+++ b/arbutusvale/coordination/edge_placement.py
@@ -1,6 +1,6 @@
 """Placement of a request on a backend server of its pool."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
 import typing
@@ -67,7 +67,9 @@
         source = ''
     else:
         holders_by_part = [
-            context.prompts.find_engines(part) for part in shared_parts
+            context.prompts.find_engines(part)
+            or context.prompts.find_readers(part)
+            for part in shared_parts
         ]
         ranking = context.ranking(
             request.pool, list(servers), software_version
@@ -83,7 +85,10 @@
             source = edge_placement_policy.find_cache_source(
                 ranking,
                 [
-                    _select_sources(context, holders)
+                    {
+                        server_id: holders[server_id]
+                        for server_id in _select_usable(context, holders)
+                    }
                     for holders in holders_by_part
                 ],
                 choice.id,
@@ -102,6 +107,23 @@
     )
 
 
+def is_being_read(
+    context: edge_context.EdgeContext, request: PlaceableRequest
+) -> bool:
+    """Return whether an engine is reading what a request would read anew."""
+    parts = []
+    for part in request.metadata.prompt[:-1]:
+        key = _make_part_key(request.metadata, part)
+        if _select_usable(context, context.prompts.find_engines(key)):
+            state = edge_placement_policy.PartState.CACHED
+        elif _select_usable(context, context.prompts.find_readers(key)):
+            state = edge_placement_policy.PartState.BEING_READ
+        else:
+            state = edge_placement_policy.PartState.UNKNOWN
+        parts.append((state, part.tokens))
+    return edge_placement_policy.is_worth_awaiting(parts)
+
+
 def find_shortest_wait_s(
     context: edge_context.EdgeContext,
     request: PlaceableRequest,
@@ -143,7 +165,14 @@
     between models.
     """
     shared = metadata.prompt[:-1] or metadata.prompt
-    return tuple(f'{metadata.model}/{part.id}' for part in reversed(shared))
+    return tuple(_make_part_key(metadata, part) for part in reversed(shared))
+
+
+def _make_part_key(
+    metadata: proxying.RequestMetadata, part: proxying.PromptPart
+) -> str:
+    """Return the key of a prompt part in the index of caches."""
+    return f'{metadata.model}/{part.id}'
 
 
 def _make_candidate(
@@ -159,16 +188,16 @@
     )
 
 
-def _select_sources(
-    context: edge_context.EdgeContext, holders: Mapping[str, float]
-) -> dict[str, float]:
-    """Return the holders of a part that it can be copied from.
+def _select_usable(
+    context: edge_context.EdgeContext, server_ids: Iterable[str]
+) -> list[str]:
+    """Return the engines that a cached part can be copied from.
 
-    An ejected server isn't used: the copy would hang if it hangs.
+    An ejected one isn't used: the copy would hang if it hangs.
     """
-    return {
-        server_id: cached_at
-        for server_id, cached_at in holders.items()
+    return [
+        server_id
+        for server_id in server_ids
         if server_id in context.servers.by_id
         and not context.outlier_detector.is_ejected(server_id)
-    }
+    ]
--- a/arbutusvale/coordination/edge_placement_policy.py
+++ b/arbutusvale/coordination/edge_placement_policy.py
@@ -10,6 +10,9 @@
   cached; the chosen engine copies the parts that it lacks;
 - *repeated prompts*: a request goes to an engine that has the shared parts of
   its prompt cached, so that they are not processed again;
+- *the same new prompt from many callers at once*: the first request makes an
+  engine read its parts, the others wait for that, briefly, as reading them
+  again on another engine takes at least as long;
 - *hot prompt*: when an engine reaches its load bound, the next one in the
   prompt's ranking takes the surplus, the same one at every router, and copies
   the cached parts from the first instead of processing them;
@@ -26,6 +29,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
+import enum
 
 # Stay below the required bound of factor x mean + 3, as load counts are stale.
 LOAD_FACTOR_MARGIN = 0.1
@@ -37,6 +41,8 @@
 # slope would react to load counts that are a second old.
 SATURATION_FACTOR = 4
 MIN_WEIGHT = 0.05
+# Fewer tokens are read in less time than news take between routers.
+MIN_AWAITED_TOKENS = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,6 +72,30 @@
     bound: float
 
 
+class PartState(enum.Enum):
+    """What is known of a prompt part at the engines of a pool."""
+
+    CACHED = 'cached'
+    BEING_READ = 'being read'
+    UNKNOWN = 'unknown'
+
+
+def is_worth_awaiting(parts: Sequence[tuple[PartState, int]]) -> bool:
+    """Return whether a request should wait for parts that are being read.
+
+    ``parts`` has the state and tokens of the shared parts, in their order.  A
+    part is only of use if all before it are cached too.
+    """
+    awaited_tokens = 0
+    for state, tokens in parts:
+        match state:
+            case PartState.BEING_READ:
+                awaited_tokens += tokens
+            case PartState.UNKNOWN:
+                break
+    return awaited_tokens >= MIN_AWAITED_TOKENS
+
+
 def choose_engine(
     candidates: Sequence[Candidate],
     ranking: Sequence[str],
--- a/arbutusvale/coordination/edge_relay.py
+++ b/arbutusvale/coordination/edge_relay.py
@@ -64,7 +64,7 @@
         caller: edge_ports.CallerStream,
         event_buffer: event_stream.EventBuffer,
         alternatives: Alternatives,
-        on_events: Callable[[proxying.BackendServer], None],
+        on_events: Callable[[], None],
         server: proxying.BackendServer,
         connection: edge_ports.ServerConnection,
     ):
@@ -265,7 +265,7 @@
                 self.reporter.record_progress()
                 progress_at = math.inf
             if passed_on:
-                self.on_events(self.server)
+                self.on_events()
                 self.caller.write(passed_on)
                 await self.caller.wait_until_drained()
         ends_at_close = exchange.framing is edge_ports.Framing.CLOSE
--- a/arbutusvale/coordination/edge_reporter.py
+++ b/arbutusvale/coordination/edge_reporter.py
@@ -146,6 +146,11 @@
         self.context.metrics.increment('pause_waits', self.request.pool)
         self.write('pause-wait', seconds=wait_s, ahead=ahead)
 
+    def record_read_wait(self, waited_s: float) -> None:
+        """Log that the request waited while its prompt was being read."""
+        self.context.metrics.increment('read_waits', self.request.pool)
+        self.write('read-wait', seconds=waited_s)
+
     def _record_leaving(self, server: proxying.BackendServer) -> None:
         """Record that a server says that it leaves; inform peers."""
         if not self.context.servers.mark_leaving(server):
--- a/arbutusvale/coordination/peer_snapshot.py
+++ b/arbutusvale/coordination/peer_snapshot.py
@@ -67,8 +67,8 @@
             'server_offset': server_offset,
             'server_era': self.state.server_follower.era,
             'places': {
-                part: list(holders)
-                for part, holders in self.state.prompts.by_prompt.items()
+                part: list(self.state.prompts.find_engines(part))
+                for part in self.state.prompts.by_prompt
             },
         }
         return 200, json.dumps(document)
--- a/arbutusvale/coordination/peers.py
+++ b/arbutusvale/coordination/peers.py
@@ -155,10 +155,12 @@
             dict.fromkeys([*self.list_live(), *self.peers, *self.seeds])
         )
 
-    def announce_cache_location(self, prompt: str, server_id: str) -> None:
-        """Announce soon that an engine caches a prompt."""
+    def announce_cache_location(
+        self, prompt: str, server_id: str, is_reading: bool
+    ) -> None:
+        """Announce soon that an engine caches a prompt, or is reading it."""
         self.pending_cache_locations.append(
-            peer_message.CacheLocation(prompt, server_id)
+            peer_message.CacheLocation(prompt, server_id, is_reading)
         )
         self.send_requested.set()
 
@@ -216,7 +218,12 @@
             self.loads.record_peer_counts(message.host, message.loads, age_s)
         if self.prompts is not None:
             for location in message.cache_locations:
-                self.prompts.record(location.prompt, location.server_id)
+                record = (
+                    self.prompts.start_reading
+                    if location.is_reading
+                    else self.prompts.record
+                )
+                record(location.prompt, location.server_id)
         if message.incarnation is None:
             # Later builds send crash reports, which tell more.
             self.on_suspicions(message.suspicions)
--- a/arbutusvale/protocol/peer_message.py
+++ b/arbutusvale/protocol/peer_message.py
@@ -16,10 +16,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CacheLocation:
-    """An engine that has a prompt in its cache."""
+    """An engine that has a prompt in its cache, or is reading it."""
 
     prompt: str
     server_id: str
+    is_reading: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,6 +82,12 @@
             'places': [
                 [location.prompt, location.server_id]
                 for location in message.cache_locations
+                if not location.is_reading
+            ],
+            'reading': [
+                [location.prompt, location.server_id]
+                for location in message.cache_locations
+                if location.is_reading
             ],
             'suspects': [
                 [
@@ -114,9 +121,9 @@
             offsets=_check_counts(document['at']),
             loads=_check_counts(document['load']),
             peers=_check_strings(document['peers']),
-            cache_locations=tuple(
-                CacheLocation(_check_string(prompt), _check_string(server_id))
-                for prompt, server_id in document['places']
+            cache_locations=(
+                *_read_locations(document['places'], False),
+                *_read_locations(document.get('reading', ()), True),
             ),
             suspicions=tuple(
                 Suspicion(
@@ -148,6 +155,18 @@
         ) from error
 
 
+def _read_locations(
+    rows: list[list[str]], is_reading: bool
+) -> list[CacheLocation]:
+    """Return cache locations, or raise TypeError or ValueError."""
+    return [
+        CacheLocation(
+            _check_string(prompt), _check_string(server_id), is_reading
+        )
+        for prompt, server_id in rows
+    ]
+
+
 def _check_string(value: object) -> str:
     """Return a string, or raise TypeError."""
     if not isinstance(value, str):
--- a/tests/coordination/crashing_pool.py
+++ b/tests/coordination/crashing_pool.py
@@ -143,7 +143,7 @@
 
     def receive(self, transport, data):
         head, _, body = data.partition(b'\r\n\r\n')
-        fields = _parse_fields(head)
+        fields = parse_fields(head)
         if not self.up or transport not in self.transports:
             return
         self.day.arrivals.append(
@@ -400,7 +400,9 @@
                 if not (sender.is_cut or router.is_cut):
                     router.deliver(router.program.peers.receive, data)
 
-    async def send(self, key, router=None, parts='', leave_s=None):
+    async def send(
+        self, key, router=None, parts='', leave_s=None, own_tokens=9
+    ):
         """Send a request; return the status, 0 without an answer, and body."""
         router = router or self.generator.choice(self.routers)
         await asyncio.sleep(NETWORK_S)
@@ -415,7 +417,7 @@
             (b'authorization', f'Bearer {self.key}'.encode()),
         ]
         if parts:
-            prompt = f'{parts},own{self.attempts}:9'.encode()
+            prompt = f'{parts},own{self.attempts}:{own_tokens}'.encode()
             headers.append((b'x-arbutusvale-prompt-prefix', prompt))
         request = proxying.CallerRequest(
             b'POST', b'/chat/x', headers, key, self.now(), True
@@ -557,7 +559,7 @@
         )
 
 
-def _parse_fields(head):
+def parse_fields(head):
     """Return the header fields of a request, by lower-case name."""
     lines = head.split(b'\r\n')[1:]
     fields = (line.partition(b': ') for line in lines)
--- a/tests/coordination/test_peers.py
+++ b/tests/coordination/test_peers.py
@@ -107,7 +107,7 @@
     network.run(2)
     first = network.routers['10.0.0.0']
     for number in range(40):
-        first.announce_cache_location(f'p{number}', 'e1')
+        first.announce_cache_location(f'p{number}', 'e1', False)
     network.run(2)
     for router in network.routers.values():
         if router is not first:
@@ -137,7 +137,7 @@
         first.broadcast()
         task = asyncio.create_task(first.run())
         await asyncio.sleep(0)
-        first.announce_cache_location('p', 'e1')
+        first.announce_cache_location('p', 'e1', False)
         async with asyncio.timeout(20):
             await delivered.wait()
         task.cancel()
