--- a/arbutusvale/transport/page_server.py
+++ b/arbutusvale/transport/page_server.py
@@ -3,10 +3,16 @@
 import asyncio
 from collections.abc import Callable
 import typing
+import zlib
 
 import httptools
 
+from arbutusvale.transport import http_fetch
+
 _IDLE_TIMEOUT_S = 10.0
+# A smaller page fits in one packet.
+_MIN_COMPRESSED_BYTES = 1024
+_COMPRESSION_LEVEL = 1
 
 Page = Callable[[], tuple[int, str]]
 
@@ -18,6 +24,7 @@
         self.pages = pages
         self.parser = httptools.HttpRequestParser(self)
         self.path = b''
+        self.accepts_compressed = False
         self.transport: asyncio.Transport | None = None
         self.idle_timer: asyncio.TimerHandle | None = None
 
@@ -41,20 +48,31 @@
     def on_message_begin(self) -> None:
         """Start parsing a request."""
         self.path = b''
+        self.accepts_compressed = False
 
     def on_url(self, data: bytes) -> None:
         """Collect the path."""
         self.path += data
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Note whether the page may be compressed."""
+        if name.lower() == b'accept-encoding':
+            encodings = [each.strip() for each in value.lower().split(b',')]
+            self.accepts_compressed = http_fetch.ENCODING in encodings
+
     def on_message_complete(self) -> None:
         """Respond with the page."""
         page = self.pages.get(self.path.decode('latin-1'))
         status, text = page() if page is not None else (404, 'no such page\n')
         body = text.encode()
+        encoding = b''
+        if self.accepts_compressed and len(body) >= _MIN_COMPRESSED_BYTES:
+            body = zlib.compress(body, _COMPRESSION_LEVEL)
+            encoding = http_fetch.ENCODING
         keep_alive = self.parser.should_keep_alive()
         reason = 'OK' if status == 200 else 'Unavailable'
         self.transport.write(
-            _format_response(status, reason, body, keep_alive)
+            _format_response(status, reason, body, keep_alive, encoding)
         )
         self._restart_idle_timer()
         if not keep_alive:
@@ -70,12 +88,17 @@
 
 
 def _format_response(
-    status: int, reason: str, body: bytes, keep_alive: bool
+    status: int,
+    reason: str,
+    body: bytes,
+    keep_alive: bool,
+    encoding: bytes,
 ) -> bytes:
     """Return a complete response."""
+    encoded = f'Content-Encoding: {encoding.decode()}\r\n' if encoding else ''
     close = '' if keep_alive else 'Connection: close\r\n'
     head = (
         f'HTTP/1.1 {status} {reason}\r\nContent-Type: text/plain\r\n'
-        f'Content-Length: {len(body)}\r\n{close}\r\n'
+        f'Content-Length: {len(body)}\r\n{encoded}{close}\r\n'
     )
     return head.encode() + body
