Give an engine time to read what it lacks of a prompt

Of 68 routers each has few streams at an engine, so engines seem silent while they read for others; the next engine then began the prompt anew, without a source, as the first had been given up.

A request now waits longer by what servers of the pool lately took to read as many tokens as this one lacks (seconds a token, of prompts of 4,000 tokens and more; a request that is given up counts with the time it waited). A silent engine with nothing to read is given up as before.

test_prompt_that_takes_long_to_read_is_read_once failed before (two readings) and passes.

--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -275,6 +275,7 @@
             lambda: self._record_events(placement),
             server,
             connection,
+            placement.unread_tokens,
         )
         self.context.loads.record_start(server.id)
         relay_result = None
--- a/arbutusvale/coordination/edge_context.py
+++ b/arbutusvale/coordination/edge_context.py
@@ -74,6 +74,10 @@
     typical_service_times: service_times.ServiceTimes = dataclasses.field(
         default_factory=service_times.ServiceTimes
     )
+    # Seconds for one token of a prompt until the first byte, by pool.
+    reading_times: service_times.ServiceTimes = dataclasses.field(
+        default_factory=service_times.ServiceTimes
+    )
     admission_rates: pool_demand.AdmissionRates = dataclasses.field(
         default_factory=pool_demand.AdmissionRates
     )
--- a/arbutusvale/coordination/edge_placement.py
+++ b/arbutusvale/coordination/edge_placement.py
@@ -24,7 +24,8 @@
 
     ``cache_source`` is the address of an engine to copy cached parts from,
     or empty.  ``shared_parts`` are the ids of the prompt parts that the
-    server will have cached after the request.
+    server will have cached after the request, ``unread_tokens`` the tokens of
+    the prompt that it neither has cached nor copies.
     """
 
     server: proxying.BackendServer
@@ -33,6 +34,7 @@
     bound: float
     cache_source: str
     shared_parts: tuple[str, ...]
+    unread_tokens: int
 
 
 def place_request(
@@ -104,9 +106,28 @@
             context.servers.by_id[source].server.address if source else ''
         ),
         shared_parts=shared_parts,
+        unread_tokens=_count_unread_tokens(
+            context, request.metadata, (choice.id, source)
+        ),
     )
 
 
+def _count_unread_tokens(
+    context: edge_context.EdgeContext,
+    metadata: proxying.RequestMetadata,
+    engine_ids: Sequence[str],
+) -> int:
+    """Return the tokens of a prompt that none of the engines has cached.
+
+    A cached part is of no use behind one that isn't.
+    """
+    for index, part in enumerate(metadata.prompt):
+        holders = context.prompts.find_engines(_make_part_key(metadata, part))
+        if not any(engine_id in holders for engine_id in engine_ids):
+            return sum(unread.tokens for unread in metadata.prompt[index:])
+    return 0
+
+
 def is_being_read(
     context: edge_context.EdgeContext, request: PlaceableRequest
 ) -> bool:
--- a/arbutusvale/coordination/edge_relay.py
+++ b/arbutusvale/coordination/edge_relay.py
@@ -28,6 +28,8 @@
 REFUSAL_TIMEOUT_S = 0.25
 # A server that has sent events for so long bears the prompt.
 PROGRESS_S = 1.0
+# Reading a shorter prompt takes less time than the rest of a first event.
+MIN_MEASURED_TOKENS = 4000
 
 _NEVER = -1e9
 
@@ -55,7 +57,8 @@
 class ResponseRelay:
     """Relay of the response to one attempt.
 
-    ``on_events`` is called before events are passed on.
+    ``on_events`` is called before events are passed on; ``unread_tokens`` is
+    what the server has to read of the prompt.
     """
 
     def __init__(
@@ -67,6 +70,7 @@
         on_events: Callable[[], None],
         server: proxying.BackendServer,
         connection: edge_ports.ServerConnection,
+        unread_tokens: int,
     ):
         self.reporter = reporter
         self.context: edge_context.EdgeContext = reporter.context
@@ -77,6 +81,7 @@
         self.on_events = on_events
         self.server = server
         self.connection = connection
+        self.unread_tokens = unread_tokens
 
     async def run(self, data: bytes) -> RelayResult:
         """Send the request and relay its response."""
@@ -87,7 +92,10 @@
             self.request.caller_request.method == b'HEAD',
         )
         try:
-            head = await self._await_head(exchange, sent_at)
+            try:
+                head = await self._await_head(exchange, sent_at)
+            finally:
+                self._record_reading_time(sent_at)
             self.reporter.record_response_head(
                 self.server, head, exchange.framing, sent_at
             )
@@ -147,8 +155,21 @@
             self.request.route,
             waited_s,
             self.context.clock() - last_received_at,
+            self.unread_tokens
+            * self.context.reading_times.average_s(self.request.pool),
         )
 
+    def _record_reading_time(self, sent_at: float) -> None:
+        """Record how long the server has taken to read a long prompt.
+
+        An attempt that was given up tells that it takes longer.
+        """
+        if self.unread_tokens >= MIN_MEASURED_TOKENS:
+            elapsed_s = self.context.clock() - sent_at
+            self.context.reading_times.record(
+                self.request.pool, elapsed_s / self.unread_tokens
+            )
+
     async def _relay(
         self, exchange: edge_ports.ServerExchange, head: proxying.ResponseHead
     ) -> RelayResult:
--- a/arbutusvale/coordination/response_timeouts.py
+++ b/arbutusvale/coordination/response_timeouts.py
@@ -1,8 +1,8 @@
 """Timeouts after which a request fails over to another server.
 
 Load patterns covered: a server that hangs while its connections stay open;
-an engine that is only busy and slow, which must not time out, as a second run
-would add to its load.
+an engine that is only busy and slow, or has a long prompt to read, which must
+not time out, as a second run would add to the load and read the prompt again.
 """
 
 from arbutusvale.protocol import routing
@@ -22,17 +22,21 @@
 
 
 def first_byte_timeout_s(
-    route: routing.Route, waited_s: float, server_silent_s: float
+    route: routing.Route,
+    waited_s: float,
+    server_silent_s: float,
+    reading_s: float,
 ) -> float:
     """Return how long to wait for the first byte, in seconds.
 
-    ``server_silent_s`` is the time since the server last sent anything.
+    ``server_silent_s`` is the time since the server last sent anything;
+    ``reading_s`` is what servers lately took to read as long a prompt.
     """
     if not route.is_stream:
         return PLAIN_TIMEOUT_SHARE * route.target_latency_s
     if server_silent_s >= max(SILENT_ENGINE_S, waited_s):
-        return SILENT_TIMEOUT_SHARE * route.target_latency_s
-    return BUSY_TIMEOUT_SHARE * route.target_latency_s
+        return SILENT_TIMEOUT_SHARE * route.target_latency_s + reading_s
+    return BUSY_TIMEOUT_SHARE * route.target_latency_s + reading_s
 
 
 def event_gap_timeout_s(route: routing.Route) -> float:
--- a/tests/coordination/test_prompt_pool.py
+++ b/tests/coordination/test_prompt_pool.py
@@ -9,6 +9,11 @@
 # News between routers wait for others for 0.05 s, and take a hop.
 NEWS_DELAY_S = 0.1
 PART_TOKENS = 10_000
+# Read in 0.53 s, and in more than 0.8 of the objective.
+LONG_TOKENS = 30_000
+LONGER_TOKENS = 45_000
+# Nothing that engines sent before counts any more.
+SILENCE_S = 2.0
 
 
 def play(monkeypatch, scenario, routers=8, engines=6, seed=1):
@@ -47,3 +52,20 @@
     ]
     assert not late
     assert max(day.latencies) < prompt_pool.TARGET_LATENCY_S
+
+
+# The router gave up the engine, and another one read the prompt from its start.
+def test_prompt_that_takes_long_to_read_is_read_once(monkeypatch):
+    """As on an engine that sends nothing to this router meanwhile."""
+
+    async def send_one_by_one(day):
+        router = day.routers[0]
+        for number in range(4):
+            await day.send_prompt(f'long{number}:{LONG_TOKENS}', router)
+        await asyncio.sleep(SILENCE_S)
+        await day.send_prompt(f'longer:{LONGER_TOKENS}', router)
+
+    day = play(monkeypatch, send_one_by_one, routers=1)
+    assert len(day.list_readings('longer')) == 1
+    read_s = LONGER_TOKENS / prompt_pool.TOKENS_PER_S
+    assert max(day.latencies) < read_s + NEWS_DELAY_S
