--- a/arbutusvale/coordination/edge_relay.py
+++ b/arbutusvale/coordination/edge_relay.py
@@ -92,9 +92,8 @@
             self.request.caller_request.method == b'HEAD',
         )
         try:
-            try:
-                head = await self._await_head(exchange, sent_at)
-            finally:
+            head = await self._await_head(exchange, sent_at)
+            if head.status in edge_reporter.SUCCESSES:
                 self._record_reading_time(sent_at)
             self.reporter.record_response_head(
                 self.server, head, exchange.framing, sent_at
@@ -139,6 +138,7 @@
                     sent_at + self._first_byte_timeout_s(now - sent_at),
                 )
             if wait_until <= now:
+                self._record_reading_time(sent_at)
                 raise TimeoutError
             done, _ = await asyncio.wait(
                 (exchange.head,), timeout=wait_until - now
--- a/arbutusvale/coordination/response_timeouts.py
+++ b/arbutusvale/coordination/response_timeouts.py
@@ -16,6 +16,8 @@
 # An engine that sends on other connections has this request in its queue.
 BUSY_TIMEOUT_SHARE = 1.5
 SILENT_TIMEOUT_SHARE = 0.8
+# An engine that is still silent after that hangs rather than reads.
+MAX_READING_SHARE = 1.0
 # Callers leave a stream after a gap of 8 times the target.
 EVENT_GAP_FACTOR = 4.0
 MIN_EVENT_GAP_TIMEOUT_S = 1.0
@@ -34,6 +36,7 @@
     """
     if not route.is_stream:
         return PLAIN_TIMEOUT_SHARE * route.target_latency_s
+    reading_s = min(reading_s, MAX_READING_SHARE * route.target_latency_s)
     if server_silent_s >= max(SILENT_ENGINE_S, waited_s):
         return SILENT_TIMEOUT_SHARE * route.target_latency_s + reading_s
     return BUSY_TIMEOUT_SHARE * route.target_latency_s + reading_s
--- a/tests/coordination/test_response_timeouts.py
+++ b/tests/coordination/test_response_timeouts.py
@@ -36,6 +36,12 @@
         assert long >= short + 0.6
 
 
+def test_engine_that_hangs_is_given_up_however_long_reading_took():
+    route = make_route(RouteType='streaming', TargetLatencyMs=1000)
+    timeout_s = response_timeouts.first_byte_timeout_s(route, 1.0, 5.0, 60.0)
+    assert timeout_s <= 2.0
+
+
 def test_event_gap_times_out_before_callers_leave():
     route = make_route(RouteType='streaming', GapAimMs=300)
     assert 0.3 < response_timeouts.event_gap_timeout_s(route) < 8 * 0.3
