--- a/tests/coordination/test_prompt_pool.py
+++ b/tests/coordination/test_prompt_pool.py
@@ -54,7 +54,7 @@
     assert max(day.latencies) < prompt_pool.TARGET_LATENCY_S
 
 
-# The router gave up the engine, and another one read the prompt from its start.
+# The router gave up the engine, and another one read the prompt anew.
 def test_prompt_that_takes_long_to_read_is_read_once(monkeypatch):
     """As on an engine that sends nothing to this router meanwhile."""
 
--- a/tests/platform/test_edge_server_limits.py
+++ b/tests/platform/test_edge_server_limits.py
@@ -128,7 +128,8 @@
     ]
     refused = [answer for answer in late if answer[2] == 503]
     served = [answer for answer in late if answer[2] == 200]
-    assert len(refused) + len(served) == len(late)
+    others = [answer for answer in late if answer[2] not in (200, 503)]
+    assert not others, edge.routers[0].read_log()[-2000:]
     assert refused
     # Some wait first, until shares of the limits have moved elsewhere.
     at_once = [answer for answer in refused if answer[1] < 0.25]
