--- a/tests/coordination/prompt_pool.py
+++ b/tests/coordination/prompt_pool.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import random
 
 from tests import helpers_edge
 from tests.coordination import crashing_pool
@@ -83,7 +84,7 @@
     """A day of some routers and engines; ``send_prompt`` plays a request."""
 
     def __init__(self, seed, routers, engines):
-        plan = crashing_pool.draw_plan(crashing_pool.random.Random(seed))
+        plan = crashing_pool.draw_plan(random.Random(seed))
         plan.new_ids = False
         super().__init__(seed, plan)
         self.router_count = routers
--- a/tests/coordination/test_edge_placement.py
+++ b/tests/coordination/test_edge_placement.py
@@ -48,15 +48,14 @@
 # The best ranked holder was the only one looked at, and nothing was copied.
 def test_parts_are_copied_from_a_holder_that_is_not_ejected():
     context = make_context(5)
-    ranked = [place(context).server.id for _ in range(1)]
-    ranked.append(next(each for each in ('e1', 'e2') if each not in ranked))
-    ejected, holder = ranked
-    for server_id in ranked:
+    ejected = place(context).server.id
+    holder = next(each for each in ('e1', 'e2') if each != ejected)
+    for server_id in (ejected, holder):
         context.prompts.record('m/shared', server_id)
     context.outlier_detector.record_unreachable(ejected)
     for _ in range(8):
         context.loads.record_start(holder)
     placement = place(context)
-    assert placement.server.id not in ranked
+    assert placement.server.id not in (ejected, holder)
     address = context.servers.by_id[holder].server.address
     assert placement.cache_source == address
--- a/tests/coordination/test_edge_placement_policy.py
+++ b/tests/coordination/test_edge_placement_policy.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from arbutusvale.coordination import edge_placement_policy
 from arbutusvale.state import rendezvous
 
@@ -274,3 +276,24 @@
         pool.place_request('hot' if turn % 2 else f'p{turn}')
     mean_load = pool.mean_load()
     assert max(pool.loads.values()) <= 1.1 * mean_load + 2
+
+
+CACHED = edge_placement_policy.PartState.CACHED
+BEING_READ = edge_placement_policy.PartState.BEING_READ
+UNKNOWN = edge_placement_policy.PartState.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    ('parts', 'expected'),
+    [
+        ([(CACHED, 5000)], False),
+        ([(BEING_READ, 5000)], True),
+        ([(BEING_READ, 90)], False),
+        ([(CACHED, 100), (BEING_READ, 5000)], True),
+        ([(UNKNOWN, 100), (BEING_READ, 5000)], False),
+        ([(BEING_READ, 600), (BEING_READ, 600), (UNKNOWN, 9)], True),
+        ([], False),
+    ],
+)
+def test_requests_wait_for_long_parts_that_are_being_read(parts, expected):
+    assert edge_placement_policy.is_worth_awaiting(parts) is expected
--- a/tests/coordination/test_peers.py
+++ b/tests/coordination/test_peers.py
@@ -1,6 +1,7 @@
 """Tests of gossip between edge routers, with lost and malformed messages."""
 
 import asyncio
+import json
 import random
 import time
 
@@ -297,3 +298,25 @@
         router.receive(data)
     assert router.malformed_count == len(malformed)
     assert router.count_live() == live
+
+
+def test_peers_tell_what_is_being_read_from_what_is_cached():
+    network = Network(2)
+    network.run(2)
+    first, second = network.routers.values()
+    first.announce_cache_location('cached', 'e1', is_reading=False)
+    first.announce_cache_location('new', 'e1', is_reading=True)
+    first.broadcast()
+    assert set(second.prompts.find_engines('cached')) == {'e1'}
+    assert set(second.prompts.find_readers('new')) == {'e1'}
+
+
+def test_message_of_a_build_that_tells_no_readings_is_read():
+    network = Network(2)
+    network.run(2)
+    first, second = network.routers.values()
+    first.announce_cache_location('p', 'e1', is_reading=False)
+    document = json.loads(peer_message.encode(first._build_message()))
+    del document['reading']
+    second.receive(json.dumps(document).encode())
+    assert set(second.prompts.find_engines('p')) == {'e1'}
