--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -159,7 +159,10 @@
                 return cause
 
     def _record_events(self, placement: edge_placement.Placement) -> None:
-        """Bind a stream to the version of the server that begins it."""
+        """Record that a server has read the prompt and begins to answer.
+
+        The stream is bound to the version of the first that does.
+        """
         if placement is not self.begun_placement:
             self.begun_placement = placement
             self._finish_reading(placement)
