--- a/arbutusvale/coordination/edge_placement_policy.py
+++ b/arbutusvale/coordination/edge_placement_policy.py
@@ -16,6 +16,8 @@
 - *hot prompt*: when an engine reaches its load bound, the next one in the
   prompt's ranking takes the surplus, the same one at every router, and copies
   the cached parts from the first instead of processing them;
+- *many routers*: each hears of the others' requests too late to stay below the
+  users' bound, so its own is lower, the more so the older the counts;
 - *overload of all engines*: an engine without free slots isn't chosen for its
   cache while another one has free slots or a shorter queue;
 - *engines join or return*: prompts stay where they are cached; only new
@@ -34,6 +36,10 @@
 # Stay below the required bound of factor x mean + 3, as load counts are stale.
 LOAD_FACTOR_MARGIN = 0.1
 LOAD_BOUND_RESERVE = 2.0
+# The older the counts, the more requests reach an engine beyond them.
+FRESH_LOAD_S = 0.25
+MAX_STALE_S = 2.0
+STALE_MARGIN_PER_S = 0.2
 # When all slots are taken, an engine is still chosen for its cache while its
 # load exceeds the mean by no more than this share.
 QUEUE_MARGIN = 0.1
@@ -101,19 +107,21 @@
     ranking: Sequence[str],
     holders: Mapping[str, float],
     load_factor: float,
+    load_age_s: float,
 ) -> Choice | None:
     """Choose an engine for a prompt.
 
     ``ranking`` orders the ids of all candidates for this prompt; ``holders``
     maps each engine that has the prompt cached to the time at which it was
-    cached.  Return None without a candidate.
+    cached; ``load_age_s`` is how old the counts of other routers get.  Return
+    None without a candidate.
     """
     usable = [
         candidate for candidate in candidates if not candidate.ejected
     ] or candidates
     if not usable:
         return None
-    bound = compute_load_bound(usable, load_factor)
+    bound = compute_load_bound(usable, load_factor, load_age_s)
     queue_bound = compute_queue_bound(usable)
     candidates_by_id = {candidate.id: candidate for candidate in usable}
     accepting = [
@@ -173,11 +181,16 @@
 
 
 def compute_load_bound(
-    candidates: Sequence[Candidate], load_factor: float
+    candidates: Sequence[Candidate], load_factor: float, load_age_s: float
 ) -> float:
-    """Return the load that an engine may reach with this request."""
+    """Return the load that an engine may reach with this request.
+
+    ``load_age_s`` is how old the counts of other routers get.
+    """
     mean = sum(candidate.load for candidate in candidates) / len(candidates)
-    return (load_factor - LOAD_FACTOR_MARGIN) * mean + LOAD_BOUND_RESERVE
+    stale_s = min(max(0.0, load_age_s - FRESH_LOAD_S), MAX_STALE_S)
+    margin = LOAD_FACTOR_MARGIN + STALE_MARGIN_PER_S * stale_s
+    return (load_factor - margin) * mean + LOAD_BOUND_RESERVE
 
 
 def compute_queue_bound(candidates: Sequence[Candidate]) -> float:
--- a/tests/coordination/test_edge_placement_policy.py
+++ b/tests/coordination/test_edge_placement_policy.py
@@ -8,6 +8,8 @@
 from arbutusvale.state import rendezvous
 
 LOAD_FACTOR = 2.0
+# As one that sees all requests knows them.
+EXACT_LOADS_S = 0.0
 # Required bound: no engine above factor x mean + 3.
 REQUIRED_BOUND_RESERVE = 3
 
@@ -34,6 +36,7 @@
             rendezvous.rank(prompt, self.loads),
             self.holders.get(prompt, {}),
             LOAD_FACTOR,
+            EXACT_LOADS_S,
         )
         prompt_holders = self.holders.setdefault(prompt, {})
         source = edge_placement_policy.find_cache_source(
@@ -162,16 +165,26 @@
         ['e1', 'e2'],
         holders,
         LOAD_FACTOR,
+        EXACT_LOADS_S,
     )
     assert choice.id == 'e2'
     only_choice = edge_placement_policy.choose_engine(
-        [make_candidate('e1', ejected=True)], ['e1'], holders, LOAD_FACTOR
+        [make_candidate('e1', ejected=True)],
+        ['e1'],
+        holders,
+        LOAD_FACTOR,
+        EXACT_LOADS_S,
     )
     assert only_choice.id == 'e1'
 
 
 def test_there_is_no_choice_without_a_candidate():
-    assert edge_placement_policy.choose_engine([], [], {}, LOAD_FACTOR) is None
+    assert (
+        edge_placement_policy.choose_engine(
+            [], [], {}, LOAD_FACTOR, EXACT_LOADS_S
+        )
+        is None
+    )
     assert edge_placement_policy.choose_weighted([], 0.5) is None
 
 
@@ -264,7 +277,7 @@
         make_candidate('c', 4),
     ]
     choice = edge_placement_policy.choose_engine(
-        candidates, ['a', 'b', 'c'], {'a': 1.0}, LOAD_FACTOR
+        candidates, ['a', 'b', 'c'], {'a': 1.0}, LOAD_FACTOR, EXACT_LOADS_S
     )
     assert choice.id == 'b'
     assert choice.reason == 'surplus'
