Await no prompt that is being read while no server is ready

Found on reading: a request for a pool without a ready server waited up to 0.75 of its objective before it was refused. What can't be served is refused at once; the test failed before.

--- a/arbutusvale/coordination/edge_placement.py
+++ b/arbutusvale/coordination/edge_placement.py
@@ -132,7 +132,12 @@
 def is_being_read(
     context: edge_context.EdgeContext, request: PlaceableRequest
 ) -> bool:
-    """Return whether an engine is reading what a request would read anew."""
+    """Return whether an engine is reading what a request would read anew.
+
+    That is of no use while no server of the pool is ready.
+    """
+    if not context.servers.list_ready_servers(request.pool):
+        return False
     parts = []
     for part in request.metadata.prompt[:-1]:
         key = _make_part_key(request.metadata, part)
--- a/tests/coordination/test_edge_placement.py
+++ b/tests/coordination/test_edge_placement.py
@@ -37,12 +37,15 @@
     return program.context
 
 
-def place(context):
+def make_request():
     metadata = proxying.RequestMetadata(
         'id', 'host', '', None, None, '', 'm', PROMPT, ''
     )
-    request = types.SimpleNamespace(metadata=metadata, pool='chat')
-    return edge_placement.place_request(context, request, [])
+    return types.SimpleNamespace(metadata=metadata, pool='chat')
+
+
+def place(context):
+    return edge_placement.place_request(context, make_request(), [])
 
 
 # The best ranked holder was the only one looked at, and nothing was copied.
@@ -59,3 +62,13 @@
     assert placement.server.id not in (ejected, holder)
     address = context.servers.by_id[holder].server.address
     assert placement.cache_source == address
+
+
+# A request that can't be served waited for most of its objective.
+def test_nothing_is_awaited_while_no_server_is_ready():
+    context = make_context(1)
+    context.prompts.start_reading('m/shared', 'e1')
+    assert edge_placement.is_being_read(context, make_request())
+    request = make_request()
+    request.pool = 'empty'
+    assert not edge_placement.is_being_read(context, request)
