Add up the loads of large fleets at three collectors

Cause: of 68 routers each tells the others its requests in flight every 2.1 s only; requests that are released when a prompt has been read, and all others, go by loads of that age.

A request also counts as load from its placement on and not only when its connection stands.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -22,6 +22,7 @@
 from arbutusvale.coordination import edge_shutdown
 from arbutusvale.coordination import freeze_detection
 from arbutusvale.coordination import limit_exchange
+from arbutusvale.coordination import load_exchange
 from arbutusvale.coordination import log_follower
 from arbutusvale.coordination import origin_exchange
 from arbutusvale.coordination import outlier_detection
@@ -158,16 +159,25 @@
             self.peers.interval_s,
             self.clock,
         )
+        loads = server_loads.ServerLoads(self.clock)
+        self.load_exchange = load_exchange.LoadExchange(
+            self.settings.host,
+            loads,
+            self.peers.list_live,
+            self.events,
+            self.clock,
+        )
         self.context = edge_context.EdgeContext(
             settings=self.settings,
             codec=headers,
             connection_pool=self.connection_pool,
             config=self.config,
             servers=self.servers,
-            loads=server_loads.ServerLoads(self.clock),
+            loads=loads,
             pauses=server_pauses.ServerPauses(self.clock),
             limits=limits,
             announce_limits=self.limit_exchange.announce,
+            load_age_s=self._load_age_s,
             prompts=prompt_cache_index.PromptCacheIndex(self.clock),
             outlier_detector=outlier_detection.OutlierDetector(
                 generator, self.clock
@@ -233,6 +243,7 @@
         self.peers.prompts = self.context.prompts
         self.peers.on_crash_message = self.crash_exchange.receive
         self.peers.on_limit_message = self.limit_exchange.receive
+        self.peers.on_load_message = self.load_exchange.receive
         self.peers.on_suspicions = self.crash_exchange.receive_suspicions
         self.peers.list_suspicions = self.crash_exchange.list_suspicions
         self.peers.on_peer_returned = self.crash_exchange.sync
@@ -279,6 +290,7 @@
         self.context.origins.send = peer_socket.send
         self.crash_exchange.send = peer_socket.send
         self.limit_exchange.send = peer_socket.send
+        self.load_exchange.send = peer_socket.send
         tasks = [
             asyncio.create_task(supervisor.keep_running(run_task, self.events))
             for run_task in (
@@ -290,6 +302,7 @@
                 self.peers.run,
                 self.crash_exchange.run,
                 self.limit_exchange.run,
+                self.load_exchange.run,
                 self.freeze_detector.run,
                 self._exchange_snapshots,
                 self._fetch_cache_locations,
@@ -482,6 +495,10 @@
         """Return the seconds since the configuration was last confirmed."""
         return self.config_follower.age_s()
 
+    def _load_age_s(self) -> float:
+        """Return how old the loads of other routers get, in s."""
+        return min(self.peers.interval_s(), self.load_exchange.load_age_s())
+
     def _is_ready(self) -> bool:
         """Return whether this router accepts requests."""
         return (
--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -100,18 +100,18 @@
                 self._end_unanswered(cause or self._no_server_cause())
                 return
             self._stop_waiting()
-            self.context.limits.spend(placement.server)
+            self._reserve(placement.server)
             self.tried_servers.append(placement.server.id)
             connection = await self._connect(placement.server)
             if connection is None:
-                self.context.limits.refund(placement.server)
+                self._cancel_reservation(placement.server)
                 cause = 'unreachable'
                 if self.connect_failures >= MAX_CONNECT_FAILURES:
                     self._end_unanswered(cause)
                     return
                 continue
             if not self.context.crashes.start_attempt(self.request.suspects):
-                self.context.limits.refund(placement.server)
+                self._cancel_reservation(placement.server)
                 self.context.connection_pool.release(
                     placement.server, connection, None
                 )
@@ -240,6 +240,19 @@
             return 'no-server'
         return 'no-server-of-version'
 
+    def _reserve(self, server: proxying.BackendServer) -> None:
+        """Count the request at a server from its placement on.
+
+        Others that are placed while it connects have to see it.
+        """
+        self.context.limits.spend(server)
+        self.context.loads.record_start(server.id)
+
+    def _cancel_reservation(self, server: proxying.BackendServer) -> None:
+        """Count a request no longer that was not sent after all."""
+        self.context.limits.refund(server)
+        self.context.loads.record_end(server.id)
+
     async def _connect(
         self, server: proxying.BackendServer
     ) -> edge_ports.ServerConnection | None:
@@ -254,6 +267,9 @@
             self.connect_failures += 1
             self.reporter.record_unreachable(server, error)
             return None
+        except asyncio.CancelledError:
+            self._cancel_reservation(server)
+            raise
 
     async def _send(
         self,
@@ -280,7 +296,6 @@
             connection,
             placement.unread_tokens,
         )
-        self.context.loads.record_start(server.id)
         relay_result = None
         try:
             relay_result = await relay.run(self._encode_request(placement))
--- a/arbutusvale/coordination/edge_context.py
+++ b/arbutusvale/coordination/edge_context.py
@@ -34,7 +34,8 @@
     ``store_age_s`` and ``server_list_age_s`` return the seconds since the
     configuration and the server list were last confirmed to be current.
     ``last_received_at`` has the time at which a server last sent anything, by
-    its id.  ``announce_limits`` tells peers soon of a server's limit.
+    its id.  ``announce_limits`` tells peers soon of a server's limit, and
+    ``load_age_s`` returns how old the counts of other routers get, in s.
     """
 
     settings: edge_settings.EdgeSettings
@@ -59,6 +60,7 @@
     link_queue: link_queue.LinkQueue
     latency_estimator: service_times.LatencyEstimator
     announce_limits: Callable[[], None]
+    load_age_s: Callable[[], float]
     retry_budgets: dict[str, retries.WindowedRetryBudget] = dataclasses.field(
         default_factory=dict
     )
--- a/arbutusvale/coordination/edge_placement.py
+++ b/arbutusvale/coordination/edge_placement.py
@@ -81,7 +81,7 @@
             ranking,
             holders_by_part[0],
             context.settings.bounds.load_factor,
-            context.peers.interval_s(),
+            context.load_age_s(),
         )
         source = ''
         if choice is not None:
--- a/arbutusvale/coordination/peers.py
+++ b/arbutusvale/coordination/peers.py
@@ -20,6 +20,7 @@
 from arbutusvale.protocol import crash_report
 from arbutusvale.protocol import limit_message
 from arbutusvale.protocol import list_update
+from arbutusvale.protocol import load_message
 from arbutusvale.protocol import peer_message
 from arbutusvale.protocol import proxying
 from arbutusvale.protocol import stream_origin
@@ -111,6 +112,9 @@
         self.on_limit_message: Callable[[limit_message.LimitMessage], None] = (
             _ignore_limit_message
         )
+        self.on_load_message: Callable[[load_message.LoadMessage], None] = (
+            _ignore_load_message
+        )
         self.on_suspicions: Callable[
             [tuple[peer_message.Suspicion, ...]], None
         ] = _ignore_suspicions
@@ -201,6 +205,10 @@
             if limits is not None:
                 self.on_limit_message(limits)
                 return
+            loads = load_message.decode(data)
+            if loads is not None:
+                self.on_load_message(loads)
+                return
             message = peer_message.decode(data)
         except errors.FrameError as error:
             self.malformed_count += 1
@@ -347,6 +355,10 @@
     """Do nothing; the default callback for limits of servers."""
 
 
+def _ignore_load_message(message: load_message.LoadMessage) -> None:
+    """Do nothing; the default callback for loads of servers."""
+
+
 def _ignore_suspicions(
     suspicions: tuple[peer_message.Suspicion, ...],
 ) -> None:
--- a/arbutusvale/state/server_loads.py
+++ b/arbutusvale/state/server_loads.py
@@ -1,8 +1,8 @@
 """Estimates of backend servers' load from several partial views.
 
 Each router counts its own requests exactly.  The requests of other routers
-are known from their messages, about a quarter of a second old, or else
-from the load that servers report in their responses.
+are known from their messages, in a large fleet from sums that collectors send,
+or else from the load that servers report in their responses.
 """
 
 from collections.abc import Callable
@@ -34,6 +34,11 @@
         self.peer_counts: dict[str, tuple[float, dict[str, int]]] = {}
         self.peer_totals: dict[str, int] = {}
         self.peer_totals_valid_until = -1e9
+        # This router's counts as the collectors know them.
+        self.reported_counts: dict[str, int] = {}
+        # Others' requests by server, and until when they are valid.
+        self.summary: dict[str, tuple[float, int]] = {}
+        self.summary_valid_until = -1e9
 
     def record_start(self, server_id: str) -> None:
         """Count a request that is sent to a server."""
@@ -62,14 +67,36 @@
         self.peer_counts[peer] = (self.clock() + ttl_s, counts)
         self.peer_totals_valid_until = -1e9
 
+    def note_reported(self, counts: dict[str, int]) -> None:
+        """Remember the counts that this router reports to collectors."""
+        self.reported_counts = counts
+
+    def record_summary(self, totals: dict[str, int], ttl_s: float) -> None:
+        """Record sums over all routers, this one included, by server.
+
+        They are valid for ``ttl_s``; a server without load isn't in them.
+        """
+        now = self.clock()
+        valid_until = self.summary_valid_until = now + ttl_s
+        self.summary = {
+            server_id: entry
+            for server_id, entry in self.summary.items()
+            if entry[0] >= now
+        }
+        for server_id, total in totals.items():
+            others = max(0, total - self.reported_counts.get(server_id, 0))
+            self.summary[server_id] = (valid_until, others)
+
+    def has_summary(self) -> bool:
+        """Return whether sums of a collector are valid."""
+        return self.clock() <= self.summary_valid_until
+
     def estimate(self, server_id: str) -> float:
         """Return the estimated number of requests at a server."""
         load = self.loads.get(server_id)
         own = load.own if load is not None else 0
         now = self.clock()
-        if now > self.peer_totals_valid_until:
-            self._sum_peer_counts(now)
-        peer_total = self.peer_totals.get(server_id, 0)
+        peer_total = self._count_others(server_id, now)
         if load is None or now - load.reported_at > MAX_REPORT_AGE_S:
             return own + peer_total
         return own + max(peer_total, load.others)
@@ -82,6 +109,15 @@
             if load.own > 0
         }
 
+    def _count_others(self, server_id: str, now: float) -> int:
+        """Return the requests of other routers, as they or collectors say."""
+        if now <= self.summary_valid_until:
+            valid_until, others = self.summary.get(server_id, (now, 0))
+            return others if valid_until >= now else 0
+        if now > self.peer_totals_valid_until:
+            self._sum_peer_counts(now)
+        return self.peer_totals.get(server_id, 0)
+
     def _sum_peer_counts(self, now: float) -> None:
         """Sum the unexpired counts; valid until the next of them expires."""
         self.peer_counts = {
