Keep copies of the configuration in a topic of the system's own

No peer had a configuration, as all had just started.

Two routers now write each version, compressed, to two partitions of another topic; a router that starts without a configuration while the operators' topic is lost reads them. A copy counts as old: what it lacks is refused, not denied.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -13,6 +13,7 @@
 import time
 
 from arbutusvale import errors
+from arbutusvale.coordination import config_copies
 from arbutusvale.coordination import config_view
 from arbutusvale.coordination import crash_exchange
 from arbutusvale.coordination import crash_tracker
@@ -229,6 +230,19 @@
 
     def _connect_peers(self) -> None:
         """Connect what shares state with other routers."""
+        self.config_copies = config_copies.ConfigCopies(
+            self.settings.host,
+            self.config,
+            [
+                store.StoreTopic(
+                    self.settings.store, records.COPIES_TOPIC, partition
+                )
+                for partition in records.COPY_PARTITIONS
+            ],
+            self.peers.list_live,
+            lambda: self.config_follower.contact.lost_at is not None,
+            self.events,
+        )
         local_state = peer_snapshot.LocalState(
             self.config,
             self.server_view,
@@ -295,6 +309,7 @@
             asyncio.create_task(supervisor.keep_running(run_task, self.events))
             for run_task in (
                 self.config_follower.run,
+                self.config_copies.run,
                 self.server_follower.run,
                 self.connection_pool.run,
                 self.caller_server.run,
--- a/arbutusvale/platform/records.py
+++ b/arbutusvale/platform/records.py
@@ -10,6 +10,9 @@
 CONFIG_TOPIC = 'keyed.op'
 SERVERS_TOPIC = 'keyed.servers'
 CONFIG_KEY = 'config'
+# A topic of the system's own; its partitions hold the same.
+COPIES_TOPIC = 'keyed.arbutusvale-config'
+COPY_PARTITIONS = (1, 2)
 
 _ROUTE_KINDS = {
     'idempotent': routing.RouteKind.IDEMPOTENT,
--- a/arbutusvale/platform/store.py
+++ b/arbutusvale/platform/store.py
@@ -14,6 +14,7 @@
 
 NEWEST_PATH = '/-/log-newest'
 READ_PATH = '/-/log-read'
+APPEND_PATH = '/-/log-append'
 
 # The store responds in 4 ms; a connect that takes longer has probably lost
 # its SYN, which is retransmitted only after a second.
@@ -36,11 +37,14 @@
 
 
 class StoreTopic:
-    """Reader of partition 0 of a keyed topic, with its own connection."""
+    """Client of one partition of a keyed topic, with its own connection."""
 
-    def __init__(self, address: edge_settings.Address, topic: str):
+    def __init__(
+        self, address: edge_settings.Address, topic: str, partition: int = 0
+    ):
         self.address = address
         self.topic = topic
+        self.partition = partition
         self.connection: http_connection.HttpConnection | None = None
         self.calls = 0
 
@@ -51,10 +55,10 @@
         first_page_end = -1
         first_page_era: int | None = None
         while True:
-            query = {'Topic': self.topic, 'part': '0'}
+            query = self._make_query()
             if after:
                 query['After'] = after
-            era, data = await self._get(NEWEST_PATH, query, 0.0)
+            era, data = await self._call('GET', NEWEST_PATH, query)
             if not after:
                 first_page_era = era
             elif era != first_page_era:
@@ -75,13 +79,11 @@
 
     async def read_from(self, offset: int, wait_s: float) -> keyed_log.Page:
         """Return the records from an offset on; raise StoreHistoryGone."""
-        query = {
-            'Topic': self.topic,
-            'part': '0',
+        query = self._make_query() | {
             'From': str(offset),
             'WaitMs': str(int(wait_s * 1000)),
         }
-        era, data = await self._get(READ_PATH, query, wait_s)
+        era, data = await self._call('GET', READ_PATH, query, wait_s)
         if len(data) < _PAGE_HEADER_BYTES:
             raise errors.StoreUnavailable('its answer is too short')
         end_offset = int.from_bytes(data[:8], 'big')
@@ -91,6 +93,16 @@
         records, count = _decode_records(data[_PAGE_HEADER_BYTES:], offset)
         return keyed_log.Page(records, offset + count, era)
 
+    async def append(self, record: keyed_log.Record) -> None:
+        """Append a record; raise StoreUnavailable.
+
+        A call without an answer may have been done nonetheless.
+        """
+        key = record.key.encode()
+        content = bytes([len(key)]) + key + (record.value or b'')
+        frame = len(content).to_bytes(_LENGTH_PREFIX_BYTES, 'big') + content
+        await self._call('POST', APPEND_PATH, self._make_query(), body=frame)
+
     def is_receiving(self) -> bool:
         """Return whether a response to the call in flight has begun."""
         return self.connection is not None and self.connection.receiving
@@ -101,8 +113,17 @@
             self.connection.abort()
             self.connection = None
 
-    async def _get(
-        self, path: str, query: dict[str, str], wait_s: float
+    def _make_query(self) -> dict[str, str]:
+        """Return the query that names the partition."""
+        return {'Topic': self.topic, 'part': str(self.partition)}
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        wait_s: float = 0.0,
+        body: bytes = b'',
     ) -> tuple[int | None, bytes]:
         """Return era and body; raise StoreUnavailable or StoreHistoryGone."""
         self.calls += 1
@@ -110,7 +131,7 @@
             async with asyncio.timeout(
                 wait_s + _RESPONSE_TIMEOUT_S + _CONNECT_TIMEOUT_S
             ):
-                head, body = await self._exchange(path, query)
+                head, answer = await self._exchange(method, path, query, body)
         except TimeoutError as error:
             self.disconnect()
             raise errors.StoreUnavailable('no answer in time') from error
@@ -126,10 +147,10 @@
             )
         if head.status != _STATUS_OK:
             raise errors.StoreUnavailable(f'status {head.status}')
-        return head.era, body
+        return head.era, answer
 
     async def _exchange(
-        self, path: str, query: dict[str, str]
+        self, method: str, path: str, query: dict[str, str], body: bytes
     ) -> tuple[_Head, bytes]:
         """Send a request, on a new connection if needed."""
         if self.connection is None or self.connection.closed:
@@ -138,16 +159,19 @@
             )
         connection = self.connection
         target = f'{path}?{urllib.parse.urlencode(query)}'
-        request = (
-            f'GET {target} HTTP/1.1\r\n'
-            f'Host: {self.address.host}:{self.address.port}\r\n\r\n'
+        head_lines = (
+            f'{method} {target} HTTP/1.1\r\n'
+            f'Host: {self.address.host}:{self.address.port}\r\n'
         )
-        exchange = connection.send(request.encode(), _decode_head)
+        if body:
+            head_lines += f'Content-Length: {len(body)}\r\n'
+        request = f'{head_lines}\r\n'.encode() + body
+        exchange = connection.send(request, _decode_head)
         head = await exchange.head
-        body = await connection.read_all(exchange)
+        answer = await connection.read_all(exchange)
         if not connection.release():
             self.connection = None
-        return head, body
+        return head, answer
 
 
 def _decode_head(
--- a/arbutusvale/standins/edge_store.py
+++ b/arbutusvale/standins/edge_store.py
@@ -13,7 +13,9 @@
 class StoreStandin:
     """HTTP server that keeps keyed topics in memory.
 
-    ``fault`` is None, 'busy' (503), 'silent' (no response) or 'reset'.
+    ``fault`` is None, 'busy' (503), 'silent' (no response) or 'reset'; it
+    concerns only ``faulty_topics`` unless that is None.  A partition other
+    than the first is kept as a topic ``NAME/NUMBER``.
     ``first_offsets`` has the lowest readable offset of compacted topics;
     ``page_size`` limits the keys in a page of newest records.  ``era`` is
     sent with all answers unless it is None.
@@ -23,6 +25,7 @@
         self.records: dict[str, list[tuple[str, bytes]]] = {}
         self.first_offsets: dict[str, int] = {}
         self.fault: str | None = None
+        self.faulty_topics: set[str] | None = None
         self.call_count = 0
         self.page_size = DEFAULT_PAGE_SIZE
         self.era: int | None = 1
@@ -67,7 +70,10 @@
     ) -> bool:
         """Answer one request, with ``fault`` if set."""
         self.call_count += 1
-        match self.fault:
+        topic = request.query['Topic']
+        if request.query['part'] != '0':
+            topic = f'{topic}/{request.query["part"]}'
+        match self._fault_of(topic):
             case 'busy':
                 writer.write(self._format_response(503, b''))
                 return True
@@ -76,16 +82,35 @@
             case 'reset':
                 writer.transport.abort()
                 return False
-        topic = request.query['Topic']
-        if request.path == store.NEWEST_PATH:
-            response = self._newest_page(topic, request.query.get('After', ''))
-        else:
-            response = await self._read_page(topic, request.query)
-        if self.fault == 'silent':
+        match request.path:
+            case store.NEWEST_PATH:
+                after = request.query.get('After', '')
+                response = self._newest_page(topic, after)
+            case store.APPEND_PATH:
+                response = await self._append_frame(topic, request.body)
+            case _:
+                response = await self._read_page(topic, request.query)
+        if self._fault_of(topic) == 'silent':
             await asyncio.sleep(3600)
         writer.write(response)
         return True
 
+    def _fault_of(self, topic: str) -> str | None:
+        """Return the fault that concerns calls for a topic."""
+        if self.faulty_topics is None or topic in self.faulty_topics:
+            return self.fault
+        return None
+
+    async def _append_frame(self, topic: str, frame: bytes) -> bytes:
+        """Append one framed record; return the response."""
+        content = frame[4:]
+        key_end = 1 + content[0]
+        key = content[1:key_end].decode()
+        await self.append(topic, key, content[key_end:])
+        end = len(self.records[topic])
+        document = {'Offset': end - 1, 'EndOffset': end}
+        return self._format_response(200, json.dumps(document).encode())
+
     def _format_response(self, status: int, body: bytes) -> bytes:
         """Return a response with the store's era."""
         headers = {} if self.era is None else {'Store-Era': str(self.era)}
