Find a stream's version by what engines have cached

Cause: who began a stream is known to routers only, to the one that served it and three peers. When all routers are lost a fresh one took "the list has had one version only" for true, though it had read the list for seconds: a stream begun by v1 went on at v1.1 once the engines of v1 drained and left the list. Beside two versions it refused everyone.

Change: a router that can't vouch for a minute of one version asks the pool's engines for the parts that they have cached, eight at once in the order in which placement ranks them, until one has the last part of the caller's prompt. Its version is the stream's. Concurrent take-ups share the calls. A caller that names no attempt goes on beside one version as before, and beside several as engines tell.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -13,6 +13,7 @@
 import time
 
 from arbutusvale import errors
+from arbutusvale.coordination import cache_survey
 from arbutusvale.coordination import config_view
 from arbutusvale.coordination import crash_exchange
 from arbutusvale.coordination import crash_tracker
@@ -31,6 +32,7 @@
 from arbutusvale.coordination import supervisor
 from arbutusvale.coordination import topic_relay
 from arbutusvale.platform import boot_file
+from arbutusvale.platform import engine_caches
 from arbutusvale.platform import headers
 from arbutusvale.platform import records
 from arbutusvale.platform import store
@@ -190,6 +192,11 @@
                 self.peers.list_live,
                 self.peers.list_known_hosts,
             ),
+            cache_survey=cache_survey.CacheSurvey(
+                engine_caches.EngineCacheClient(self.connection_pool),
+                self.metrics,
+                self.events,
+            ),
             store_age_s=self._store_age_s,
             server_list_age_s=self.server_follower.age_s,
             link_queue=self.link_queue,
--- a/arbutusvale/coordination/stream_continuity.py
+++ b/arbutusvale/coordination/stream_continuity.py
@@ -3,14 +3,19 @@
 What two versions write doesn't fit together, and servers don't check it.
 """
 
+import asyncio
 import dataclasses
 
 from arbutusvale.coordination import edge_context
+from arbutusvale.coordination import edge_placement
 from arbutusvale.coordination import edge_requests
+from arbutusvale.coordination import stream_search_policy
+from arbutusvale.protocol import stream_origin
+from arbutusvale.state import rendezvous
 from arbutusvale.state import stream_origins
 
-# With an older server list, a version may serve that this router doesn't know.
-MAX_LIST_AGE_S = 2.0
+# A caller that waits longer for its next event gives up.
+MAX_SEARCH_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,8 +39,8 @@
     """Find the version that began the stream that a request resumes.
 
     A stream of unknown origin goes on if its pool has had one version only
-    while any stream of now may have begun.  A caller that names no attempt
-    doesn't expect several versions, so its list needn't be fresh.
+    while any stream of now may have begun, or if engines of one version only
+    have the caller's prompt cached.
     """
     attempt_id = request.metadata.resumes
     if attempt_id:
@@ -46,11 +51,72 @@
                 return NotResumable('stream-of-another-pool')
             source = 'known' if is_known else 'peer'
             return Resumable(origin.software_version, source)
-        if context.server_list_age_s() > MAX_LIST_AGE_S:
-            return NotResumable('unknown-stream')
-    versions = context.servers.list_recent_versions(
-        request.pool, stream_origins.RETENTION_S
+    only_version = stream_search_policy.find_only_version(
+        _describe_history(context, request.pool), bool(attempt_id)
     )
-    if len(versions) != 1:
+    if only_version is not None:
+        return Resumable(only_version, 'only-version')
+    result = await _search_caches(context, request)
+    match result:
+        case Resumable(software_version) if attempt_id:
+            context.origins.record(
+                stream_origin.StreamOrigin(
+                    attempt_id, request.pool, software_version
+                )
+            )
+    return result
+
+
+def _describe_history(
+    context: edge_context.EdgeContext, pool: str
+) -> stream_search_policy.PoolHistory:
+    """Return what this router has seen of a pool's versions."""
+    window_s = stream_origins.RETENTION_S
+    return stream_search_policy.PoolHistory(
+        recent_versions=frozenset(
+            context.servers.list_recent_versions(pool, window_s)
+        ),
+        watched_s=context.servers.watched_s(),
+        window_s=window_s,
+        list_age_s=context.server_list_age_s(),
+    )
+
+
+async def _search_caches(
+    context: edge_context.EdgeContext, request: edge_requests.RoutedRequest
+) -> Resumable | NotResumable:
+    """Ask the pool's engines, in rounds, which one has read the prompt."""
+    metadata = request.metadata
+    servers = {
+        listed.server.id: listed.server
+        for listed in context.servers.by_pool.get(request.pool, ())
+    }
+    if not metadata.prompt or not servers:
         return NotResumable('unknown-stream')
-    return Resumable(versions.pop(), 'only-version')
+    part = metadata.prompt[-1]
+    # The ranking of placement: the engine that began the stream, if it is
+    # left, probably ranks among the first.
+    ranking = rendezvous.Ranking(servers, vectorise=False).rank(
+        edge_placement.list_shared_parts(metadata)[0], len(servers)
+    )
+    try:
+        async with asyncio.timeout(MAX_SEARCH_S):
+            for names in stream_search_policy.divide_into_rounds(ranking):
+                asked = [servers[name] for name in names]
+                lists = await context.cache_survey.read(asked)
+                holders = [
+                    stream_search_policy.Holder(
+                        server.software_version,
+                        parts[metadata.model, part.id],
+                    )
+                    for server, parts in zip(asked, lists, strict=True)
+                    if parts and (metadata.model, part.id) in parts
+                ]
+                match stream_search_policy.judge(holders, part.tokens):
+                    case stream_search_policy.Found(software_version):
+                        return Resumable(software_version, 'engine')
+                    case stream_search_policy.Ambiguous():
+                        return NotResumable('ambiguous-stream')
+    except TimeoutError:
+        pass
+    return NotResumable('unknown-stream')
--- a/arbutusvale/standins/edge_engine.py
+++ b/arbutusvale/standins/edge_engine.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import json
 import time
 
 from arbutusvale.platform import headers
@@ -15,6 +16,9 @@
 LOAD_HEADER = headers.ENGINE_LOAD.decode()
 EXPECTED_INSTANCE_HEADER = headers.EXPECTED_INSTANCE.decode()
 TENANT_HEADER = headers.TENANT.decode()
+MODEL_HEADER = headers.MODEL_ID.decode()
+PROMPT_HEADER = headers.PROMPT_PREFIX.decode()
+CACHE_LIST_PATH = '/-/kv-list'
 EVENT_INTERVAL_S = 0.02
 # What comes before bytes without end, and the bytes.
 ENDLESS_BYTES = {
@@ -73,6 +77,9 @@
     ``event_count`` server-sent events, which name ``software_version``
     unless it is empty.
 
+    ``GET /-/kv-list`` returns the prompt parts of all requests that it ran
+    since its start, or follows ``cache_list_fault``: 'refuse' or 'hang'.
+
     A request with one of ``crashing_parts`` in its prompt, except as the
     last part, ends the server once it has sent ``events_before_crash``
     events, or no head if that is None, in an answer that is ``crash_unframed``
@@ -95,6 +102,10 @@
         # The steady time at which each request arrived.
         self.arrivals: list[float] = []
         self.received: list[ReceivedRequest] = []
+        # Tokens of the cached prompt parts, by model and id.
+        self.cached_parts: dict[tuple[str, str], int] = {}
+        self.cache_list_fault = ''
+        self.cache_list_calls = 0
         self.event_count = 5
         self.stream_prefix = ''
         self.service_time_s = 0.0
@@ -127,6 +138,8 @@
 
         A client that closes the connection cancels the request.
         """
+        if request.path == CACHE_LIST_PATH:
+            return await self._list_cache(writer)
         received_request = ReceivedRequest(request)
         self.received.append(received_request)
         self.arrivals.append(time.monotonic())
@@ -154,6 +167,23 @@
             disconnect_task.cancel()
             self.active_requests -= 1
 
+    async def _list_cache(self, writer: asyncio.StreamWriter) -> bool:
+        """Answer which prompt parts are cached."""
+        self.cache_list_calls += 1
+        match self.cache_list_fault:
+            case 'refuse':
+                writer.write(raw_server.format_response(429, {}, b''))
+                return True
+            case 'hang':
+                await asyncio.sleep(3600)
+        held = [
+            ['', part, tokens, model]
+            for (model, part), tokens in self.cached_parts.items()
+        ]
+        body = json.dumps({'epoch': self.incarnation, 'held': held}).encode()
+        writer.write(raw_server.format_response(200, {}, body))
+        return True
+
     async def _process(
         self,
         received_request: ReceivedRequest,
@@ -189,6 +219,7 @@
                 )
                 return True
         received_request.executed = True
+        self.cached_parts |= _list_cacheable_parts(received_request.request)
         response_headers[SIGNATURE_HEADER] = (
             f'sig-{self.name}-{received_request.attempt_id}'
         )
@@ -299,6 +330,7 @@
 
     async def restart(self) -> None:
         """Accept connections again, on the port from before."""
+        self.cached_parts.clear()
         await self.server.open(self.server.port)
 
     async def _send_response(
@@ -418,10 +450,20 @@
 
 def _list_shared_parts(request: raw_server.RawRequest) -> set[str]:
     """List the ids of a prompt's parts, without the last one."""
-    prompt = request.headers.get(headers.PROMPT_PREFIX.decode(), '')
+    prompt = request.headers.get(PROMPT_HEADER, '')
     return {entry.partition(':')[0] for entry in prompt.split(',')[:-1]}
 
 
+def _list_cacheable_parts(
+    request: raw_server.RawRequest,
+) -> dict[tuple[str, str], int]:
+    """Return the tokens of a prompt's parts, by model and id."""
+    model = request.headers.get(MODEL_HEADER, '')
+    prompt = request.headers.get(PROMPT_HEADER, '')
+    entries = (entry.partition(':') for entry in prompt.split(',') if entry)
+    return {(model, part): int(tokens) for part, _, tokens in entries}
+
+
 async def _await_nothing(name: str) -> None:
     """Do nothing; the default callback before a crash."""
 
--- a/arbutusvale/state/server_list.py
+++ b/arbutusvale/state/server_list.py
@@ -45,6 +45,8 @@
         self.by_id: dict[str, ListedServer] = {}
         self.by_pool: dict[str, list[ListedServer]] = {}
         self.version = 0
+        # When the whole list was first known.
+        self.complete_since: float | None = None
         # When the last server of a software version left, by pool.
         self.departed_versions: dict[str, dict[str, float]] = {}
         # When incarnations said that they leave, by id, start and address.
@@ -93,6 +95,8 @@
         self, server_ids: set[str], remove_at: float | None
     ) -> list[str]:
         """Remove all other servers, as ``remove`` does; return their ids."""
+        if self.complete_since is None:
+            self.complete_since = self.clock()
         missing = [known for known in self.by_id if known not in server_ids]
         for server_id in missing:
             self.remove(server_id, remove_at)
@@ -157,6 +161,12 @@
         self.leaving[_incarnation(server)] = now
         return True
 
+    def watched_s(self) -> float:
+        """Return the seconds since the whole list was first known."""
+        if self.complete_since is None:
+            return 0.0
+        return self.clock() - self.complete_since
+
     def list_recent_versions(self, pool: str, within_s: float) -> set[str]:
         """List the software versions of a pool, of servers listed recently.
 
--- a/tests/platform/test_edge_versions.py
+++ b/tests/platform/test_edge_versions.py
@@ -43,6 +43,43 @@
             router.wait_for_log(f'event=server-listed server={name} ')
 
 
+def restart_all(routers):
+    for router in routers:
+        router.kill()
+    for router in routers:
+        router.start()
+    for router in routers:
+        router.wait_until_ready()
+
+
+def format_prompt(attempt_id):
+    return f'shared-{attempt_id}:100,own-{attempt_id}:50'
+
+
+def begin_streams(routers, count, name='began'):
+    """Begin streams with prompts of their own; return versions by attempt."""
+    return {
+        attempt_id: list_versions(
+            read_stream(
+                routers[number % len(routers)],
+                X_Arbutusvale_Attempt_Id=attempt_id,
+                X_Arbutusvale_Prompt_Prefix=format_prompt(attempt_id),
+            )[1]
+        )
+        for number in range(count)
+        for attempt_id in [f'{name}-{number}']
+    }
+
+
+def take_up(router, attempt_id):
+    return read_stream(
+        router,
+        Last_Event_Id='2',
+        Resumes=attempt_id,
+        X_Arbutusvale_Prompt_Prefix=format_prompt(attempt_id),
+    )
+
+
 def read_stream(router, **headers):
     """Send a request; return status, body so far, and whether it is whole."""
     try:
@@ -127,15 +164,32 @@
     assert edge.executed_requests() == []
 
 
-def test_stream_of_unknown_origin_goes_on_beside_one_version(edge):
+# A router that had just started took the only listed version for the only one
+# that any stream may have begun at.
+def test_fresh_router_goes_on_beside_one_version_as_engines_confirm(edge):
     add_engines(edge, e1='v1', e2='v1')
     add_routers(edge, 1)
-    for headers in ({'Resumes': 'nobody'}, {}):
+    _, began, _ = read_stream(
+        edge.routers[0], X_Arbutusvale_Prompt_Prefix='a:9,known:9'
+    )
+    assert began
+    for part, expected in (('known', 200), ('new', 503)):
         status, body, _ = read_stream(
-            edge.routers[0], Last_Event_Id='2', **headers
+            edge.routers[0],
+            Last_Event_Id='2',
+            Resumes=f'lost-{part}',
+            X_Arbutusvale_Prompt_Prefix=f'a:9,{part}:9',
         )
-        assert status == 200
-        assert body.startswith(b'id: 3\n')
+        assert status == expected
+        assert (status == 503) != body.startswith(b'id: 3\n')
+
+
+def test_caller_that_names_no_attempt_goes_on_beside_one_version(edge):
+    add_engines(edge, e1='v1', e2='v1')
+    add_routers(edge, 1)
+    status, body, _ = read_stream(edge.routers[0], Last_Event_Id='2')
+    assert status == 200
+    assert body.startswith(b'id: 3\n')
 
 
 def test_stream_without_an_engine_of_its_version_is_refused_at_once(edge):
@@ -173,3 +227,34 @@
         '/stream/x', 'POST', b'p', Last_Event_Id='2'
     )
     assert status == 200
+
+
+# After the loss of all routers everyone was refused beside two versions.
+def test_streams_go_on_at_their_version_after_all_routers_were_killed(edge):
+    add_engines(edge, e1='v1', e2='v2', e3='v2', e4='v1')
+    add_routers(edge, 2)
+    began = begin_streams(edge.routers, 8)
+    assert len(set(map(frozenset, began.values()))) == 2
+    restart_all(edge.routers)
+    began |= begin_streams(edge.routers, 4, 'between')
+    restart_all(edge.routers)
+    edge.store.fault = 'silent'
+    for router in edge.routers:
+        router.wait_for_log('event=store-lost topic=keyed.servers')
+    for number, (attempt_id, versions) in enumerate(began.items()):
+        status, rest, _ = take_up(edge.routers[number % 2], attempt_id)
+        assert status == 200
+        assert list_versions(rest) == versions
+
+
+# The rest was written by the only version left.
+def test_stream_whose_version_is_gone_is_refused_after_all_routers_died(edge):
+    add_engines(edge, e1='v1')
+    add_routers(edge, 2)
+    began = begin_streams(edge.routers, 4)
+    add_engines(edge, e2='v2', e3='v2')
+    edge.deregister_engine('e1')
+    restart_all(edge.routers)
+    for number, attempt_id in enumerate(began):
+        status, rest, _ = take_up(edge.routers[number % 2], attempt_id)
+        assert status == 503, rest
