--- a/tests/platform/test_edge_versions.py
+++ b/tests/platform/test_edge_versions.py
@@ -258,3 +258,36 @@
     for number, attempt_id in enumerate(began):
         status, rest, _ = take_up(edge.routers[number % 2], attempt_id)
         assert status == 503, rest
+
+
+def test_streams_go_on_without_a_call_after_half_of_the_routers_died(edge):
+    add_engines(edge, e1='v1', e2='v2', e3='v2', e4='v1')
+    add_routers(edge, 4)
+    began = begin_streams(edge.routers, 8)
+    for router in edge.routers[:2]:
+        router.kill()
+    for number, (attempt_id, versions) in enumerate(began.items()):
+        status, rest, _ = take_up(edge.routers[2 + number % 2], attempt_id)
+        assert status == 200
+        assert list_versions(rest) == versions
+    assert not any(each.cache_list_calls for each in edge.engines.values())
+
+
+def test_engines_that_give_no_list_hold_nobody_up(edge):
+    add_engines(edge, e1='v1', e2='v2', e3='v2', e4='v1')
+    add_routers(edge, 1)
+    began = begin_streams(edge.routers, 8)
+    restart_all(edge.routers)
+    edge.engines['e1'].cache_list_fault = 'hang'
+    edge.engines['e2'].cache_list_fault = 'refuse'
+    silent = [
+        {received.attempt_id for received in edge.engines[name].received}
+        for name in ('e1', 'e2')
+    ]
+    for attempt_id, versions in began.items():
+        status, rest, _ = take_up(edge.routers[0], attempt_id)
+        if any(attempt_id in attempts for attempts in silent):
+            assert status == 503
+        else:
+            assert status == 200
+            assert list_versions(rest) == versions
