--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -12,6 +12,9 @@
 SOCKET_TIMEOUT_S = 4.0
 RESUMABLE_PATH = '/stream/talk'
 MAX_RESUMPTIONS = 3
+# The first pause before a broken stream is taken up; each next is twice as
+# long, as routers that were all killed take a second to start.
+RESUMPTION_PAUSE_S = 0.2
 
 
 @dataclasses.dataclass(slots=True)
@@ -19,7 +22,7 @@
     """One request sent and its response; ``status`` 0 if it is incomplete.
 
     ``body`` is what arrived.  ``resumed`` is the attempt whose stream this
-    one goes on with, after the events that it has.
+    one goes on with, after the events that it has; both have one ``prompt``.
     """
 
     id: str
@@ -32,6 +35,7 @@
     body: bytes = b''
     ended_at: float = 0.0
     resumed: 'Attempt | None' = None
+    prompt: str = ''
 
     def list_events(self):
         """List the whole events that the caller has, of all tries."""
@@ -82,11 +86,12 @@
             method=method, path=path, sent_body=body, key=key
         )
         self.receive_attempt(attempt)
-        for _ in range(MAX_RESUMPTIONS):
+        for number in range(MAX_RESUMPTIONS):
             if not attempt.list_events() or attempt.path != RESUMABLE_PATH:
                 return
             if attempt.status == 200 or self.stopping.is_set():
                 return
+            time.sleep(RESUMPTION_PAUSE_S * 2**number)
             attempt = self.make_attempt(
                 method=method,
                 path=path,
@@ -124,8 +129,10 @@
                 timeout=SOCKET_TIMEOUT_S,
             )
         part = self.rng.randrange(6)
+        attempt.prompt = f'a:100,p{part}:500,{attempt.id}:9'
         headers = {}
         if attempt.resumed:
+            attempt.prompt = attempt.resumed.prompt
             headers = format_resumption(attempt.resumed)
         self.connection.request(
             attempt.method,
@@ -135,7 +142,7 @@
                 'Host': 'fleet.example',
                 'X-Arbutusvale-Attempt-Id': attempt.id,
                 'X-Arbutusvale-Deadline-Ms': '3000',
-                'X-Arbutusvale-Prompt-Prefix': f'a:100,p{part}:500,o:9',
+                'X-Arbutusvale-Prompt-Prefix': attempt.prompt,
                 'Authorization': f'Bearer {attempt.key}',
                 **headers,
             },
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -241,6 +241,14 @@
         router.start()
         return 3.0
 
+    def inject_kill_all_routers(self, fault):
+        """Let all routers lose what they know of streams."""
+        for router in self.fleet.routers:
+            router.kill()
+        for router in self.fleet.routers:
+            router.start()
+        return 3.0
+
     def inject_pause_router(self, fault):
         router = self.pick_router(fault)
         if router.process.poll() is None:
