Send nothing more to data centres that operators evacuate

Operators evacuate a data centre with a record in the topic that routers follow for the configuration; its key was not read by anything, so requests went on to the engines there.

A view of its own keeps the evacuations in force, each with the position of its record, and the server list leaves out the servers of these data centres: placement, retries, resumptions, admission and requests in line follow. The newest position wins; a full read takes back what it lacks, after a grace if the log is an older copy. A pool that lies in evacuated data centres only is refused at once.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -20,6 +20,7 @@
 from arbutusvale.coordination import edge_context
 from arbutusvale.coordination import edge_router
 from arbutusvale.coordination import edge_shutdown
+from arbutusvale.coordination import evacuation_view
 from arbutusvale.coordination import freeze_detection
 from arbutusvale.coordination import limit_exchange
 from arbutusvale.coordination import log_follower
@@ -28,6 +29,7 @@
 from arbutusvale.coordination import peer_snapshot
 from arbutusvale.coordination import peers
 from arbutusvale.coordination import server_view
+from arbutusvale.coordination import sink_group
 from arbutusvale.coordination import supervisor
 from arbutusvale.coordination import topic_relay
 from arbutusvale.platform import boot_file
@@ -39,6 +41,7 @@
 from arbutusvale.protocol import routing
 from arbutusvale.state import crash_evidence
 from arbutusvale.state import edge_metrics
+from arbutusvale.state import evacuations
 from arbutusvale.state import event_log
 from arbutusvale.state import link_queue
 from arbutusvale.state import prompt_cache_index
@@ -108,14 +111,24 @@
             self.events,
             self.clock,
         )
+        self.evacuations = evacuations.Evacuations(self.clock)
+        self.evacuation_view = evacuation_view.EvacuationView(
+            self.evacuations,
+            records.read_evacuated_data_centre,
+            lambda: self.config_follower.page_end,
+            self.events,
+        )
         self.servers = server_list.ServerList(
-            self.clock, LEAVING_USE_SHARE * self.settings.bounds.drain_s
+            self.clock,
+            LEAVING_USE_SHARE * self.settings.bounds.drain_s,
+            self.evacuations,
         )
         self.server_view = server_view.ServerView(
             self.servers, records.read_server, self.events, self._forget_server
         )
         self.config_follower = self._make_follower(
-            records.CONFIG_TOPIC, self.config
+            records.CONFIG_TOPIC,
+            sink_group.SinkGroup((self.config, self.evacuation_view)),
         )
         self.server_follower = self._make_follower(
             records.SERVERS_TOPIC, self.server_view
@@ -128,6 +141,8 @@
         log = store.StoreTopic(self.settings.store, topic)
         bounds = self.settings.bounds
         apply_s = min(bounds.config_apply_s, bounds.drain_s)
+        if bounds.evacuation_s is not None:
+            apply_s = min(apply_s, bounds.evacuation_s)
         return log_follower.LogFollower(
             topic, log, sink, self.events, apply_s, self.clock
         )
@@ -225,6 +240,7 @@
             self.config_follower,
             self.server_follower,
             self.context.prompts,
+            self.evacuation_view,
         )
         self.snapshot_exchange = peer_snapshot.SnapshotExchange(
             local_state, self.events
@@ -250,6 +266,8 @@
         self.peers.on_relayed_records = self.relay.receive
         self.peers.on_origin_message = self.context.origins.receive
         self.peers.on_leaving_server = self._mark_leaving
+        self.peers.list_evacuated = self.evacuation_view.list_told
+        self.peers.on_evacuated = self.evacuation_view.apply_told
         self.config_follower.count_readers = self.peers.count_live
         self.server_follower.count_readers = self.relay.count_readers
         for follower in (self.config_follower, self.server_follower):
@@ -502,6 +520,10 @@
         counters = self.metrics.counters
         counters['server_connections', ''] = self.connection_pool.opened_count
         counters['config_version', ''] = self.config.version
+        for data_centre in self.evacuations.list_known():
+            self.metrics.gauges['data_centre_evacuated', data_centre] = float(
+                self.evacuations.is_evacuated(data_centre)
+            )
         return 200, self.metrics.render()
 
 
--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -110,6 +110,13 @@
                     self._end_unanswered(cause)
                     return
                 continue
+            if self.context.servers.is_evacuated(placement.server):
+                # It became so while the connection was opened.
+                self.context.limits.refund(placement.server)
+                self.context.connection_pool.release(
+                    placement.server, connection, None
+                )
+                continue
             if not self.context.crashes.start_attempt(self.request.suspects):
                 self.context.limits.refund(placement.server)
                 self.context.connection_pool.release(
@@ -236,6 +243,8 @@
         """Return the cause when no server is left to send to."""
         if self.refused_wait_s:
             return 'servers-busy'
+        if self.context.servers.is_pool_evacuated(self.request.pool):
+            return 'evacuated'
         if self.software_version is None:
             return 'no-server'
         return 'no-server-of-version'
@@ -426,6 +435,10 @@
                 retry_after_s = edge_admission_policy.pause_retry_after_s(
                     self.refused_wait_s, jitter
                 )
+            elif cause == 'evacuated':
+                retry_after_s = edge_admission_policy.pool_retry_after_s(
+                    self._time_left_s(), jitter
+                )
             headers = [(b'retry-after', b'%.2f' % retry_after_s)]
         elif cause == 'deadline':
             status = _GATEWAY_TIMEOUT
--- a/arbutusvale/coordination/edge_router.py
+++ b/arbutusvale/coordination/edge_router.py
@@ -139,6 +139,12 @@
         )
         if not self.context.crashes.admits(routed_request.suspects):
             return Refusal(503, 'quarantined', _QUARANTINE_RETRY_S)
+        if self.context.servers.is_pool_evacuated(routed_request.pool):
+            retry_after_s = edge_admission_policy.pool_retry_after_s(
+                routed_request.deadline - self.context.clock(),
+                self.context.generator.random(),
+            )
+            return Refusal(503, 'evacuated', retry_after_s)
         match edge_admission.admit(self.context, routed_request):
             case edge_admission_policy.Rejected(cause, _, retry_after_s):
                 return Refusal(503, cause, retry_after_s)
--- a/arbutusvale/coordination/log_follower.py
+++ b/arbutusvale/coordination/log_follower.py
@@ -151,6 +151,8 @@
         # The era of ``offset``; None if the log never told one.
         self.era: int | None = None
         self.era_change: _EraChange | None = None
+        # The end of the last page that the sink was given.
+        self.page_end = keyed_log.Position(0, 0)
         self.on_era_risen: Callable[[str], None] = _ignore_era
         self.contact = StoreContact()
         self.failures = 0
@@ -348,6 +350,7 @@
         self.call_aborted = False
         page = await self.log.read_newest()
         self._note_era(page.era)
+        self.page_end = keyed_log.Position(self.era or 0, page.next_offset)
         if self.era_change is not None:
             self.sink.note_older_copy(page.records)
             self.contact.regained_at = self.clock()
@@ -365,6 +368,7 @@
             # The offset may be that of another record by now.
             self.full_read_due = True
             return False
+        self.page_end = keyed_log.Position(self.era or 0, page.next_offset)
         changed = self.sink.update(page.records, self._record_answer())
         self._advance(offset, page, changed)
         return bool(page.records)
--- a/arbutusvale/coordination/peer_snapshot.py
+++ b/arbutusvale/coordination/peer_snapshot.py
@@ -16,6 +16,7 @@
 
 from arbutusvale import errors
 from arbutusvale.coordination import config_view
+from arbutusvale.coordination import evacuation_view
 from arbutusvale.coordination import log_follower
 from arbutusvale.coordination import server_view
 from arbutusvale.protocol import keyed_log
@@ -41,6 +42,7 @@
     config_follower: log_follower.LogFollower
     server_follower: log_follower.LogFollower
     prompts: prompt_cache_index.PromptCacheIndex
+    evacuations: evacuation_view.EvacuationView
 
 
 class SnapshotExchange:
@@ -60,6 +62,7 @@
             'config': base64.b64encode(self.state.config.raw).decode(),
             'config_offset': config_offset,
             'config_era': self.state.config_follower.era,
+            'evacuated': self.state.evacuations.render_snapshot(),
             'servers': {
                 server_id: base64.b64encode(data).decode()
                 for server_id, data in self.state.servers.raw_entries.items()
@@ -130,6 +133,9 @@
             config = base64.b64decode(document['config'])
             config_offset = int(document['config_offset'])
             config_era = _parse_era(document.get('config_era'))
+            evacuated = evacuation_view.parse_snapshot(
+                document.get('evacuated', {})
+            )
             records = [
                 keyed_log.Record(str(server_id), base64.b64decode(entry))
                 for server_id, entry in document['servers'].items()
@@ -154,6 +160,9 @@
         follower = self.state.config_follower
         if _is_ahead(config_offset, config_era, follower):
             self.state.config.apply(config, f'peer {host}')
+            self.state.evacuations.apply_snapshot(
+                evacuated, keyed_log.Position(config_era or 0, config_offset)
+            )
             follower.adopt(config_offset, config_era)
             changed = True
         follower = self.state.server_follower
--- a/arbutusvale/coordination/peers.py
+++ b/arbutusvale/coordination/peers.py
@@ -123,6 +123,12 @@
         ] = _ignore_leaving_server
         # Servers to announce as leaving, each with the messages to go.
         self.leaving_servers: dict[peer_message.LeavingServer, int] = {}
+        self.on_evacuated: Callable[
+            [tuple[peer_message.EvacuatedDataCentre, ...]], None
+        ] = _ignore_evacuated
+        self.list_evacuated: Callable[
+            [], tuple[peer_message.EvacuatedDataCentre, ...]
+        ] = tuple
         self.leaving = False
         self.malformed_count = 0
         self.broadcast_count = 0
@@ -213,6 +219,8 @@
             self.on_peer_offset(topic, offset, message.eras.get(topic))
         for server in message.leaving_servers:
             self.on_leaving_server(server)
+        if message.evacuated:
+            self.on_evacuated(message.evacuated)
         if self.loads is not None:
             age_s = LIVE_INTERVALS * self.interval_s()
             self.loads.record_peer_counts(message.host, message.loads, age_s)
@@ -280,6 +288,7 @@
             leaving=self.leaving,
             eras=self.read_eras(),
             leaving_servers=self._pop_leaving_servers(),
+            evacuated=self.list_evacuated(),
         )
 
     def _pop_leaving_servers(
@@ -361,6 +370,12 @@
     """Do nothing; the default callback for servers that leave."""
 
 
+def _ignore_evacuated(
+    evacuated: tuple[peer_message.EvacuatedDataCentre, ...],
+) -> None:
+    """Do nothing; the default callback for evacuated data centres."""
+
+
 def _ignore_origin(message: stream_origin.OriginMessage) -> None:
     """Do nothing; the default callback for origins of streams."""
 
--- a/arbutusvale/platform/boot_file.py
+++ b/arbutusvale/platform/boot_file.py
@@ -75,8 +75,16 @@
             retry_window_s=self._read_number('Bounds.BudgetWindowS'),
             retry_reserve=self._read_number('Bounds.RetryBudgetSlack'),
             load_factor=self._read_number('Bounds.CapacityFactor', 2.0),
+            evacuation_s=self._read_evacuation_s(),
         )
 
+    def _read_evacuation_s(self) -> float | None:
+        """Return the bound of evacuations in seconds; None if not set."""
+        name = 'Bounds.EvacuationMs'
+        if self._get(name) is None:
+            return None
+        return self._read_number(name) / 1000
+
     def _get(self, name: str) -> object:
         """Return the value at a dotted name, or None."""
         value: object = self.document
--- a/arbutusvale/platform/records.py
+++ b/arbutusvale/platform/records.py
@@ -10,6 +10,7 @@
 CONFIG_TOPIC = 'keyed.op'
 SERVERS_TOPIC = 'keyed.servers'
 CONFIG_KEY = 'config'
+_EVACUATION_PREFIX = 'evacuate/'
 
 _ROUTE_KINDS = {
     'idempotent': routing.RouteKind.IDEMPOTENT,
@@ -46,6 +47,16 @@
     )
 
 
+def read_evacuated_data_centre(key: str) -> str | None:
+    """Return the data centre that a record evacuates, by the record's key.
+
+    None for records of other kinds.
+    """
+    if not key.startswith(_EVACUATION_PREFIX):
+        return None
+    return key.removeprefix(_EVACUATION_PREFIX) or None
+
+
 def read_server(server_id: str, data: bytes) -> proxying.BackendServer:
     """Decode a server's entry; raise RecordError naming a bad field."""
     document = _parse_object(data)
--- a/arbutusvale/platform/store.py
+++ b/arbutusvale/platform/store.py
@@ -180,7 +180,10 @@
     except (binascii.Error, ValueError, TypeError):
         # A value that no decoder accepts; an empty one would delete the key.
         value = b'?'
-    return keyed_log.Record(row['Key'], value or None)
+    offset = row.get('Offset')
+    return keyed_log.Record(
+        row['Key'], value or None, offset if isinstance(offset, int) else -1
+    )
 
 
 def _decode_records(
--- a/arbutusvale/protocol/edge_settings.py
+++ b/arbutusvale/protocol/edge_settings.py
@@ -21,6 +21,8 @@
     ``retry_ratio`` and ``retry_reserve`` limit the retries of all routers in
     any ``retry_window_s``: ratio times the requests, plus the reserve.
     ``load_factor`` limits an engine's load to a multiple of its pool's mean.
+    No request reaches an evacuated data centre after ``evacuation_s``; None
+    where operators evacuate none.
     """
 
     contact_s: float
@@ -31,6 +33,7 @@
     retry_window_s: float
     retry_reserve: float
     load_factor: float
+    evacuation_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/arbutusvale/protocol/keyed_log.py
+++ b/arbutusvale/protocol/keyed_log.py
@@ -16,6 +16,14 @@
     offset: int = -1
 
 
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Position:
+    """A place in a log; the era of a log that tells none is 0."""
+
+    era: int
+    offset: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Page:
     """A page of records and the offset of the next read.
--- a/arbutusvale/protocol/peer_message.py
+++ b/arbutusvale/protocol/peer_message.py
@@ -45,6 +45,15 @@
     address: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuatedDataCentre:
+    """An evacuated data centre, and the position of its record."""
+
+    name: str
+    era: int
+    offset: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerMessage:
     """One message of a router.
@@ -67,6 +76,7 @@
     eras: dict[str, int] = dataclasses.field(default_factory=dict)
     leaving_servers: tuple[LeavingServer, ...] = ()
     incarnation: int | None = None
+    evacuated: tuple[EvacuatedDataCentre, ...] = ()
 
 
 def encode(message: PeerMessage) -> bytes:
@@ -104,6 +114,10 @@
                 for server in message.leaving_servers
             ],
             'run': message.incarnation,
+            'evacuated': [
+                [data_centre.name, data_centre.era, data_centre.offset]
+                for data_centre in message.evacuated
+            ],
         },
         separators=(',', ':'),
     ).encode()
@@ -146,6 +160,14 @@
                 )
             ),
             incarnation=_check_optional_integer(document.get('run')),
+            evacuated=tuple(
+                EvacuatedDataCentre(
+                    _check_string(name),
+                    _check_integer(era),
+                    _check_integer(offset),
+                )
+                for name, era, offset in document.get('evacuated', ())
+            ),
         )
     except (
         ValueError, KeyError, TypeError, AttributeError, RecursionError,
--- a/arbutusvale/state/edge_metrics.py
+++ b/arbutusvale/state/edge_metrics.py
@@ -24,12 +24,13 @@
 
 
 class EdgeMetrics:
-    """Counters by name and label, and latency histograms by pool."""
+    """Counters and gauges by name and label, latency histograms by pool."""
 
     def __init__(self) -> None:
         self.counters: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
+        self.gauges: dict[tuple[str, str], float] = {}
         self.first_byte: dict[str, Histogram] = {}
         self.total: dict[str, Histogram] = {}
 
@@ -51,6 +52,8 @@
         for (name, label), count in sorted(self.counters.items()):
             labels = f'{{kind="{label}"}}' if label else ''
             lines.append(f'arbutusvale_{name}_total{labels} {count}')
+        for (name, label), level in sorted(self.gauges.items()):
+            lines.append(f'arbutusvale_{name}{{kind="{label}"}} {level:g}')
         for name, histograms in (
             ('first_byte_seconds', self.first_byte),
             ('total_seconds', self.total),
--- a/arbutusvale/state/server_list.py
+++ b/arbutusvale/state/server_list.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from arbutusvale.protocol import proxying
+from arbutusvale.state import evacuations
 
 # Servers renew entries that expired during a store outage within about two
 # seconds of the store's recovery.
@@ -37,10 +38,19 @@
     A server that says itself that it leaves gets new requests only where no
     other can serve, and for ``leaving_use_s`` at most, whatever its entry
     says, until it is another incarnation.
+
+    The servers of evacuated data centres get no new requests; their caches
+    may still be copied.
     """
 
-    def __init__(self, clock: Callable[[], float], leaving_use_s: float = 0.0):
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        leaving_use_s: float = 0.0,
+        evacuated: evacuations.Evacuations | None = None,
+    ):
         self.clock = clock
+        self.evacuations = evacuated or evacuations.Evacuations(clock)
         self.leaving_use_s = leaving_use_s
         self.by_id: dict[str, ListedServer] = {}
         self.by_pool: dict[str, list[ListedServer]] = {}
@@ -126,6 +136,10 @@
             if entry.server.state is proxying.ServerState.READY
             and software_version in (None, entry.server.software_version)
         ]
+        if self.evacuations.in_force:
+            ready = [
+                entry for entry in ready if not self.is_evacuated(entry.server)
+            ]
         if not self.leaving:
             return ready
         staying = [
@@ -142,6 +156,20 @@
             if self.leaving[_incarnation(entry.server)] > oldest
         ]
 
+    def is_evacuated(self, server: proxying.BackendServer) -> bool:
+        """Return whether a server's data centre is evacuated."""
+        return self.evacuations.is_evacuated(server.data_centre)
+
+    def is_pool_evacuated(self, pool: str) -> bool:
+        """Return whether only evacuations keep a pool from being served."""
+        if not self.evacuations.in_force:
+            return False
+        return not self.list_ready_servers(pool) and any(
+            entry.server.state is proxying.ServerState.READY
+            and self.is_evacuated(entry.server)
+            for entry in self.by_pool.get(pool, ())
+        )
+
     def mark_leaving(self, server: proxying.BackendServer) -> bool:
         """Record that a server says that it leaves; return whether it is new.
 
--- a/tests/coordination/test_edge_placement.py
+++ b/tests/coordination/test_edge_placement.py
@@ -1,5 +1,6 @@
 """Tests of placing a request with what a router knows of its servers."""
 
+import dataclasses
 import types
 
 from arbutusvale import composeedge
@@ -72,3 +73,15 @@
     request = make_request()
     request.pool = 'empty'
     assert not edge_placement.is_being_read(context, request)
+
+
+def test_parts_held_only_in_an_evacuated_data_centre_are_copied():
+    context = make_context(3)
+    holder = place(context).server
+    moved = dataclasses.replace(holder, data_centre='south')
+    context.servers.put(moved)
+    context.prompts.record('m/shared', holder.id)
+    context.servers.evacuations.start('south', keyed_log.Position(1, 1))
+    placement = place(context)
+    assert placement.server.id != holder.id
+    assert placement.cache_source == holder.address
--- a/tests/coordination/test_edge_schedules.py
+++ b/tests/coordination/test_edge_schedules.py
@@ -12,12 +12,15 @@
 
 from arbutusvale.coordination import config_view
 from arbutusvale.coordination import crash_exchange
+from arbutusvale.coordination import evacuation_view
 from arbutusvale.coordination import peer_snapshot
 from arbutusvale.coordination import server_view
+from arbutusvale.coordination import sink_group
 from arbutusvale.platform import records
 from arbutusvale.protocol import crash_report
 from arbutusvale.protocol import keyed_log
 from arbutusvale.state import crash_evidence
+from arbutusvale.state import evacuations
 from arbutusvale.state import prompt_cache_index
 from arbutusvale.state import server_list
 from arbutusvale.state import suspects
@@ -25,6 +28,8 @@
 
 ROUTERS = 3
 SERVERS = 4
+DATA_CENTRES = 3
+GRACE_S = server_list.RECOVERY_GRACE_S
 STEPS = 150
 
 
@@ -39,7 +44,11 @@
     def append_configuration(self):
         self.version += 1
         data = helpers_edge.make_config(self.version)
-        self.topics['config'].append(keyed_log.Record('config', data))
+        self.append_operator_record('config', data)
+
+    def append_operator_record(self, key, value):
+        log = self.topics['config']
+        log.append(keyed_log.Record(key, value, len(log)))
 
     def append_random_server(self, generator, born):
         name = f's{generator.randrange(SERVERS)}'
@@ -56,8 +65,9 @@
         self.era += 1
         for log in self.topics.values():
             del log[max(1, len(log) - generator.randint(0, 4)) :]
-        data = helpers_edge.make_config(self.version)
-        self.topics['config'].append(keyed_log.Record('config', data))
+        self.append_operator_record(
+            'config', helpers_edge.make_config(self.version)
+        )
 
     def newest_by_key(self, topic):
         return {record.key: record for record in self.topics[topic]}
@@ -81,7 +91,14 @@
             lambda server_id: None,
         )
         self.followers = {}
-        for topic, sink in (('config', self.config), ('servers', self.view)):
+        self.evacuations = evacuation_view.EvacuationView(
+            evacuations.Evacuations(clock),
+            records.read_evacuated_data_centre,
+            lambda: self.followers['config'].page_end,
+            self.events,
+        )
+        operator = sink_group.SinkGroup((self.config, self.evacuations))
+        for topic, sink in (('config', operator), ('servers', self.view)):
             self.followers[topic] = FakeFollower(topic, sink)
         self.exchange = peer_snapshot.SnapshotExchange(
             peer_snapshot.LocalState(
@@ -90,13 +107,14 @@
                 self.followers['config'],
                 self.followers['servers'],
                 prompt_cache_index.PromptCacheIndex(clock),
+                self.evacuations,
             ),
             self.events,
         )
         self.highest_version = 0
         self.ready_before = set()
 
-    def read(self, store, generator):
+    def read(self, store, generator, grace_s=0.0):
         topic = generator.choice(list(self.followers))
         follower = self.followers[topic]
         log = store.topics[topic]
@@ -111,13 +129,23 @@
                 for record in store.newest_by_key(topic).values()
                 if record.value
             ]
+            follower.page_end = keyed_log.Position(store.era, len(log))
+            now = self.servers.clock()
             if is_older_copy:
                 follower.sink.note_older_copy(newest)
-            follower.sink.replace(newest, None)
+                follower.return_by = now + grace_s
+            is_in_grace = now < follower.return_by
+            follower.sink.replace(
+                newest, follower.return_by if is_in_grace else None
+            )
             follower.offset = len(log)
             follower.era = store.era
             return
         end = generator.randint(follower.offset, len(log))
+        if end == follower.offset < len(log):
+            # An answer is empty only at the end of the log.
+            return
+        follower.page_end = keyed_log.Position(store.era, end)
         follower.sink.update(log[follower.offset : end], None)
         follower.offset = end
 
@@ -126,6 +154,9 @@
         if status == 200:
             self.exchange.apply_snapshot('peer', text.encode())
 
+    def list_evacuated(self):
+        return set(self.evacuations.state.in_force)
+
     def list_ready(self):
         return {name for name, _ in self.list_ready_incarnations()}
 
@@ -144,6 +175,8 @@
         self.sink = sink
         self.offset = None
         self.era = None
+        self.return_by = 0.0
+        self.page_end = keyed_log.Position(0, 0)
 
     def adopt(self, offset, era):
         self.offset, self.era = offset, era
@@ -192,6 +225,92 @@
         assert checked.list_ready() == list_ready_in_log(store)
 
 
+class Operator:
+    """An operator who evacuates data centres, and writes lost records again.
+
+    ``wanted`` has all data centres that ever were evacuated, and whether they
+    still are; ``positions`` the records that said so first.
+    """
+
+    def __init__(self, store):
+        self.store = store
+        self.wanted = {}
+        self.positions = {}
+
+    def step(self, generator):
+        name = f'dc{generator.randrange(DATA_CENTRES)}'
+        self.wanted[name] = not self.wanted.get(name, False)
+        self.positions[name] = keyed_log.Position(
+            self.store.era, len(self.store.topics['config'])
+        )
+        self.write(name)
+
+    def write(self, name):
+        value = b'{}' if self.wanted[name] else None
+        self.store.append_operator_record(f'evacuate/{name}', value)
+
+    def write_again(self):
+        for name in self.wanted:
+            self.write(name)
+
+    def list_evacuated(self):
+        return {name for name, evacuated in self.wanted.items() if evacuated}
+
+    def list_followed(self, router):
+        """List the evacuations of now that a router follows."""
+        return {
+            name
+            for name, evacuation in router.evacuations.state.in_force.items()
+            if self.wanted.get(name)
+            and evacuation.position >= self.positions[name]
+        }
+
+
+@pytest.mark.parametrize('seed', range(60))
+def test_no_router_loses_an_evacuation_until_it_is_taken_back(seed):
+    generator = random.Random(seed)
+    clock = helpers_edge.Clock()
+    store = Store()
+    store.append_configuration()
+    operator = Operator(store)
+    routers = [Router(clock) for _ in range(ROUTERS)]
+    is_copy, copied_at = False, 0.0
+    for _ in range(STEPS):
+        clock.now += min(GRACE_S / 2, generator.expovariate(5))
+        router, peer = generator.sample(routers, 2)
+        write_now = clock.now >= copied_at + GRACE_S / 2
+        if is_copy and (write_now or generator.random() < 0.5):
+            operator.write_again()
+            is_copy = False
+        followed = {id(each): operator.list_followed(each) for each in routers}
+        match generator.randrange(10):
+            case 0 if not is_copy:
+                operator.step(generator)
+            case 1 if generator.random() < 0.3:
+                store.restore_older_copy(generator)
+                is_copy = True
+                copied_at = clock.now
+            case 2:
+                router.copy_snapshot(peer)
+            case 3:
+                router.evacuations.apply_told(peer.evacuations.list_told())
+            case 4 if generator.random() < 0.2:
+                routers[routers.index(router)] = Router(clock)
+            case _:
+                router.read(store, generator, GRACE_S)
+        for each in routers:
+            kept = followed.get(id(each), set()) & operator.list_evacuated()
+            assert kept <= each.list_evacuated()
+    operator.write_again()
+    for router in routers:
+        router.followers['config'].offset = None
+        for _ in range(40):
+            router.read(store, generator)
+        clock.now += GRACE_S
+        router.evacuations.update([], None)
+        assert router.list_evacuated() == operator.list_evacuated()
+
+
 class EngineFleet:
     """Servers that start, drain, leave and write lost entries again."""
 
--- a/tests/coordination/test_peer_snapshot.py
+++ b/tests/coordination/test_peer_snapshot.py
@@ -5,11 +5,13 @@
 
 from arbutusvale import errors
 from arbutusvale.coordination import config_view
+from arbutusvale.coordination import evacuation_view
 from arbutusvale.coordination import log_follower
 from arbutusvale.coordination import peer_snapshot
 from arbutusvale.coordination import server_view
 from arbutusvale.platform import records
 from arbutusvale.protocol import keyed_log
+from arbutusvale.state import evacuations
 from arbutusvale.state import prompt_cache_index
 from arbutusvale.state import server_list
 from tests import helpers_edge
@@ -39,9 +41,19 @@
             for topic, sink in (('c', self.config), ('s', self.view))
         ]
         self.prompts = prompt_cache_index.PromptCacheIndex(clock)
+        self.evacuations = evacuation_view.EvacuationView(
+            evacuations.Evacuations(clock),
+            records.read_evacuated_data_centre,
+            lambda: self.followers[0].page_end,
+            self.events,
+        )
         self.exchange = peer_snapshot.SnapshotExchange(
             peer_snapshot.LocalState(
-                self.config, self.view, *self.followers, self.prompts
+                self.config,
+                self.view,
+                *self.followers,
+                self.prompts,
+                self.evacuations,
             ),
             self.events,
         )
@@ -93,6 +105,15 @@
     assert set(router.servers.by_id) == {'e8'}
 
 
+def test_a_snapshot_starts_and_ends_evacuations():
+    router, peer = Router(5), Router(8)
+    router.evacuations.state.start('south', keyed_log.Position(0, 3))
+    peer.evacuations.state.start('north', keyed_log.Position(0, 6))
+    router.lose_store(peer_offset=8)
+    asyncio.run(run_exchange(router, peer))
+    assert set(router.evacuations.state.in_force) == {'north'}
+
+
 def test_a_starting_router_fetches_cache_locations():
     """Guards against prompts that engines read again after a restart.
 
