--- a/arbutusvale/state/server_list.py
+++ b/arbutusvale/state/server_list.py
@@ -136,9 +136,11 @@
             if entry.server.state is proxying.ServerState.READY
             and software_version in (None, entry.server.software_version)
         ]
-        if self.evacuations.in_force:
+        if evacuated := self.evacuations.in_force:
             ready = [
-                entry for entry in ready if not self.is_evacuated(entry.server)
+                entry
+                for entry in ready
+                if entry.server.data_centre not in evacuated
             ]
         if not self.leaving:
             return ready
--- a/arbutusvale/ui/main.py
+++ b/arbutusvale/ui/main.py
@@ -114,6 +114,8 @@
             options, ('check', 'sign', 'diff', 'reference')
         )
         return _import_command(f'bundle_{subcommand}').run(options)
+    if options['--routers']:
+        return _import_command('router_status').run(options)
     name = _find_selected(options, ('rollout', 'status', 'history', 'keygen'))
     return _import_command(name).run(options)
 
--- a/arbutusvale/ui/usage.py
+++ b/arbutusvale/ui/usage.py
@@ -22,6 +22,7 @@
   arbutusvale rollout BUNDLE --settings=FILE [--parent=DIGEST] [--timeout=S]
                           [--json] [--verbose]
   arbutusvale status --settings=FILE [--json] [--verbose]
+  arbutusvale status --routers=ADDRESSES [--json] [--verbose]
   arbutusvale history --settings=FILE [--json] [--verbose]
   arbutusvale keygen --out=FILE [--verbose]
   arbutusvale --help
@@ -33,6 +34,8 @@
   --parent=DIGEST  Digest of the bundle that this one follows; without it
                    the head of the log service, or none in a first bundle.
   --timeout=S      Seconds to wait for all VMs [default: 30].
+  --routers=ADDRESSES  Metrics pages of edge routers, as HOST:PORT with commas
+                   between; exit code 5 if they differ or one is unreachable.
   --json           Print JSON in place of a table.
   --verbose        Print log lines to standard error.
   -h --help        Print this text.
--- a/tests/platform/test_edge_evacuation.py
+++ b/tests/platform/test_edge_evacuation.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from arbutusvale.ui import main
 from tests import edge_fleet
 from tests import helpers_edge
 
@@ -57,7 +58,7 @@
     return len(fleet.engines['emptied'].received)
 
 
-def test_no_router_sends_there_until_it_is_taken_back(edge):
+def test_no_router_sends_there_until_it_is_taken_back(edge, capsys):
     edge.add_router(2)
     edge.engines['emptied'].service_time_s = 1.0
     with concurrent.futures.ThreadPoolExecutor(20) as pool:
@@ -75,6 +76,11 @@
         assert count_at_emptied(edge, router) == 0
     gauge = 'arbutusvale_data_centre_evacuated{kind="south"}'
     assert f'{gauge} 1\n' in edge.router.fetch_metrics()
+    pages = ','.join(f'{router.host}:9464' for router in edge.routers)
+    assert main.run_operator(['status', f'--routers={pages}']) == 0
+    assert capsys.readouterr().out.count(' south\n') == 2
+    unreachable = f'--routers={pages},127.0.0.1:1'
+    assert main.run_operator(['status', unreachable]) == 5
     edge.append(edge_fleet.CONFIG_TOPIC, 'evacuate/south', b'')
     for router in edge.routers:
         router.wait_for_log('event=data-centre-restored data_centre=south')
