Keep the load bound while a data centre is emptied

Rule LIMIT refers to the mean of all engines of a pool. While a data centre is evacuated, placement took that of the engines in use, which is half as high again with a third of them emptied, so a hot prompt's engine held over twice the pool's mean. The load factor is scaled by the two means meanwhile.

The new test failed before: 8 requests at an engine, 7.9 allowed.

--- a/arbutusvale/coordination/edge_placement.py
+++ b/arbutusvale/coordination/edge_placement.py
@@ -80,7 +80,7 @@
             candidates,
             ranking,
             holders_by_part[0],
-            context.settings.bounds.load_factor,
+            _load_factor(context, request.pool, candidates),
             context.peers.interval_s(),
         )
         source = ''
@@ -215,6 +215,23 @@
     )
 
 
+def _load_factor(
+    context: edge_context.EdgeContext,
+    pool: str,
+    candidates: Sequence[edge_placement_policy.Candidate],
+) -> float:
+    """Return the load factor, lower while data centres are evacuated."""
+    load_factor = context.settings.bounds.load_factor
+    evacuated = context.servers.list_evacuated_servers(pool)
+    if not evacuated:
+        return load_factor
+    return edge_placement_policy.scale_load_factor(
+        load_factor,
+        [candidate.load for candidate in candidates],
+        [context.loads.estimate(listed.server.id) for listed in evacuated],
+    )
+
+
 def _select_usable(
     context: edge_context.EdgeContext, server_ids: Iterable[str]
 ) -> list[str]:
--- a/arbutusvale/coordination/edge_placement_policy.py
+++ b/arbutusvale/coordination/edge_placement_policy.py
@@ -18,6 +18,8 @@
   the cached parts from the first instead of processing them;
 - *many routers*: each hears of the others' requests too late to stay below the
   users' bound, so its own is lower, the more so the older the counts;
+- *a data centre is emptied*: its engines count in the pool's mean, so the
+  bound of the others falls to what the whole pool allows;
 - *overload of all engines*: an engine without free slots isn't chosen for its
   cache while another one has free slots or a shorter queue;
 - *engines join or return*: prompts stay where they are cached; only new
@@ -193,6 +195,22 @@
     return (load_factor - margin) * mean + LOAD_BOUND_RESERVE
 
 
+def scale_load_factor(
+    load_factor: float, loads: Sequence[float], other_loads: Sequence[float]
+) -> float:
+    """Return the multiple of the candidates' mean load that is allowed.
+
+    ``loads`` are those of the candidates, ``other_loads`` of servers that
+    take no requests, but count in the mean that ``load_factor`` refers to.
+    """
+    mean = sum(loads) / max(1, len(loads))
+    total = sum(loads) + sum(other_loads)
+    pool_mean = total / max(1, len(loads) + len(other_loads))
+    if pool_mean >= mean:
+        return load_factor
+    return load_factor * pool_mean / mean
+
+
 def compute_queue_bound(candidates: Sequence[Candidate]) -> float:
     """Return the load that an engine without free slots may reach."""
     mean = sum(candidate.load for candidate in candidates) / len(candidates)
--- a/arbutusvale/state/server_list.py
+++ b/arbutusvale/state/server_list.py
@@ -164,13 +164,20 @@
 
     def is_pool_evacuated(self, pool: str) -> bool:
         """Return whether only evacuations keep a pool from being served."""
+        return bool(
+            self.list_evacuated_servers(pool)
+        ) and not self.list_ready_servers(pool)
+
+    def list_evacuated_servers(self, pool: str) -> list[ListedServer]:
+        """List the servers of a pool that only evacuations leave out."""
         if not self.evacuations.in_force:
-            return False
-        return not self.list_ready_servers(pool) and any(
-            entry.server.state is proxying.ServerState.READY
-            and self.is_evacuated(entry.server)
+            return []
+        return [
+            entry
             for entry in self.by_pool.get(pool, ())
-        )
+            if entry.server.state is proxying.ServerState.READY
+            and self.is_evacuated(entry.server)
+        ]
 
     def mark_leaving(self, server: proxying.BackendServer) -> bool:
         """Record that a server says that it leaves; return whether it is new.
--- a/tests/coordination/test_edge_placement.py
+++ b/tests/coordination/test_edge_placement.py
@@ -85,3 +85,25 @@
     placement = place(context)
     assert placement.server.id != holder.id
     assert placement.cache_source == holder.address
+
+
+# Bounds refer to the mean of all engines; that of those in use was taken.
+def test_hot_prompt_keeps_the_load_bound_while_a_data_centre_is_emptied():
+    context = make_context(24)
+    for number in range(1, 25):
+        server = context.servers.by_id[f'e{number}'].server
+        data_centre = 'south' if number <= 8 else 'north'
+        context.servers.put(
+            dataclasses.replace(server, slots=64, data_centre=data_centre)
+        )
+    context.servers.evacuations.start('south', keyed_log.Position(1, 1))
+    loads = dict.fromkeys(context.servers.by_id, 0)
+    factor = context.settings.bounds.load_factor
+    for _ in range(300):
+        placement = place(context)
+        mean = sum(loads.values()) / len(loads)
+        assert loads[placement.server.id] <= factor * mean + 3
+        loads[placement.server.id] += 1
+        context.loads.record_start(placement.server.id)
+        context.prompts.record('m/shared', placement.server.id)
+    assert not any(loads[f'e{number}'] for number in range(1, 9))
