Keep evacuations beside the copies of the configuration

A router that starts while the operators' topic can't be read would have sent requests to data centres that are evacuated. The new test fails without the change: a copy held the configuration only.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -255,6 +255,7 @@
         self.config_copies = config_copies.ConfigCopies(
             self.settings.host,
             self.config,
+            self.evacuation_view,
             [
                 store.StoreTopic(
                     self.settings.store, records.COPIES_TOPIC, partition
--- a/arbutusvale/coordination/config_copies.py
+++ b/arbutusvale/coordination/config_copies.py
@@ -6,18 +6,25 @@
 
 A copy counts like a configuration that was read before the store went away:
 it serves routes and keys that it has, it may be old, so nothing that it lacks
-is denied, and the operators' topic replaces it as soon as it can be read.
+is denied, and the operators' topic replaces it as soon as it can be read.  It
+has the evacuations of data centres that were in force beside it.
 """
 
 import asyncio
+import base64
+import binascii
 from collections.abc import Callable
 from collections.abc import Sequence
+import dataclasses
+import json
 import typing
 import zlib
 
 from arbutusvale import errors
 from arbutusvale.coordination import config_view
+from arbutusvale.coordination import evacuation_view
 from arbutusvale.protocol import keyed_log
+from arbutusvale.protocol import peer_message
 from arbutusvale.state import event_log
 from arbutusvale.state import rendezvous
 
@@ -29,7 +36,15 @@
 # While no configuration is known, callers are refused.
 RESTORE_INTERVAL_S = 0.2
 # Bounds the memory that a malformed copy can take.
-MAX_CONFIG_BYTES = 16 * 1024 * 1024
+MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Content:
+    """The version of a copy, and era and offset of its evacuations."""
+
+    version: int
+    evacuated: dict[str, list[int]]
 
 
 class CopyLog(keyed_log.KeyedLog, typing.Protocol):
@@ -50,6 +65,7 @@
         self,
         host: str,
         config: config_view.ConfigView,
+        evacuations: evacuation_view.EvacuationView,
         copies: Sequence[CopyLog],
         list_live: Callable[[], list[str]],
         is_source_lost: Callable[[], bool],
@@ -57,12 +73,13 @@
     ):
         self.host = host
         self.config = config
+        self.evacuations = evacuations
         self.copies = copies
         self.list_live = list_live
         self.is_source_lost = is_source_lost
         self.events = events
-        # The version that needs no copy of this router any more.
-        self.copied_version = 0
+        # What needs no copy of this router any more.
+        self.copied: _Content | None = None
 
     async def run(self) -> None:
         """Restore a configuration if necessary, and copy each new version."""
@@ -84,43 +101,76 @@
                 continue
             for record in page.records:
                 if record.key == COPY_KEY and record.value:
-                    data = _decompress(record.value)
-                    if data:
-                        self.config.apply(data, 'copy')
-                        self.copied_version = self.config.version
+                    self._apply(record.value)
+
+    def _apply(self, value: bytes) -> None:
+        """Apply a copy, unless it is malformed or not newer."""
+        try:
+            document = json.loads(_decompress(value))
+            data = base64.b64decode(document['config'])
+            evacuated = evacuation_view.parse_snapshot(document['evacuated'])
+        except (
+            ValueError, KeyError, TypeError, AttributeError, binascii.Error,
+        ):  # fmt: skip
+            return
+        before = self.config.version
+        self.config.apply(data, 'copy')
+        if self.config.version > before:
+            self.evacuations.apply_told(
+                tuple(
+                    peer_message.EvacuatedDataCentre(
+                        name, position.era, position.offset
+                    )
+                    for name, position in evacuated.items()
+                )
+            )
+            self.copied = self._read_content()
+
+    def _read_content(self) -> _Content:
+        """Return what a copy of now tells."""
+        return _Content(
+            self.config.version, self.evacuations.render_snapshot()
+        )
 
     async def copy_if_new(self) -> None:
-        """Write the version in force to all copies, if this router has to."""
-        version = self.config.version
-        if version <= self.copied_version or self.is_source_lost():
+        """Write what is in force to all copies, if this router has to."""
+        content = self._read_content()
+        if content == self.copied or self.is_source_lost():
             return
-        self.copied_version = version
+        self.copied = content
         ranking = rendezvous.Ranking(
             [self.host, *self.list_live()], vectorise=False
         )
         if self.host not in ranking.rank(COPY_KEY, WRITERS):
             return
-        record = keyed_log.Record(COPY_KEY, zlib.compress(self.config.raw))
+        document = {
+            'config': base64.b64encode(self.config.raw).decode(),
+            'evacuated': content.evacuated,
+        }
+        value = zlib.compress(json.dumps(document).encode())
         written = 0
         for copy in self.copies:
             try:
-                await copy.append(record)
+                await copy.append(keyed_log.Record(COPY_KEY, value))
                 written += 1
             except errors.StoreUnavailable as error:
                 self.events.write('config-copy-failed', cause=error.problem)
         self.events.write(
             'config-copied',
-            version=version,
+            version=content.version,
+            evacuated=len(content.evacuated),
             copies=written,
-            bytes=len(record.value),
+            bytes=len(value),
         )
 
 
 def _decompress(value: bytes) -> bytes:
-    """Return a compressed configuration, or nothing if it is malformed."""
+    """Return a compressed document; raise ValueError if it is malformed."""
     decompressor = zlib.decompressobj()
     try:
-        data = decompressor.decompress(value, MAX_CONFIG_BYTES)
-    except zlib.error:
-        return b''
-    return b'' if decompressor.unconsumed_tail else data
+        data = decompressor.decompress(value, MAX_DOCUMENT_BYTES)
+    except zlib.error as error:
+        raise ValueError('not compressed') from error
+    if not decompressor.eof:
+        raise ValueError('too long')
+    return data
--- a/tests/coordination/test_config_copies.py
+++ b/tests/coordination/test_config_copies.py
@@ -7,8 +7,10 @@
 from arbutusvale import errors
 from arbutusvale.coordination import config_copies
 from arbutusvale.coordination import config_view
+from arbutusvale.coordination import evacuation_view
 from arbutusvale.platform import records
 from arbutusvale.protocol import keyed_log
+from arbutusvale.state import evacuations
 from tests import helpers_edge
 
 HOSTS = [f'10.0.0.{number}' for number in range(6)]
@@ -39,9 +41,17 @@
         self.is_source_lost = False
         source = config_view.ConfigSource('config', records.read_configuration)
         self.config = config_view.ConfigView(source, helpers_edge.Events())
+        clock = helpers_edge.Clock()
+        self.evacuations = evacuation_view.EvacuationView(
+            evacuations.Evacuations(clock),
+            records.read_evacuated_data_centre,
+            lambda: keyed_log.Position(1, 0),
+            helpers_edge.Events(),
+        )
         self.copies = config_copies.ConfigCopies(
             host,
             self.config,
+            self.evacuations,
             logs,
             lambda: [other for other in HOSTS if other != host],
             lambda: self.is_source_lost,
@@ -69,6 +79,20 @@
     assert Router(HOSTS[0], logs).restore() == 2
 
 
+def test_copy_has_the_evacuations_in_force():
+    logs = [CopyLog(), CopyLog()]
+    routers = [Router(host, logs) for host in HOSTS]
+    record = keyed_log.Record('evacuate/north', b'{}', 5)
+    for router in routers:
+        router.apply(1)
+        router.evacuations.update([record], None)
+        router.apply(1)
+    assert len(logs[0].records) == 2 * config_copies.WRITERS
+    router = Router(HOSTS[0], logs)
+    assert router.restore() == 1
+    assert router.evacuations.state.is_evacuated('north')
+
+
 def test_copy_never_replaces_a_newer_configuration():
     logs = [CopyLog(), CopyLog()]
     for host in HOSTS:
