--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -36,6 +36,7 @@
 from arbutusvale.platform import store
 from arbutusvale.protocol import edge_settings
 from arbutusvale.protocol import peer_message
+from arbutusvale.protocol import proxying
 from arbutusvale.protocol import routing
 from arbutusvale.state import crash_evidence
 from arbutusvale.state import edge_metrics
@@ -46,9 +47,11 @@
 from arbutusvale.state import server_list
 from arbutusvale.state import server_loads
 from arbutusvale.state import server_pauses
+from arbutusvale.state import server_warmups
 from arbutusvale.state import service_times
 from arbutusvale.state import socket_budget
 from arbutusvale.state import stream_origins
+from arbutusvale.state import warmup_shares
 from arbutusvale.transport import acceptor
 from arbutusvale.transport import connection_pool
 from arbutusvale.transport import edge_server
@@ -96,6 +99,8 @@
         )
         self.stopping_since: float | None = None
         self.stopped = asyncio.Event()
+        self.warmups_by_pool: dict[str, warmup_shares.Warmup] = {}
+        self.warmups_version = 0
         self._make_views()
         self._make_router()
 
@@ -148,8 +153,18 @@
             self.peers.list_known_hosts,
             self.clock,
         )
+        self.warmups = server_warmups.ServerWarmups(
+            self.settings.host,
+            self.clock,
+            self.peers.list_known_peers,
+            generator,
+        )
+        self.warmups.list_warmups = self._list_warmups
+        self.warmups.on_change = self._log_warmup
+        self.peers.warmups = self.warmups
+        self.server_view.on_listed = self.warmups.record_listed
         limits = server_limits.ServerLimits(
-            self.clock, self.peers.list_known_peers, generator
+            self.clock, self.peers.list_known_peers, generator, self.warmups
         )
         self.limit_exchange = limit_exchange.LimitExchange(
             self.settings.host,
@@ -342,6 +357,7 @@
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             self.server_view.expire()
+            self.warmups.expire()
             if self.stopping_since is None:
                 continue
             elapsed_s = self.clock() - self.stopping_since
@@ -455,6 +471,36 @@
         """Drop the state of a server that left the list."""
         self.context.forget_server(server_id)
 
+    def _list_warmups(self) -> dict[str, warmup_shares.Warmup]:
+        """Return what the pools of the configuration declare, by pool."""
+        if self.config.version != self.warmups_version:
+            self.warmups_version = self.config.version
+            bounds = self.settings.bounds
+            configuration = self.config.route_table.configuration
+            self.warmups_by_pool = {
+                pool.name: warmup_shares.Warmup(
+                    pool.warmup_s,
+                    pool.warmup_rate,
+                    bounds.warmup_overage * pool.warmup_rate
+                    + bounds.warmup_slack,
+                )
+                for pool in configuration.pools.values()
+                if pool.warmup_s and pool.warmup_rate
+            }
+        return self.warmups_by_pool
+
+    def _log_warmup(
+        self, server: proxying.BackendServer, is_cold: bool
+    ) -> None:
+        """Log and count that a server is cold, or no longer."""
+        if is_cold:
+            self.metrics.increment('cold_servers', server.pool)
+        self.events.write(
+            'server-cold' if is_cold else 'server-warm',
+            server=server.id,
+            pool=server.pool,
+        )
+
     def _max_idle_connections(self, pool: str) -> int:
         """Return the maximum number of idle connections to one server.
 
--- a/arbutusvale/coordination/edge_placement.py
+++ b/arbutusvale/coordination/edge_placement.py
@@ -165,6 +165,7 @@
     waits = []
     limited_waits = []
     total_share = 0.0
+    all_end_in_s = 0.0
     for listed in context.servers.list_ready_servers(
         request.pool, software_version
     ):
@@ -176,11 +177,19 @@
             free_s = context.limits.time_until_free_s(server)
             limited_waits.append(max(pause_s, free_s))
             total_share += context.limits.share(server)
+            all_end_in_s = max(
+                all_end_in_s, pause_s, context.limits.ends_in_s(server)
+            )
         elif pause_s:
             waits.append(pause_s)
     if limited_waits:
         ahead = context.waiters.count_ahead(request.pool, ticket)
-        waits.append(min(limited_waits) + ahead / max(total_share, 1e-9))
+        waits.append(
+            min(
+                all_end_in_s,
+                min(limited_waits) + ahead / max(total_share, 1e-9),
+            )
+        )
     return min(waits, default=None)
 
 
--- a/arbutusvale/coordination/edge_reporter.py
+++ b/arbutusvale/coordination/edge_reporter.py
@@ -102,6 +102,7 @@
             )
         if not head.misdirected:
             self._record_limit(server, head, sent_at)
+            self.context.limits.warmups.begin(server, head.cold_for_s)
         if head.load is not None:
             self.context.loads.record_reported_load(
                 server.id, head.load.running + head.load.waiting
--- a/arbutusvale/coordination/peers.py
+++ b/arbutusvale/coordination/peers.py
@@ -26,6 +26,7 @@
 from arbutusvale.state import event_log
 from arbutusvale.state import prompt_cache_index
 from arbutusvale.state import server_loads
+from arbutusvale.state import server_warmups
 
 # Short enough that peers see a burst before it has doubled a load; requests
 # last some 0.1 to 2 s.
@@ -121,6 +122,7 @@
         self.on_leaving_server: Callable[
             [peer_message.LeavingServer], None
         ] = _ignore_leaving_server
+        self.warmups: server_warmups.ServerWarmups | None = None
         # Servers to announce as leaving, each with the messages to go.
         self.leaving_servers: dict[peer_message.LeavingServer, int] = {}
         self.leaving = False
@@ -224,6 +226,8 @@
                     else self.prompts.record
                 )
                 record(location.prompt, location.server_id)
+        if self.warmups is not None and not message.leaving:
+            self.warmups.record_announced(message.host, message.warmups)
         if message.incarnation is None:
             # Later builds send crash reports, which tell more.
             self.on_suspicions(message.suspicions)
@@ -280,6 +284,7 @@
             leaving=self.leaving,
             eras=self.read_eras(),
             leaving_servers=self._pop_leaving_servers(),
+            warmups=self.warmups.announce() if self.warmups else {},
         )
 
     def _pop_leaving_servers(
@@ -301,6 +306,8 @@
                 self.events.write('peer-left', peer=message.name)
             if self.loads is not None:
                 self.loads.peer_counts.pop(message.host, None)
+            if self.warmups is not None:
+                self.warmups.forget_router(message.host)
             return
         sender = self.peers.get(message.host)
         if sender is None:
--- a/arbutusvale/coordination/server_view.py
+++ b/arbutusvale/coordination/server_view.py
@@ -13,7 +13,10 @@
     """Sink that applies records of backend servers to the server list.
 
     ``on_incarnation_ended`` is called with the id of a server that is gone
-    or was restarted, as its caches are lost.
+    or was restarted, as its caches are lost.  ``on_listed`` is called with
+    each entry that is read, and whether it is the first of an incarnation that
+    started after the first read of the list; it returns whether other routers
+    need the entry though it is otherwise unchanged.
     """
 
     def __init__(
@@ -27,6 +30,10 @@
         self.decode = decode
         self.events = events
         self.on_incarnation_ended = on_incarnation_ended
+        self.on_listed: Callable[[proxying.BackendServer, bool], bool] = (
+            _ignore_listed
+        )
+        self.was_read = False
         self.malformed_count = 0
         self.raw_entries: dict[str, bytes] = {}
         # Entries of leaving servers that the log came back with from an
@@ -45,6 +52,7 @@
             ],
             return_by,
         )
+        self.was_read = True
         present = {record.key for record in records if record.value}
         for server_id in self.servers.keep_only(present, return_by):
             self._handle_removal(server_id, return_by is not None)
@@ -118,8 +126,11 @@
             return False
         self.raw_entries[server_id] = data
         previous = self.servers.by_id.get(server_id)
-        if not self.servers.put(server):
-            return False
+        is_new = self.was_read and self.servers.is_new(server)
+        changed = self.servers.put(server)
+        became_cold = self.on_listed(server, is_new)
+        if not changed:
+            return became_cold
         if (
             previous is not None
             and previous.server.started_at_ms != server.started_at_ms
@@ -144,3 +155,8 @@
         if not pending:
             self.raw_entries.pop(server_id, None)
             self.on_incarnation_ended(server_id)
+
+
+def _ignore_listed(server: proxying.BackendServer, is_new: bool) -> bool:
+    """Return False; the default callback for entries."""
+    return False
--- a/arbutusvale/platform/boot_file.py
+++ b/arbutusvale/platform/boot_file.py
@@ -75,6 +75,8 @@
             retry_window_s=self._read_number('Bounds.BudgetWindowS'),
             retry_reserve=self._read_number('Bounds.RetryBudgetSlack'),
             load_factor=self._read_number('Bounds.CapacityFactor', 2.0),
+            warmup_overage=self._read_number('Bounds.WarmupOverage', 1.5),
+            warmup_slack=self._read_number('Bounds.WarmupSlack', 5.0),
         )
 
     def _get(self, name: str) -> object:
--- a/arbutusvale/platform/headers.py
+++ b/arbutusvale/platform/headers.py
@@ -15,6 +15,7 @@
 PROMPT_PREFIX = b'x-arbutusvale-prompt-prefix'
 ENGINE_SIGNATURE = b'x-arbutusvale-engine-signature'
 ENGINE_LOAD = b'x-arbutusvale-engine-load'
+WARMUP_MS = b'x-arbutusvale-warmup-ms'
 NOT_EXECUTED = b'x-arbutusvale-not-executed'
 EXPECTED_INSTANCE = b'x-arbutusvale-expected-instance'
 TENANT = b'x-arbutusvale-tenant'
@@ -72,6 +73,8 @@
 _MAX_PAUSE_S = 3600.0
 _MAX_RATE = 1e6
 _MAX_PROMPT_PARTS = 64
+# A server that claims to be cold for longer is held to be in error.
+_MAX_COLD_MS = 60_000
 
 
 def parse_request(
@@ -191,6 +194,10 @@
         malformed_pause=malformed_pause,
         rate_limit=rate_limit,
         malformed_limit=malformed_limit,
+        cold_for_s=min(
+            _MAX_COLD_MS, _parse_integer(values.get(WARMUP_MS)) or 0
+        )
+        / 1000,
     )
 
 
--- a/arbutusvale/platform/records.py
+++ b/arbutusvale/platform/records.py
@@ -26,6 +26,8 @@
 _DEFAULT_GAP_MS = 300
 _DEFAULT_MAX_ATTEMPTS = 1
 _DEFAULT_PRIORITY = 5
+# A server that claims to be cold for longer is held to be in error.
+MAX_COLD_S = 60.0
 
 
 def read_configuration(data: bytes) -> routing.Configuration:
@@ -64,6 +66,9 @@
         state=state,
         started_at_ms=_get_integer(document, 'born', 0),
         software_version=_get_text(document, 'Version'),
+        cold_for_s=min(
+            MAX_COLD_S, _get_positive(document, 'WarmupLeftMs') / 1000
+        ),
     )
 
 
@@ -133,6 +138,8 @@
         max_connections=_get_integer(
             row, 'MaxConnections', _DEFAULT_MAX_CONNECTIONS
         ),
+        warmup_s=min(MAX_COLD_S, _get_positive(row, 'WarmupS')),
+        warmup_rate=_get_positive(row, 'WarmupPerS'),
     )
 
 
@@ -199,6 +206,14 @@
     return int(value)
 
 
+def _get_positive(row: dict, name: str) -> float:
+    """Return a positive number, 0 for any other value."""
+    value = row.get(name)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return 0.0
+    return float(value) if math.isfinite(value) and value > 0 else 0.0
+
+
 def _get_list(row: dict, name: str, required: bool = False) -> list:
     """Return a list, empty if it is absent and not required."""
     value = row.get(name)
--- a/arbutusvale/protocol/edge_settings.py
+++ b/arbutusvale/protocol/edge_settings.py
@@ -21,6 +21,8 @@
     ``retry_ratio`` and ``retry_reserve`` limit the retries of all routers in
     any ``retry_window_s``: ratio times the requests, plus the reserve.
     ``load_factor`` limits an engine's load to a multiple of its pool's mean.
+    A cold server takes at most ``warmup_overage`` times the rate that its
+    pool declares, and ``warmup_slack`` requests, in any second.
     """
 
     contact_s: float
@@ -31,6 +33,8 @@
     retry_window_s: float
     retry_reserve: float
     load_factor: float
+    warmup_overage: float = 1.5
+    warmup_slack: float = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/arbutusvale/protocol/peer_message.py
+++ b/arbutusvale/protocol/peer_message.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import json
+import math
 
 from arbutusvale import errors
 
@@ -45,6 +46,18 @@
     address: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolAnnouncement:
+    """What a router tells of a pool whose servers may be cold.
+
+    ``demand`` is its requests a second, ``kept`` the fraction of its parts of
+    cold servers' rates that it doesn't lend to others.
+    """
+
+    demand: float
+    kept: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerMessage:
     """One message of a router.
@@ -67,46 +80,52 @@
     eras: dict[str, int] = dataclasses.field(default_factory=dict)
     leaving_servers: tuple[LeavingServer, ...] = ()
     incarnation: int | None = None
+    warmups: dict[str, PoolAnnouncement] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def encode(message: PeerMessage) -> bytes:
     """Encode a message as a datagram."""
-    return json.dumps(
-        {
-            'v': _VERSION,
-            'name': message.name,
-            'host': message.host,
-            'at': message.offsets,
-            'load': message.loads,
-            'peers': message.peers,
-            'places': [
-                [location.prompt, location.server_id]
-                for location in message.cache_locations
-                if not location.is_reading
-            ],
-            'reading': [
-                [location.prompt, location.server_id]
-                for location in message.cache_locations
-                if location.is_reading
-            ],
-            'suspects': [
-                [
-                    suspicion.fingerprint.hex(),
-                    suspicion.crashes,
-                    suspicion.cleared,
-                ]
-                for suspicion in message.suspicions
-            ],
-            'leaving': message.leaving,
-            'eras': message.eras,
-            'servers_leaving': [
-                [server.server_id, server.started_at_ms, server.address]
-                for server in message.leaving_servers
-            ],
-            'run': message.incarnation,
-        },
-        separators=(',', ':'),
-    ).encode()
+    document = {
+        'v': _VERSION,
+        'name': message.name,
+        'host': message.host,
+        'at': message.offsets,
+        'load': message.loads,
+        'peers': message.peers,
+        'places': [
+            [location.prompt, location.server_id]
+            for location in message.cache_locations
+            if not location.is_reading
+        ],
+        'reading': [
+            [location.prompt, location.server_id]
+            for location in message.cache_locations
+            if location.is_reading
+        ],
+        'suspects': [
+            [
+                suspicion.fingerprint.hex(),
+                suspicion.crashes,
+                suspicion.cleared,
+            ]
+            for suspicion in message.suspicions
+        ],
+        'leaving': message.leaving,
+        'eras': message.eras,
+        'servers_leaving': [
+            [server.server_id, server.started_at_ms, server.address]
+            for server in message.leaving_servers
+        ],
+        'run': message.incarnation,
+    }
+    if message.warmups:
+        document['warm'] = {
+            pool: [round(announced.demand, 2), announced.kept]
+            for pool, announced in message.warmups.items()
+        }
+    return json.dumps(document, separators=(',', ':')).encode()
 
 
 def decode(data: bytes) -> PeerMessage:
@@ -146,6 +165,12 @@
                 )
             ),
             incarnation=_check_optional_integer(document.get('run')),
+            warmups={
+                _check_string(pool): PoolAnnouncement(
+                    _check_number(demand), min(1.0, _check_number(kept))
+                )
+                for pool, (demand, kept) in document.get('warm', {}).items()
+            },
         )
     except (
         ValueError, KeyError, TypeError, AttributeError, RecursionError,
@@ -197,6 +222,15 @@
     return value
 
 
+def _check_number(value: object) -> float:
+    """Return a finite number from 0 on, or raise TypeError."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError('not a number')
+    if not math.isfinite(value) or value < 0:
+        raise TypeError('not a number')
+    return float(value)
+
+
 def _check_optional_integer(value: object) -> int | None:
     """Return an integer or None, or raise TypeError."""
     return None if value is None else _check_integer(value)
--- a/arbutusvale/protocol/proxying.py
+++ b/arbutusvale/protocol/proxying.py
@@ -18,6 +18,8 @@
     ``started_at_ms`` is the Unix time of its start in milliseconds, 0 if
     unknown; it differs after a restart under the same id.
     ``software_version`` is that of the server's program, without an order.
+    ``cold_for_s`` is for how long its entry says that it stays cold; as it
+    counts down, it doesn't tell one entry from another.
     """
 
     id: str
@@ -28,6 +30,7 @@
     state: ServerState
     started_at_ms: int
     software_version: str
+    cold_for_s: float = dataclasses.field(default=0.0, compare=False)
 
     @property
     def endpoint(self) -> tuple[str, int]:
@@ -125,6 +128,7 @@
     from this router, None if it doesn't say or ``malformed_pause`` is what it
     says.  ``rate_limit`` is how many requests a second the server takes from
     all routers, None if it names no limit or ``malformed_limit``.
+    ``cold_for_s`` is for how long it stays cold, 0 if it doesn't say.
     """
 
     status: int
@@ -142,3 +146,4 @@
     malformed_pause: str
     rate_limit: float | None = None
     malformed_limit: str = ''
+    cold_for_s: float = 0.0
--- a/arbutusvale/protocol/routing.py
+++ b/arbutusvale/protocol/routing.py
@@ -70,10 +70,15 @@
     """The backend servers of one service.
 
     ``max_connections`` limits the connections of all routers to one server.
+    A server is cold for ``warmup_s`` after its start and takes
+    ``warmup_rate`` requests a second from all routers meanwhile; both are 0
+    for a pool that declares no warm-up.
     """
 
     name: str
     max_connections: int
+    warmup_s: float = 0.0
+    warmup_rate: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/arbutusvale/state/server_limits.py
+++ b/arbutusvale/state/server_limits.py
@@ -6,6 +6,9 @@
 falls at once and rises slowly, as peers learn of a new demand late; so the
 shares of all routers hardly ever exceed the rate.
 
+A server that is cold takes no more than its pool declares, either; its rate
+is then the lower one of the two (see ``server_warmups``).
+
 Times are those of a monotonic clock, in seconds; rates are requests a second.
 """
 
@@ -15,6 +18,7 @@
 import random
 
 from arbutusvale.protocol import proxying
+from arbutusvale.state import server_warmups
 
 # A server of a lower rate still gets a request now and then, as only an
 # answer tells that its limit has ended.
@@ -86,7 +90,8 @@
     """Limits by server incarnation, and what this router may send.
 
     ``list_peers`` lists the hosts of all other routers that may be running,
-    also those that were not heard for a while.
+    also those that were not heard for a while.  ``warmups`` are the limits of
+    cold servers.
     """
 
     def __init__(
@@ -94,8 +99,12 @@
         clock: Callable[[], float],
         list_peers: Callable[[], list[str]],
         generator: random.Random,
+        warmups: server_warmups.ServerWarmups | None = None,
     ):
         self.clock = clock
+        self.warmups = warmups or server_warmups.ServerWarmups(
+            '', clock, list_peers, generator
+        )
         self.list_peers = list_peers
         self.generator = generator
         self.limits: dict[tuple[str, int], _Limit] = {}
@@ -140,6 +149,7 @@
         if average is None:
             average = self.own_demand[pool] = _DemandAverage(self.clock)
         average.record()
+        self.warmups.record_demand(pool)
 
     def read_demand(self) -> dict[str, float]:
         """Return this router's requests a second by pool, for peers."""
@@ -148,30 +158,43 @@
         }
 
     def is_limited(self, server: proxying.BackendServer) -> bool:
-        """Return whether a server names a limit."""
+        """Return whether a server names a limit or is cold."""
+        limit = self.limits.get((server.id, server.started_at_ms))
+        if limit is not None and limit.rate is not None:
+            return True
+        return self.warmups.is_cold(server)
+
+    def ends_in_s(self, server: proxying.BackendServer) -> float:
+        """Return when a server's limit ends, inf if nothing tells."""
         limit = self.limits.get((server.id, server.started_at_ms))
-        return limit is not None and limit.rate is not None
+        if limit is not None and limit.rate is not None:
+            return math.inf
+        return self.warmups.time_left_s(server)
 
     def time_until_free_s(self, server: proxying.BackendServer) -> float:
         """Return the time until a request may be sent; 0 for now."""
+        cold_s = self.warmups.time_until_free_s(server)
         limit = self._refill(server)
         if limit is None or limit.credit >= 1:
-            return 0.0
-        return (1 - limit.credit) / max(limit.share, 1e-9)
+            return cold_s
+        return max(cold_s, (1 - limit.credit) / max(limit.share, 1e-9))
 
     def share(self, server: proxying.BackendServer) -> float:
         """Return this router's part of a server's rate; inf without limit."""
+        share = self.warmups.share(server)
         limit = self._refill(server)
-        return math.inf if limit is None else limit.share
+        return share if limit is None else min(share, limit.share)
 
     def spend(self, server: proxying.BackendServer) -> None:
         """Count a request that is sent to a server."""
+        self.warmups.spend(server)
         limit = self._refill(server)
         if limit is not None:
             limit.credit -= 1
 
     def refund(self, server: proxying.BackendServer) -> None:
         """Take back a request that was not sent after all."""
+        self.warmups.refund(server)
         limit = self.limits.get((server.id, server.started_at_ms))
         if limit is not None and limit.rate is not None:
             limit.credit += 1
@@ -189,6 +212,7 @@
 
     def forget(self, server_id: str) -> None:
         """Drop the limits of a server that left the list."""
+        self.warmups.forget(server_id)
         for key in [key for key in self.limits if key[0] == server_id]:
             del self.limits[key]
 
--- a/arbutusvale/state/server_list.py
+++ b/arbutusvale/state/server_list.py
@@ -52,6 +52,16 @@
         # When incarnations left, by id and start.
         self.departed: dict[tuple[str, int], float] = {}
 
+    def is_new(self, server: proxying.BackendServer) -> bool:
+        """Return whether an entry is the first of its incarnation."""
+        known = self.by_id.get(server.id)
+        if (
+            known is not None
+            and known.server.started_at_ms == server.started_at_ms
+        ):
+            return False
+        return (server.id, server.started_at_ms) not in self.departed
+
     def put(self, server: proxying.BackendServer) -> bool:
         """Add or update a server; return whether anything changed."""
         known = self.by_id.get(server.id)
