Find the pace of started servers from how they answer

Routers count good and bad answers of a paced server and tell their peers; the pace doubles or halves (coordination/pace_policy) and ends at twice the usual rate. Pools that declare no warm-up are paced only with Pacing.AllPools.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -27,6 +27,7 @@
 from arbutusvale.coordination import outlier_detection
 from arbutusvale.coordination import peer_snapshot
 from arbutusvale.coordination import peers
+from arbutusvale.coordination import server_pacing
 from arbutusvale.coordination import server_view
 from arbutusvale.coordination import supervisor
 from arbutusvale.coordination import topic_relay
@@ -166,6 +167,14 @@
         limits = server_limits.ServerLimits(
             self.clock, self.peers.list_known_peers, generator, self.warmups
         )
+        self.pacer = server_pacing.ServerPacer(
+            self.warmups,
+            self.servers,
+            self.events,
+            self.peers.interval_s,
+            self.clock,
+        )
+        self.warmups.choose_pace = self.pacer.choose_first_pace
         self.limit_exchange = limit_exchange.LimitExchange(
             self.settings.host,
             limits,
@@ -173,6 +182,7 @@
             self.peers.interval_s,
             self.clock,
         )
+        self.limit_exchange.pacer = self.pacer
         self.context = edge_context.EdgeContext(
             settings=self.settings,
             codec=headers,
@@ -182,6 +192,7 @@
             loads=server_loads.ServerLoads(self.clock),
             pauses=server_pauses.ServerPauses(self.clock),
             limits=limits,
+            pacer=self.pacer,
             announce_limits=self.limit_exchange.announce,
             prompts=prompt_cache_index.PromptCacheIndex(self.clock),
             outlier_detector=outlier_detection.OutlierDetector(
@@ -358,6 +369,7 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             self.server_view.expire()
             self.warmups.expire()
+            self.pacer.step()
             if self.stopping_since is None:
                 continue
             elapsed_s = self.clock() - self.stopping_since
@@ -487,12 +499,16 @@
                 for pool in configuration.pools.values()
                 if pool.warmup_s and pool.warmup_rate
             }
+            if self.settings.pace_all_pools:
+                undeclared = warmup_shares.Warmup(0.0, 0.0, 0.0)
+                for name in configuration.pools:
+                    self.warmups_by_pool.setdefault(name, undeclared)
         return self.warmups_by_pool
 
     def _log_warmup(
         self, server: proxying.BackendServer, is_cold: bool
     ) -> None:
-        """Log and count that a server is cold, or no longer."""
+        """Log and count that a server is cold or paced, or no longer."""
         if is_cold:
             self.metrics.increment('cold_servers', server.pool)
         self.events.write(
--- a/arbutusvale/coordination/edge_context.py
+++ b/arbutusvale/coordination/edge_context.py
@@ -10,6 +10,7 @@
 from arbutusvale.coordination import outlier_detection
 from arbutusvale.coordination import peers
 from arbutusvale.coordination import retries
+from arbutusvale.coordination import server_pacing
 from arbutusvale.protocol import edge_ports
 from arbutusvale.protocol import edge_settings
 from arbutusvale.state import edge_metrics
@@ -45,6 +46,7 @@
     loads: server_loads.ServerLoads
     pauses: server_pauses.ServerPauses
     limits: server_limits.ServerLimits
+    pacer: server_pacing.ServerPacer
     prompts: prompt_cache_index.PromptCacheIndex
     outlier_detector: outlier_detection.OutlierDetector
     crashes: crash_tracker.CrashTracker
--- a/arbutusvale/coordination/edge_reporter.py
+++ b/arbutusvale/coordination/edge_reporter.py
@@ -28,6 +28,7 @@
         self.first_byte_s: float | None = None
         # When the request was sent to the server that has it now.
         self.sent_at = 0.0
+        self.unread_tokens = 0
         self.framing: edge_ports.Framing | None = None
         # Length of the incomplete event at the end of an event stream.
         self.partial_bytes = 0
@@ -45,6 +46,7 @@
         last_event_id: int | None,
     ) -> None:
         """Log the chosen server and the reason."""
+        self.unread_tokens = placement.unread_tokens
         self.write(
             'place',
             server=placement.server.id,
@@ -103,6 +105,13 @@
         if not head.misdirected:
             self._record_limit(server, head, sent_at)
             self.context.limits.warmups.begin(server, head.cold_for_s)
+        if head.status in SUCCESSES:
+            self.context.pacer.record_answer(
+                server,
+                now - sent_at,
+                self.unread_tokens,
+                head.load.waiting if head.load is not None else 0,
+            )
         if head.load is not None:
             self.context.loads.record_reported_load(
                 server.id, head.load.running + head.load.waiting
@@ -223,6 +232,8 @@
         self._update_server_health(server, outcome)
         if isinstance(outcome, edge_requests.Delivered):
             return
+        if outcome.cause not in ('deadline', 'misdirected'):
+            self.context.pacer.record_failure(server)
         self.context.metrics.increment('failed_sendings', self.request.pool)
         self.write(
             'sending-failed',
--- a/arbutusvale/coordination/limit_exchange.py
+++ b/arbutusvale/coordination/limit_exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from arbutusvale.coordination import server_pacing
 from arbutusvale.protocol import limit_message
 from arbutusvale.state import server_limits
 
@@ -10,7 +11,7 @@
 
 
 class LimitExchange:
-    """Sender and receiver of limits; silent while no server names one.
+    """Sender and receiver of limits; silent while no server has one.
 
     ``list_hosts`` returns the hosts of all routers that may listen, and
     ``interval_s`` the time between two messages to each.
@@ -29,6 +30,7 @@
         self.list_hosts = list_hosts
         self.interval_s = interval_s
         self.clock = clock
+        self.pacer: server_pacing.ServerPacer | None = None
         self.send: Callable[[str, bytes], None] = _discard
         self.send_requested = asyncio.Event()
 
@@ -41,6 +43,8 @@
         if message.host == self.host:
             return
         self.limits.record_peer_demand(message.host, message.demand)
+        if self.pacer is not None:
+            self.pacer.merge(message.host, message.paces)
         now = self.clock()
         for limit in message.limits:
             self.limits.merge(
@@ -67,7 +71,8 @@
     def broadcast(self) -> None:
         """Send all limits, and this router's demand, to all peers."""
         states = self.limits.list_states()
-        if not states:
+        paces = self.pacer.list_evidence() if self.pacer is not None else ()
+        if not states and not paces:
             return
         now = self.clock()
         limits = [
@@ -101,6 +106,11 @@
             )
             for start in range(0, len(limits), limit_message.MAX_LIMITS)
         ]
+        if paces:
+            message = limit_message.LimitMessage(
+                self.host, demand, (), tuple(paces)
+            )
+            datagrams.append(limit_message.encode(message))
         for host in self.list_hosts():
             for data in datagrams:
                 self.send(host, data)
--- /dev/null
+++ b/arbutusvale/coordination/pace_policy.py
@@ -0,0 +1,99 @@
+"""Pace policy: how fast a started or recovered server gets its full load.
+
+The pace is the requests a second that a server gets from all routers.  It
+begins low and follows from how the server answers.
+
+Load patterns covered:
+
+- *a server returns to a pool short of room*: it looks like the least loaded
+  one to every router at once, which would all send to it; its pace doubles
+  while it answers as fast as others do with as much work;
+- *a server answers slowly, refuses or fails after its start*: its pace falls
+  by half at once, and rises again when its answers are good;
+- *little demand*: a pace that nobody uses up is no limit, so it may end at
+  the usual rate of the pool's servers;
+- *news of other routers are lost*: a pace without answers stays as it is, but
+  no longer than ``MAX_PACED_S``.
+"""
+
+import dataclasses
+
+RISE_FACTOR = 2.0
+FALL_FACTOR = 0.5
+# A single slow answer of many is no reason to lower the pace.
+MAX_BAD_SHARE = 0.2
+# The part of the usual rate with which a server begins that declares nothing.
+FIRST_SHARE = 0.25
+MIN_PACE = 1.0
+# A pace ends at this multiple of the usual rate of a server of the pool.
+END_FACTOR = 2.0
+MAX_PACED_S = 15.0
+# An answer is slow beyond this multiple of the usual time to the first byte.
+SLOW_FACTOR = 2.0
+# Short answers vary by more than their length.
+SLOW_FLOOR_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """How a server answered one request.
+
+    ``first_byte_s`` is the time to its first byte, ``usual_s`` that of the
+    pool for as much work, 0 if not known; ``waiting`` are the requests that
+    the server says are in its queue.
+    """
+
+    succeeded: bool
+    first_byte_s: float
+    usual_s: float
+    waiting: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Progress:
+    """What is known at the end of an interval; rates are requests a second.
+
+    ``good`` and ``bad`` count the answers of the interval at all routers.
+    ``usual`` is the rate of a server of the pool without a pace, and
+    ``ceiling`` the rate that the server declares, None if it isn't cold.
+    """
+
+    pace: float
+    usual: float
+    ceiling: float | None
+    good: int
+    bad: int
+    paced_for_s: float
+
+
+def first_pace(usual: float, declared: float | None) -> float:
+    """Return the pace to begin with, in requests a second."""
+    if declared is not None:
+        return declared
+    return max(MIN_PACE, FIRST_SHARE * usual)
+
+
+def is_good(answer: Answer) -> bool:
+    """Return whether an answer shows that a server keeps up."""
+    if not answer.succeeded or answer.waiting:
+        return False
+    return answer.first_byte_s <= max(
+        SLOW_FLOOR_S, SLOW_FACTOR * answer.usual_s
+    )
+
+
+def next_pace(progress: Progress) -> float | None:
+    """Return the pace of the next interval, None for no limit."""
+    pace = progress.pace
+    answers = progress.good + progress.bad
+    if answers and progress.bad > MAX_BAD_SHARE * answers:
+        return max(MIN_PACE, FALL_FACTOR * pace)
+    if progress.good:
+        pace *= RISE_FACTOR
+    if progress.ceiling is not None:
+        return min(pace, progress.ceiling)
+    if progress.paced_for_s > MAX_PACED_S:
+        return None
+    if progress.good and pace >= END_FACTOR * progress.usual:
+        return None
+    return pace
--- a/arbutusvale/platform/boot_file.py
+++ b/arbutusvale/platform/boot_file.py
@@ -52,6 +52,7 @@
             link_mbit_per_s=self._read_number('Limits.LinkMbps', 0.0),
             max_sockets=self._compute_max_sockets(),
             bounds=self._read_bounds(),
+            pace_all_pools=self._get('Pacing.AllPools') is True,
         )
         if self.faults:
             raise errors.DocumentError(self.path, self.faults)
--- a/arbutusvale/protocol/edge_settings.py
+++ b/arbutusvale/protocol/edge_settings.py
@@ -45,6 +45,8 @@
     ``peer_port`` is the port for traffic between routers, the same on every
     VM; ``link_mbit_per_s`` is the rate of the VM's network link, 0 if
     unknown.  ``max_sockets`` limits the sockets that the process may open.
+    With ``pace_all_pools`` the servers of pools that declare no warm-up are
+    paced after their start, too.
     """
 
     name: str
@@ -60,3 +62,4 @@
     link_mbit_per_s: float
     max_sockets: int
     bounds: Bounds
+    pace_all_pools: bool = False
--- a/arbutusvale/protocol/limit_message.py
+++ b/arbutusvale/protocol/limit_message.py
@@ -30,13 +30,28 @@
     age_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PaceEvidence:
+    """A router's good and bad answers of a paced server, since its start."""
+
+    server_id: str
+    started_at_ms: int
+    pool: str
+    good: int
+    bad: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LimitMessage:
-    """Limits that a router knows, and its demand in requests a second."""
+    """Limits that a router knows, and its demand in requests a second.
+
+    ``paces`` is what it knows of paced servers.
+    """
 
     host: str
     demand: dict[str, float]
     limits: tuple[NamedLimit, ...]
+    paces: tuple[PaceEvidence, ...] = ()
 
 
 def encode(message: LimitMessage) -> bytes:
@@ -58,6 +73,17 @@
             for limit in message.limits
         ],
     }
+    if message.paces:
+        document['paces'] = [
+            [
+                pace.server_id,
+                pace.started_at_ms,
+                pace.pool,
+                pace.good,
+                pace.bad,
+            ]
+            for pace in message.paces
+        ]
     return json.dumps(document, separators=(',', ':')).encode()
 
 
@@ -88,6 +114,18 @@
                     'limits'
                 ]
             ),
+            tuple(
+                PaceEvidence(
+                    _check_string(server_id),
+                    _check_integer(started_at_ms),
+                    _check_string(pool),
+                    _check_integer(good),
+                    _check_integer(bad),
+                )
+                for server_id, started_at_ms, pool, good, bad in document.get(
+                    'paces', ()
+                )
+            ),
         )
     except (
         ValueError, KeyError, TypeError, AttributeError, RecursionError,
--- a/arbutusvale/state/server_limits.py
+++ b/arbutusvale/state/server_limits.py
@@ -162,7 +162,7 @@
         limit = self.limits.get((server.id, server.started_at_ms))
         if limit is not None and limit.rate is not None:
             return True
-        return self.warmups.is_cold(server)
+        return self.warmups.is_limited(server)
 
     def ends_in_s(self, server: proxying.BackendServer) -> float:
         """Return when a server's limit ends, inf if nothing tells."""
--- a/arbutusvale/state/server_warmups.py
+++ b/arbutusvale/state/server_warmups.py
@@ -1,8 +1,9 @@
-"""Servers that are cold, and what this router may send to each.
+"""Servers that are cold or paced, and what this router may send to each.
 
 A server is cold for some time after it starts, and may become so again at any
 moment.  While it is, it takes the rate that its pool declares, from all
-routers together; ``warmup_shares`` divides it.
+routers together; ``warmup_shares`` divides it.  Its pace, which is found from
+how it answers, may be lower, and may last longer (``set_pace``).
 
 Routers that lend their parts to others tell them so in the messages that pass
 anyway.  What a router announced binds it for longer than any peer relies on
@@ -35,17 +36,25 @@
 # A router that isn't heard may still be running behind a partition.
 ROUTER_RETENTION_S = 600.0
 REFRESH_INTERVAL_S = 0.1
+# A pace changes about so often.
+PACE_LIFE_S = 1.0
 
 
 @dataclasses.dataclass(slots=True)
 class _ColdServer:
-    """One cold incarnation, and this router's credit for it."""
+    """One cold or paced incarnation, and this router's credit for it.
+
+    It is cold until the time ``until``; ``pace`` is the rate that was found
+    for it, None for no limit beyond that time.
+    """
 
     server: proxying.BackendServer
     warmup: warmup_shares.Warmup
     until: float
     credit: float
     refilled_at: float
+    begun_at: float
+    pace: float | None = None
     share: float = 0.0
     shared_at: float = -math.inf
 
@@ -95,7 +104,9 @@
     running.
     ``restored_at``, if set, returns when a data centre was last taken back
     after an evacuation, None if it wasn't; its servers may be cold then.
-    ``on_change`` is called with a server and whether it is cold.
+    ``choose_pace`` returns the pace with which a server begins, None for no
+    limit but the declared one.  ``on_change`` is called with a server and
+    whether it is cold or paced.
     """
 
     def __init__(
@@ -113,6 +124,9 @@
             dict
         )
         self.restored_at: Callable[[str], float | None] | None = None
+        self.choose_pace: Callable[[proxying.BackendServer], float | None] = (
+            _set_no_pace
+        )
         self.on_change: Callable[[proxying.BackendServer, bool], None] = (
             _ignore_change
         )
@@ -138,9 +152,21 @@
         warmup = self.list_warmups().get(server.pool)
         if warmup is None:
             return False
+        if is_new and not warmup.duration_s:
+            self.begin_pace(server)
+            return False
         duration_s = warmup.duration_s if is_new else 0.0
         return self.begin(server, max(duration_s, server.cold_for_s), is_new)
 
+    def begin_pace(self, server: proxying.BackendServer) -> None:
+        """Pace a server that isn't cold, if there is a pace to begin with."""
+        warmup = self.list_warmups().get(server.pool)
+        key = (server.id, server.started_at_ms)
+        if warmup is None or key in self.cold:
+            return
+        if self.choose_pace(server) is not None:
+            self._add(key, server, warmup, 0.0, self.generator.random())
+
     def begin(
         self,
         server: proxying.BackendServer,
@@ -162,33 +188,57 @@
         # Routers that see a server at once must not all send at once; one
         # that is cold again may have had requests in the last second.
         credit = self.generator.random() if is_new else 0.0
-        self.cold[key] = _ColdServer(
-            server, warmup, now + duration_s, credit, now
-        )
-        self.on_change(server, True)
+        self._add(key, server, warmup, duration_s, credit)
         return True
 
-    def is_cold(self, server: proxying.BackendServer) -> bool:
-        """Return whether a server is cold now."""
+    def set_pace(
+        self, server: proxying.BackendServer, pace: float | None
+    ) -> None:
+        """Set the pace of a cold or paced server, None for no limit."""
+        cold = self._find(server)
+        if cold is not None:
+            cold.pace = pace
+            cold.shared_at = -math.inf
+
+    def list_limited(self) -> list[_ColdServer]:
+        """List the servers that are cold or paced now."""
+        return list(self.cold.values())
+
+    def is_limited(self, server: proxying.BackendServer) -> bool:
+        """Return whether a server is cold or paced now."""
         return self._find(server) is not None
 
     def time_left_s(self, server: proxying.BackendServer) -> float:
-        """Return for how long a server stays cold; 0 for one that isn't."""
+        """Return for how long a server stays limited; 0 for one that isn't.
+
+        A pace is expected to change soon.
+        """
         cold = self._find(server)
-        return 0.0 if cold is None else cold.until - self.clock()
+        if cold is None:
+            return 0.0
+        time_left_s = cold.until - self.clock()
+        return time_left_s if cold.pace is None else time_left_s + PACE_LIFE_S
+
+    def pool_demand(self, pool: str) -> float:
+        """Return the requests a second for a pool, of all routers."""
+        now = self.clock()
+        return self._get_own_pool(pool, now).average(now) + sum(
+            announcement.demand
+            for announcement in self._list_valid(pool, now).values()
+        )
 
     def time_until_free_s(self, server: proxying.BackendServer) -> float:
         """Return the time until a request may be sent; 0 for now."""
         cold = self._refill(server)
         if cold is None or cold.credit >= 1:
             return 0.0
-        time_left_s = cold.until - self.clock()
+        time_left_s = self.time_left_s(server)
         if not cold.share:
             return time_left_s
         return min(time_left_s, (1 - cold.credit) / cold.share)
 
     def share(self, server: proxying.BackendServer) -> float:
-        """Return this router's part of a server's rate; inf if not cold."""
+        """Return this router's part of a server's rate, inf for no limit."""
         cold = self._refill(server)
         return math.inf if cold is None else cold.share
 
@@ -210,11 +260,9 @@
             del self.cold[key]
 
     def expire(self) -> None:
-        """Drop the servers that are no longer cold."""
-        now = self.clock()
+        """Drop the servers that are neither cold nor paced."""
         for cold in list(self.cold.values()):
-            if cold.until <= now:
-                self._end(cold)
+            self._find(cold.server)
 
     def record_demand(self, pool: str) -> None:
         """Count a caller's request for a pool that declares a warm-up."""
@@ -268,17 +316,39 @@
         return own
 
     def _find(self, server: proxying.BackendServer) -> _ColdServer | None:
-        """Return a server that is cold now, else None."""
+        """Return a server that is cold or paced now, else None."""
         if self.restored_at is not None:
             self._check_restored(server, self.restored_at)
         cold = self.cold.get((server.id, server.started_at_ms))
         if cold is None:
             return None
-        if cold.until <= self.clock():
-            self._end(cold)
+        if cold.pace is None and cold.until <= self.clock():
+            del self.cold[server.id, server.started_at_ms]
+            self.on_change(cold.server, False)
             return None
         return cold
 
+    def _add(
+        self,
+        key: tuple[str, int],
+        server: proxying.BackendServer,
+        warmup: warmup_shares.Warmup,
+        duration_s: float,
+        credit: float,
+    ) -> None:
+        """Add a cold or paced server."""
+        now = self.clock()
+        self.cold[key] = _ColdServer(
+            server,
+            warmup,
+            now + duration_s,
+            credit,
+            now,
+            now,
+            self.choose_pace(server),
+        )
+        self.on_change(server, True)
+
     def _check_restored(
         self,
         server: proxying.BackendServer,
@@ -292,11 +362,6 @@
         if warmup is not None:
             self.begin(server, at + warmup.duration_s - self.clock())
 
-    def _end(self, cold: _ColdServer) -> None:
-        """Record that a server is no longer cold."""
-        del self.cold[cold.server.id, cold.server.started_at_ms]
-        self.on_change(cold.server, False)
-
     def _refill(self, server: proxying.BackendServer) -> _ColdServer | None:
         """Bring a cold server's share and credit up to now."""
         cold = self._find(server)
@@ -313,8 +378,9 @@
         return cold
 
     def _compute_share(self, cold: _ColdServer, now: float) -> float:
-        """Return this router's part of a cold server's rate."""
-        if now - self.started_at < BINDING_S:
+        """Return this router's part of the rate of a server."""
+        is_cold = now < cold.until
+        if is_cold and now - self.started_at < BINDING_S:
             return 0.0
         pool = cold.server.pool
         kept_by_host = {
@@ -325,7 +391,7 @@
         if own is not None:
             kept_by_host[self.host] = own.binding(now)
         return warmup_shares.compute_share(
-            cold.warmup,
+            cold.warmup.at_pace(cold.pace, is_cold),
             f'{cold.server.id} {cold.server.started_at_ms}',
             self.host,
             self._list_routers(now),
@@ -361,5 +427,9 @@
         return self.routers
 
 
-def _ignore_change(server: proxying.BackendServer, is_cold: bool) -> None:
+def _set_no_pace(server: proxying.BackendServer) -> float | None:
+    """Return None; servers have no pace by default."""
+
+
+def _ignore_change(server: proxying.BackendServer, is_limited: bool) -> None:
     """Do nothing; the default callback for cold servers."""
--- a/arbutusvale/state/warmup_shares.py
+++ b/arbutusvale/state/warmup_shares.py
@@ -33,6 +33,9 @@
 
 # Routers may differ about who runs, and requests wait a little on their way.
 RESERVE = 2
+# The bound in a second of a server that has a pace only.
+BOUND_FACTOR = 1.5
+BOUND_RESERVE = 5.0
 # A bucket that refills just within a second would give a request too many.
 REFILL_MARGIN = 0.9
 # A router keeps all parts with this share of the mean demand, and the part of
@@ -55,6 +58,20 @@
     rate: float
     bound: float
 
+    def at_pace(self, pace: float | None, is_cold: bool) -> 'Warmup':
+        """Return what binds now: the declared rate, the pace or both.
+
+        A pace without a declared rate may be exceeded by as much in any one
+        second.
+        """
+        if is_cold and (pace is None or pace >= self.rate):
+            return self
+        rate = pace or self.rate
+        bound = BOUND_FACTOR * rate + BOUND_RESERVE
+        return Warmup(
+            self.duration_s, rate, min(bound, self.bound) if is_cold else bound
+        )
+
 
 def count_senders(warmup: Warmup, routers: int) -> int:
     """Return how many of the routers may send to a cold server."""
--- a/tests/state/test_server_warmups.py
+++ b/tests/state/test_server_warmups.py
@@ -134,9 +134,9 @@
     for start in (2, 3):
         server = helpers_edge.make_server('e', started_at_ms=start)
         assert warmups.record_listed(server, True)
-        assert warmups.is_cold(server)
+        assert warmups.is_limited(server)
         clock.now += WARMUP.duration_s - 0.1
-        assert warmups.is_cold(server)
+        assert warmups.is_limited(server)
         warmups.forget('e')
     assert not warmups.cold
 
@@ -155,7 +155,7 @@
     entry = helpers_edge.make_server('e', cold_for_s=2.0)
     assert warmups.record_listed(entry, False)
     clock.now += 2.0
-    assert not warmups.is_cold(SERVER)
+    assert not warmups.is_limited(SERVER)
 
 
 def test_servers_are_cold_after_their_data_centre_was_restored():
@@ -164,9 +164,9 @@
     warmups.restored_at = {'north': restored_at}.get
     assert warmups.time_left_s(SERVER) == 2.0
     other = helpers_edge.make_server('f', data_centre='south')
-    assert not warmups.is_cold(other)
+    assert not warmups.is_limited(other)
     clock.now += 2.0
-    assert not warmups.is_cold(SERVER)
+    assert not warmups.is_limited(SERVER)
 
 
 def test_pool_without_a_warmup_is_not_limited():
--- a/tests/state/warmup_replay.py
+++ b/tests/state/warmup_replay.py
@@ -140,9 +140,7 @@
             case 'unlimited':
                 return Unlimited()
             case 'named':
-                return NamedLimit(
-                    number, self.hosts, self.clock, self.servers
-                )
+                return NamedLimit(number, self.hosts, self.clock, self.servers)
             case 'product':
                 return Product(number, self.hosts, self.clock)
             case 'scheduler':
