--- a/arbutusvale/coordination/server_pacing.py
+++ b/arbutusvale/coordination/server_pacing.py
@@ -84,6 +84,10 @@
         if not self.warmups.is_limited(server):
             self.first_byte_times.record(work, first_byte_s)
             return
+        if self.warmups.is_cold(server):
+            # It is slow for a while; the declared rate takes that into account.
+            self._count(server, True)
+            return
         answer = pace_policy.Answer(
             True, first_byte_s, self.first_byte_times.average_s(work), waiting
         )
@@ -108,7 +112,6 @@
             evidence = self._get(key, cold.server.pool)
             if cold.pace is None or now - evidence.stepped_at < interval_s:
                 continue
-            evidence.stepped_at = now
             good, bad = evidence.total()
             progress = pace_policy.Progress(
                 pace=cold.pace,
@@ -116,8 +119,10 @@
                 ceiling=cold.warmup.rate if now < cold.until else None,
                 good=max(0, good - evidence.judged[0]),
                 bad=max(0, bad - evidence.judged[1]),
+                interval_s=now - evidence.stepped_at,
                 paced_for_s=now - cold.begun_at,
             )
+            evidence.stepped_at = now
             evidence.judged = (good, bad)
             self._set_pace(cold.server, progress)
 
--- a/arbutusvale/state/server_warmups.py
+++ b/arbutusvale/state/server_warmups.py
@@ -204,6 +204,11 @@
         """List the servers that are cold or paced now."""
         return list(self.cold.values())
 
+    def is_cold(self, server: proxying.BackendServer) -> bool:
+        """Return whether a server is cold now."""
+        cold = self._find(server)
+        return cold is not None and self.clock() < cold.until
+
     def is_limited(self, server: proxying.BackendServer) -> bool:
         """Return whether a server is cold or paced now."""
         return self._find(server) is not None
--- a/tests/test_composeedge.py
+++ b/tests/test_composeedge.py
@@ -52,8 +52,8 @@
             [
                 'settings', 'codec', 'connection_pool', 'config', 'loads',
                 'prompts', 'outlier_detector', 'crashes', 'metrics',
-                'pauses', 'limits', 'pacer', 'announce_limits', 'generator', 'clock',
-                'peers', 'origins', 'store_age_s',
+                'pauses', 'limits', 'announce_limits', 'generator', 'clock',
+                'peers', 'origins', 'store_age_s', 'pacer',
                 'server_list_age_s', 'link_queue', 'latency_estimator',
             ]
         ),
