--- a/arbutusvale/coordination/edge_reporter.py
+++ b/arbutusvale/coordination/edge_reporter.py
@@ -287,6 +287,8 @@
             case edge_requests.Delivered(_, status) if (
                 status < MIN_SERVER_ERROR_STATUS
             ):
+                if self.context.outlier_detector.was_down(server.id):
+                    self.context.limits.warmups.begin_pace(server)
                 self.context.outlier_detector.record_success(server.id)
                 self._record_answered(server, status)
             case edge_requests.Delivered():
--- a/arbutusvale/coordination/outlier_detection.py
+++ b/arbutusvale/coordination/outlier_detection.py
@@ -14,6 +14,8 @@
 _MAX_EJECTION_S = 30.0
 _MAX_DOUBLINGS = 7
 _CONSECUTIVE_FAILURE_THRESHOLD = 3
+# A server that is ejected so often in a row is down rather than disturbed.
+_DOWN_EJECTIONS = 3
 # A server is slow above this multiple of its pool's median latency.
 _SLOW_FACTOR = 4.0
 # The median counts as at least this, so that fast pools tolerate jitter.
@@ -68,6 +70,15 @@
         record = self.records.get(server_id)
         return record is not None and record.ejected_until > self.clock()
 
+    def was_down(self, server_id: str) -> bool:
+        """Return whether a server was ejected repeatedly until now."""
+        record = self.records.get(server_id)
+        return (
+            record is not None
+            and record.probation
+            and record.consecutive_ejections >= _DOWN_EJECTIONS
+        )
+
     def record_unreachable(self, server_id: str) -> None:
         """Eject a server that accepted no connection."""
         self._eject(self._get_record(server_id))
--- a/arbutusvale/coordination/pace_policy.py
+++ b/arbutusvale/coordination/pace_policy.py
@@ -10,8 +10,8 @@
   while it answers as fast as others do with as much work;
 - *a server answers slowly, refuses or fails after its start*: its pace falls
   by half at once, and rises again when its answers are good;
-- *little demand*: a pace that isn't used up says nothing of a higher one, so
-  it doesn't rise, and ends if it is at least the usual rate of a server;
+- *many routers*: each sees loads that are a second old, so a pace ends only
+  far above the usual rate, when the server is loaded like the others;
 - *news of other routers are lost*: a pace without answers stays as it is, but
   no longer than ``MAX_PACED_S``.
 """
@@ -25,8 +25,6 @@
 # The part of the usual rate with which a server begins that declares nothing.
 FIRST_SHARE = 0.25
 MIN_PACE = 1.0
-# A pace of which less is used limits nothing.
-USED_SHARE = 0.4
 # A pace ends at this multiple of the usual rate of a server of the pool.
 END_FACTOR = 4.0
 MAX_PACED_S = 15.0
@@ -55,8 +53,7 @@
 class Progress:
     """What is known at the end of an interval; rates are requests a second.
 
-    ``good`` and ``bad`` count the answers of the interval at all routers,
-    which lasted ``interval_s``.
+    ``good`` and ``bad`` count the answers of the interval at all routers.
     ``usual`` is the rate of a server of the pool without a pace, and
     ``ceiling`` the rate that the server declares, None if it isn't cold.
     """
@@ -66,7 +63,6 @@
     ceiling: float | None
     good: int
     bad: int
-    interval_s: float
     paced_for_s: float
 
 
@@ -92,15 +88,12 @@
     answers = progress.good + progress.bad
     if answers and progress.bad > MAX_BAD_SHARE * answers:
         return max(MIN_PACE, FALL_FACTOR * pace)
-    is_used = answers >= USED_SHARE * pace * progress.interval_s
-    if progress.good and is_used:
+    if progress.good:
         pace *= RISE_FACTOR
     if progress.ceiling is not None:
         return min(pace, progress.ceiling)
     if progress.paced_for_s > MAX_PACED_S:
         return None
-    if progress.good and pace >= progress.usual and not is_used:
-        return None
     if progress.good and pace >= END_FACTOR * progress.usual:
         return None
     return pace
--- a/arbutusvale/coordination/server_pacing.py
+++ b/arbutusvale/coordination/server_pacing.py
@@ -85,7 +85,7 @@
             self.first_byte_times.record(work, first_byte_s)
             return
         if self.warmups.is_cold(server):
-            # It is slow for a while; the declared rate takes that into account.
+            # The declared rate takes into account that it is slow.
             self._count(server, True)
             return
         answer = pace_policy.Answer(
@@ -119,7 +119,6 @@
                 ceiling=cold.warmup.rate if now < cold.until else None,
                 good=max(0, good - evidence.judged[0]),
                 bad=max(0, bad - evidence.judged[1]),
-                interval_s=now - evidence.stepped_at,
                 paced_for_s=now - cold.begun_at,
             )
             evidence.stepped_at = now
--- a/tests/coordination/test_edge_placement.py
+++ b/tests/coordination/test_edge_placement.py
@@ -7,6 +7,8 @@
 from arbutusvale.protocol import edge_settings
 from arbutusvale.protocol import keyed_log
 from arbutusvale.protocol import proxying
+from arbutusvale.state import server_warmups
+from arbutusvale.state import warmup_shares
 from tests import helpers_edge
 
 PROMPT = (proxying.PromptPart('shared', 9000), proxying.PromptPart('own', 9))
@@ -72,3 +74,46 @@
     request = make_request()
     request.pool = 'empty'
     assert not edge_placement.is_being_read(context, request)
+
+
+def make_cold_pool(engines, seconds_after_start):
+    """Return the context of a router, with a pool that has just returned."""
+    context = make_context(engines)
+    warmup = warmup_shares.Warmup(3.0, 18.0, 32.0)
+    warmups = context.limits.warmups
+    warmups.list_warmups = lambda: {'chat': warmup}
+    context.clock.now += seconds_after_start
+    for listed in context.servers.list_ready_servers('chat'):
+        warmups.record_listed(listed.server, True)
+    return context
+
+
+def count_placed(context, seconds):
+    count = 0
+    end = context.clock.now + seconds
+    while context.clock.now < end:
+        placement = place(context)
+        if placement is not None:
+            context.limits.spend(placement.server)
+            count += 1
+        context.clock.now += 0.005
+    return count
+
+
+def test_pool_that_returns_cold_serves_its_rate_and_tells_when_it_has_more():
+    context = make_cold_pool(4, 10.0)
+    allowed = 4 * 18.0 * 2.0
+    assert 0.9 * allowed <= count_placed(context, 2.0) <= allowed + 4
+    while place(context) is not None:
+        context.limits.spend(place(context).server)
+    wait_s = edge_placement.find_shortest_wait_s(context, make_request(), [])
+    assert 0 < wait_s <= 1 / 18.0
+
+
+def test_router_that_may_send_nothing_yet_tells_when_servers_are_warm():
+    context = make_cold_pool(4, 1.0)
+    assert place(context) is None
+    for _ in range(20):
+        context.waiters.join('chat')
+    wait_s = edge_placement.find_shortest_wait_s(context, make_request(), [])
+    assert 2.9 < wait_s <= 3.0 + server_warmups.PACE_LIFE_S
--- a/tests/coordination/test_views.py
+++ b/tests/coordination/test_views.py
@@ -103,3 +103,32 @@
     servers.clock.now += 2.0
     view.expire()
     assert ended == ['a']
+
+
+def test_servers_of_the_first_read_have_not_just_started():
+    _, _, _, view = make_server_view()
+    listed = []
+    view.on_listed = lambda server, is_new: listed.append(
+        (server.id, server.started_at_ms, is_new)
+    )
+    first = record('a', helpers_edge.make_entry('10.1.0.1:1'))
+    view.replace([first], None)
+    again = record('a', helpers_edge.make_entry('10.1.0.1:1', Sequence=2))
+    reborn = record('a', helpers_edge.make_entry('10.1.0.1:1', born=2))
+    view.update([again, reborn, record('a', None)], None)
+    # An entry may be gone and come back while the store is away.
+    view.update([reborn], None)
+    assert listed == [
+        ('a', 1, False), ('a', 1, False), ('a', 2, True), ('a', 2, False),
+    ]  # fmt: skip
+
+
+# Routers that don't read the store would not have heard of it.
+def test_entry_that_says_that_its_server_is_cold_again_is_relayed():
+    _, _, _, view = make_server_view()
+    entry = record('a', helpers_edge.make_entry('10.1.0.1:1'))
+    view.replace([entry], None)
+    assert view.update([entry], None) == []
+    view.on_listed = lambda server, is_new: server.cold_for_s > 0
+    cold = record('a', helpers_edge.make_entry('10.1.0.1:1', WarmupLeftMs=9))
+    assert view.update([cold], None) == [cold]
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -165,3 +165,14 @@
 def test_a_malformed_load_counts_as_absent(value):
     response_headers = [(b'x-arbutusvale-engine-load', value)]
     assert headers.parse_response_head(200, b'', response_headers).load is None
+
+
+@pytest.mark.parametrize(
+    ('value', 'seconds'),
+    [(b'1500', 1.5), (b'-1', 0.0), (b'x', 0.0), (b'9' * 20, 60.0)],
+)
+def test_time_that_a_server_stays_cold_is_decoded(value, seconds):
+    head = headers.parse_response_head(
+        200, b'OK', [(b'x-arbutusvale-warmup-ms', value)]
+    )
+    assert head.cold_for_s == seconds
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -92,3 +92,30 @@
     with pytest.raises(errors.RecordError) as caught:
         records.read_server('i-1', json.dumps(entry).encode())
     assert caught.value.field == field
+
+
+def make_warmup(**changes):
+    service = {'Name': 'chat', 'MaxConnections': 9} | changes
+    pool = make_configuration(Services=[service]).pools['chat']
+    return pool.warmup_s, pool.warmup_rate
+
+
+def test_declared_warmup_is_decoded():
+    assert make_warmup(WarmupS=3.0, WarmupPerS=18) == (3.0, 18.0)
+    assert make_warmup() == (0.0, 0.0)
+    entry = helpers_edge.make_entry('10.1.0.1:1', WarmupLeftMs=1500)
+    assert records.read_server('e', entry).cold_for_s == 1.5
+
+
+@pytest.mark.parametrize(
+    'value', [None, -1, True, 'x', [], float('nan'), float('inf')]
+)
+def test_nonsense_of_a_warmup_counts_as_absent(value):
+    assert make_warmup(WarmupS=value, WarmupPerS=value) == (0.0, 0.0)
+    entry = helpers_edge.make_entry('10.1.0.1:1', WarmupLeftMs=value)
+    assert records.read_server('e', entry).cold_for_s == 0.0
+
+
+def test_server_is_not_cold_for_ever():
+    entry = helpers_edge.make_entry('10.1.0.1:1', WarmupLeftMs=1e15)
+    assert records.read_server('e', entry).cold_for_s == records.MAX_COLD_S
