Keep a new incarnation cold that has the id of the one before

Cause: the end of the old incarnation dropped the limits of all with its id, after the new entry had been recorded.

--- a/arbutusvale/coordination/server_view.py
+++ b/arbutusvale/coordination/server_view.py
@@ -128,14 +128,15 @@
         previous = self.servers.by_id.get(server_id)
         is_new = self.was_read and self.servers.is_new(server)
         changed = self.servers.put(server)
-        became_cold = self.on_listed(server, is_new)
-        if not changed:
-            return became_cold
         if (
-            previous is not None
+            changed
+            and previous is not None
             and previous.server.started_at_ms != server.started_at_ms
         ):
             self.on_incarnation_ended(server_id)
+        became_cold = self.on_listed(server, is_new)
+        if not changed:
+            return became_cold
         self.events.write(
             'server-listed',
             server=server_id,
--- a/arbutusvale/state/server_limits.py
+++ b/arbutusvale/state/server_limits.py
@@ -158,7 +158,9 @@
         }
 
     def is_limited(self, server: proxying.BackendServer) -> bool:
-        """Return whether a server names a limit or is cold."""
+        """Return whether a server names a limit, or is cold or paced."""
+        if self._is_unlimited():
+            return False
         limit = self.limits.get((server.id, server.started_at_ms))
         if limit is not None and limit.rate is not None:
             return True
@@ -173,6 +175,8 @@
 
     def time_until_free_s(self, server: proxying.BackendServer) -> float:
         """Return the time until a request may be sent; 0 for now."""
+        if self._is_unlimited():
+            return 0.0
         cold_s = self.warmups.time_until_free_s(server)
         limit = self._refill(server)
         if limit is None or limit.credit >= 1:
@@ -216,6 +220,14 @@
         for key in [key for key in self.limits if key[0] == server_id]:
             del self.limits[key]
 
+    def _is_unlimited(self) -> bool:
+        """Return whether no server has a limit, as mostly."""
+        return not (
+            self.limits
+            or self.warmups.cold
+            or self.warmups.restored_at is not None
+        )
+
     def _update(
         self,
         key: tuple[str, int],
--- a/tests/coordination/test_views.py
+++ b/tests/coordination/test_views.py
@@ -123,6 +123,18 @@
     ]  # fmt: skip
 
 
+# The state of the new incarnation was dropped with that of the old one.
+def test_new_incarnation_is_recorded_after_the_old_one_has_ended():
+    _, _, _, view = make_server_view()
+    calls = []
+    view.on_listed = lambda server, is_new: calls.append('listed')
+    view.on_incarnation_ended = lambda server_id: calls.append('ended')
+    for start in (1, 2):
+        entry = helpers_edge.make_entry('10.1.0.1:1', born=start)
+        view.update([record('a', entry)], None)
+    assert calls == ['listed', 'ended', 'listed']
+
+
 # Routers that don't read the store would not have heard of it.
 def test_entry_that_says_that_its_server_is_cold_again_is_relayed():
     _, _, _, view = make_server_view()
