--- a/arbutusvale/coordination/pace_policy.py
+++ b/arbutusvale/coordination/pace_policy.py
@@ -91,7 +91,8 @@
     if progress.good:
         pace *= RISE_FACTOR
     if progress.ceiling is not None:
-        return min(pace, progress.ceiling)
+        # One step ahead of the rate that binds, for when that ends.
+        return min(pace, RISE_FACTOR * progress.ceiling)
     if progress.paced_for_s > MAX_PACED_S:
         return None
     if progress.good and pace >= END_FACTOR * progress.usual:
