--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -31,6 +31,7 @@
 from arbutusvale.coordination import outlier_detection
 from arbutusvale.coordination import peer_snapshot
 from arbutusvale.coordination import peers
+from arbutusvale.coordination import server_pacing
 from arbutusvale.coordination import server_view
 from arbutusvale.coordination import sink_group
 from arbutusvale.coordination import supervisor
@@ -42,6 +43,7 @@
 from arbutusvale.platform import store
 from arbutusvale.protocol import edge_settings
 from arbutusvale.protocol import peer_message
+from arbutusvale.protocol import proxying
 from arbutusvale.protocol import routing
 from arbutusvale.state import crash_evidence
 from arbutusvale.state import edge_metrics
@@ -53,9 +55,11 @@
 from arbutusvale.state import server_list
 from arbutusvale.state import server_loads
 from arbutusvale.state import server_pauses
+from arbutusvale.state import server_warmups
 from arbutusvale.state import service_times
 from arbutusvale.state import socket_budget
 from arbutusvale.state import stream_origins
+from arbutusvale.state import warmup_shares
 from arbutusvale.transport import acceptor
 from arbutusvale.transport import connection_pool
 from arbutusvale.transport import edge_server
@@ -103,6 +107,8 @@
         )
         self.stopping_since: float | None = None
         self.stopped = asyncio.Event()
+        self.warmups_by_pool: dict[str, warmup_shares.Warmup] = {}
+        self.warmups_version = 0
         self._make_views()
         self._make_router()
 
@@ -167,9 +173,29 @@
             self.peers.list_known_hosts,
             self.clock,
         )
+        self.warmups = server_warmups.ServerWarmups(
+            self.settings.host,
+            self.clock,
+            self.peers.list_known_peers,
+            generator,
+        )
+        self.warmups.list_warmups = self._list_warmups
+        self.warmups.on_change = self._log_warmup
+        if self.settings.bounds.evacuation_s is not None:
+            self.warmups.restored_at = self.evacuations.restored_at
+        self.peers.warmups = self.warmups
+        self.server_view.on_listed = self.warmups.record_listed
         limits = server_limits.ServerLimits(
-            self.clock, self.peers.list_known_peers, generator
+            self.clock, self.peers.list_known_peers, generator, self.warmups
+        )
+        self.pacer = server_pacing.ServerPacer(
+            self.warmups,
+            self.servers,
+            self.events,
+            self.peers.interval_s,
+            self.clock,
         )
+        self.warmups.choose_pace = self.pacer.choose_first_pace
         self.limit_exchange = limit_exchange.LimitExchange(
             self.settings.host,
             limits,
@@ -177,6 +203,7 @@
             self.peers.interval_s,
             self.clock,
         )
+        self.limit_exchange.pacer = self.pacer
         loads = server_loads.ServerLoads(self.clock)
         self.load_exchange = load_exchange.LoadExchange(
             self.settings.host,
@@ -194,6 +221,7 @@
             loads=loads,
             pauses=server_pauses.ServerPauses(self.clock),
             limits=limits,
+            pacer=self.pacer,
             announce_limits=self.limit_exchange.announce,
             load_age_s=self._load_age_s,
             prompts=prompt_cache_index.PromptCacheIndex(self.clock),
@@ -396,6 +424,8 @@
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             self.server_view.expire()
+            self.warmups.expire()
+            self.pacer.step()
             if self.stopping_since is None:
                 continue
             elapsed_s = self.clock() - self.stopping_since
@@ -509,6 +539,40 @@
         """Drop the state of a server that left the list."""
         self.context.forget_server(server_id)
 
+    def _list_warmups(self) -> dict[str, warmup_shares.Warmup]:
+        """Return what the pools of the configuration declare, by pool."""
+        if self.config.version != self.warmups_version:
+            self.warmups_version = self.config.version
+            bounds = self.settings.bounds
+            configuration = self.config.route_table.configuration
+            self.warmups_by_pool = {
+                pool.name: warmup_shares.Warmup(
+                    pool.warmup_s,
+                    pool.warmup_rate,
+                    bounds.warmup_overage * pool.warmup_rate
+                    + bounds.warmup_slack,
+                )
+                for pool in configuration.pools.values()
+                if pool.warmup_s and pool.warmup_rate
+            }
+            if self.settings.pace_all_pools:
+                undeclared = warmup_shares.Warmup(0.0, 0.0, 0.0)
+                for name in configuration.pools:
+                    self.warmups_by_pool.setdefault(name, undeclared)
+        return self.warmups_by_pool
+
+    def _log_warmup(
+        self, server: proxying.BackendServer, is_cold: bool
+    ) -> None:
+        """Log and count that a server is cold or paced, or no longer."""
+        if is_cold:
+            self.metrics.increment('cold_servers', server.pool)
+        self.events.write(
+            'server-cold' if is_cold else 'server-warm',
+            server=server.id,
+            pool=server.pool,
+        )
+
     def _max_idle_connections(self, pool: str) -> int:
         """Return the maximum number of idle connections to one server.
 
--- a/arbutusvale/platform/boot_file.py
+++ b/arbutusvale/platform/boot_file.py
@@ -52,6 +52,7 @@
             link_mbit_per_s=self._read_number('Limits.LinkMbps', 0.0),
             max_sockets=self._compute_max_sockets(),
             bounds=self._read_bounds(),
+            pace_all_pools=self._get('Pacing.AllPools') is True,
         )
         if self.faults:
             raise errors.DocumentError(self.path, self.faults)
@@ -76,6 +77,8 @@
             retry_reserve=self._read_number('Bounds.RetryBudgetSlack'),
             load_factor=self._read_number('Bounds.CapacityFactor', 2.0),
             evacuation_s=self._read_evacuation_s(),
+            warmup_overage=self._read_number('Bounds.WarmupOverage', 1.5),
+            warmup_slack=self._read_number('Bounds.WarmupSlack', 5.0),
         )
 
     def _read_evacuation_s(self) -> float | None:
--- a/arbutusvale/protocol/edge_settings.py
+++ b/arbutusvale/protocol/edge_settings.py
@@ -23,6 +23,8 @@
     ``load_factor`` limits an engine's load to a multiple of its pool's mean.
     No request reaches an evacuated data centre after ``evacuation_s``; None
     where operators evacuate none.
+    A cold server takes at most ``warmup_overage`` times the rate that its
+    pool declares, and ``warmup_slack`` requests, in any second.
     """
 
     contact_s: float
@@ -34,6 +36,8 @@
     retry_reserve: float
     load_factor: float
     evacuation_s: float | None = None
+    warmup_overage: float = 1.5
+    warmup_slack: float = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,6 +48,8 @@
     ``peer_port`` is the port for traffic between routers, the same on every
     VM; ``link_mbit_per_s`` is the rate of the VM's network link, 0 if
     unknown.  ``max_sockets`` limits the sockets that the process may open.
+    With ``pace_all_pools`` the servers of pools that declare no warm-up are
+    paced after their start, too.
     """
 
     name: str
@@ -59,3 +65,4 @@
     link_mbit_per_s: float
     max_sockets: int
     bounds: Bounds
+    pace_all_pools: bool = False
