End an evacuation at once where the store is no older copy

A full read after any outage of the store held an evacuation that had been taken back for two seconds and until the next empty poll, up to 12 s. Only a rise of the log's era tells of an older copy, so only that holds it.

--- a/arbutusvale/coordination/evacuation_view.py
+++ b/arbutusvale/coordination/evacuation_view.py
@@ -45,9 +45,7 @@
     ) -> None:
         """Apply a full read; evacuations that it lacks end."""
         before = set(self.state.in_force)
-        self.state.replace(
-            self._read_positions(records), self.page_end(), return_by
-        )
+        self.state.replace(self._read_positions(records), self.page_end())
         self._log_changes(before, 'store')
 
     def update(
@@ -117,7 +115,7 @@
         own = self.state.read_to
         if own is not None and own.era != read_to.era:
             self.state.note_older_copy(positions)
-        self.state.replace(positions, read_to, None)
+        self.state.replace(positions, read_to)
         self._log_changes(before, 'peer')
 
     def _read_positions(
--- a/arbutusvale/state/evacuations.py
+++ b/arbutusvale/state/evacuations.py
@@ -30,8 +30,8 @@
     """An evacuation in force; ``position`` is that of its record.
 
     ``started_at`` is the monotonic time at which it was first known.
-    ``expires_at`` is set while the record is missing after an outage of the
-    store: the monotonic time up to which it may be written again.
+    ``expires_at`` is set while the record is missing: the monotonic time up
+    to which it may be written again.
     """
 
     position: keyed_log.Position
@@ -111,14 +111,12 @@
         self,
         records: Mapping[str, keyed_log.Position],
         read_to: keyed_log.Position,
-        return_by: float | None,
     ) -> None:
         """Apply a full read of the log: all evacuations, by data centre.
 
-        Those that it lacks end, after a time of grace if the log may be an
-        older copy of itself.  Newer ones, of records behind ``read_to``, stay.
-        ``return_by`` is until when records may return after an outage of the
-        store, in monotonic seconds; None without one.
+        Those that it lacks end, after a time of grace if the log has become
+        an older copy of itself since.  Newer ones, of records behind
+        ``read_to``, stay.
         """
         is_new_copy = (
             self.read_to is not None and self.read_to.era < read_to.era
@@ -136,8 +134,8 @@
                 continue
             if evacuation.expires_at is not None and not is_new_copy:
                 continue
-            evacuation.expires_at = return_by or self.clock()
-            if return_by is None and evacuation.position.era < read_to.era:
+            evacuation.expires_at = self.clock()
+            if evacuation.position.era < read_to.era:
                 evacuation.expires_at += REWRITE_GRACE_S
         self.expire()
 
