--- a/arbutusvale/platform/records.py
+++ b/arbutusvale/platform/records.py
@@ -12,7 +12,7 @@
 CONFIG_KEY = 'config'
 _EVACUATION_PREFIX = 'evacuate/'
 
-_ROUTE_KINDS = {
+ROUTE_KINDS = {
     'idempotent': routing.RouteKind.IDEMPOTENT,
     'non_idempotent': routing.RouteKind.NON_IDEMPOTENT,
     'streaming': routing.RouteKind.STREAM,
@@ -21,12 +21,12 @@
     'ready': proxying.ServerState.READY,
     'draining': proxying.ServerState.DRAINING,
 }
-_DEFAULT_MAX_CONNECTIONS = 100
+DEFAULT_MAX_CONNECTIONS = 100
 # Defaults of fields that a route omits.
-_DEFAULT_TARGET_MS = 1000
-_DEFAULT_GAP_MS = 300
-_DEFAULT_MAX_ATTEMPTS = 1
-_DEFAULT_PRIORITY = 5
+DEFAULT_TARGET_MS = 1000
+DEFAULT_GAP_MS = 300
+DEFAULT_MAX_ATTEMPTS = 1
+DEFAULT_PRIORITY = 5
 
 
 def read_configuration(data: bytes) -> routing.Configuration:
@@ -95,7 +95,7 @@
     """Decode one route."""
     if not isinstance(row, dict):
         raise errors.RecordError('Routes', 'Write an object for each route.')
-    kind = _ROUTE_KINDS.get(str(row.get('RouteType')))
+    kind = ROUTE_KINDS.get(str(row.get('RouteType')))
     return routing.Route(
         name=_get_text(row, 'Name'),
         host=_get_text(row, 'Host').lower(),
@@ -104,17 +104,17 @@
         kind=kind or routing.RouteKind.NON_IDEMPOTENT,
         timeout_s=_get_integer(row, 'TimeoutMs') / 1000,
         target_latency_s=_get_integer(
-            row, 'TargetLatencyMs', _DEFAULT_TARGET_MS
+            row, 'TargetLatencyMs', DEFAULT_TARGET_MS
         )
         / 1000,
-        priority=_get_integer(row, 'Priority', _DEFAULT_PRIORITY),
+        priority=_get_integer(row, 'Priority', DEFAULT_PRIORITY),
         splits=_decode_splits(row),
         max_attempts=max(
-            1, _get_integer(row, 'MaxAttempts', _DEFAULT_MAX_ATTEMPTS)
+            1, _get_integer(row, 'MaxAttempts', DEFAULT_MAX_ATTEMPTS)
         ),
         anonymous=row.get('Anonymous') is True,
         resumable=row.get('StreamResume') is True,
-        target_gap_s=_get_integer(row, 'GapAimMs', _DEFAULT_GAP_MS) / 1000,
+        target_gap_s=_get_integer(row, 'GapAimMs', DEFAULT_GAP_MS) / 1000,
     )
 
 
@@ -142,7 +142,7 @@
     return routing.Pool(
         name=_get_text(row, 'Name'),
         max_connections=_get_integer(
-            row, 'MaxConnections', _DEFAULT_MAX_CONNECTIONS
+            row, 'MaxConnections', DEFAULT_MAX_CONNECTIONS
         ),
     )
 
--- a/arbutusvale/ui/main.py
+++ b/arbutusvale/ui/main.py
@@ -114,6 +114,11 @@
             options, ('check', 'sign', 'diff', 'reference')
         )
         return _import_command(f'bundle_{subcommand}').run(options)
+    if options['config']:
+        documents = importlib.import_module(
+            'arbutusvale.platform.config_document'
+        )
+        return _import_command('config_check').run(options, documents.read)
     if options['--routers']:
         return _import_command('router_status').run(options)
     name = _find_selected(options, ('rollout', 'status', 'history', 'keygen'))
--- a/arbutusvale/ui/usage.py
+++ b/arbutusvale/ui/usage.py
@@ -23,6 +23,7 @@
                           [--json] [--verbose]
   arbutusvale status --settings=FILE [--json] [--verbose]
   arbutusvale status --routers=ADDRESSES [--json] [--verbose]
+  arbutusvale config check FILE [--against=FILE] [--json] [--verbose]
   arbutusvale history --settings=FILE [--json] [--verbose]
   arbutusvale keygen --out=FILE [--verbose]
   arbutusvale --help
@@ -34,6 +35,7 @@
   --parent=DIGEST  Digest of the bundle that this one follows; without it
                    the head of the log service, or none in a first bundle.
   --timeout=S      Seconds to wait for all VMs [default: 30].
+  --against=FILE   The configuration in force, to compare with.
   --routers=ADDRESSES  Metrics pages of edge routers, as HOST:PORT with commas
                    between; exit code 5 if they differ or one is unreachable.
   --json           Print JSON in place of a table.
@@ -41,7 +43,9 @@
   -h --help        Print this text.
   --version        Print the version.
 
-BUNDLE is a YAML document; rollout also takes a file that sign wrote.
+BUNDLE is a YAML document; rollout also takes a file that sign wrote.  FILE is
+the JSON of an edge router's configuration; the exit code of its check is 1 if
+there are findings, 2 if it can't be read.
 
 {_CODES}"""
 
