Read how long work takes on an engine from its reported load

Engines of some pools tell a fourth figure with their load, how long work takes there now; it was dropped. It is decoded as a slowdown, 1.0 as usual; what is no number from a hundredth to a hundred times is kept apart and leaves the counts usable (a malformed fourth figure hid them before).

--- a/arbutusvale/platform/headers.py
+++ b/arbutusvale/platform/headers.py
@@ -71,6 +71,11 @@
 # A server that asks for a longer pause is held to be in error.
 _MAX_PAUSE_S = 3600.0
 _MAX_RATE = 1e6
+# Work as usual; a figure beyond a hundredth or a hundred times of that is
+# held to be an error.
+_USUAL_PERCENT = 100.0
+_MIN_PERCENT = 1.0
+_MAX_PERCENT = 10_000.0
 _MAX_PROMPT_PARTS = 64
 
 
@@ -170,6 +175,7 @@
     values = dict(headers)
     pause_s, malformed_pause = _parse_pause(status, values.get(_RETRY_AFTER))
     rate_limit, malformed_limit = _parse_limit(values.get(SERVER_LIMIT))
+    load, malformed_slowdown = _parse_load(values.get(ENGINE_LOAD))
     return proxying.ResponseHead(
         status=status,
         reason=reason,
@@ -183,7 +189,7 @@
         signed=ENGINE_SIGNATURE in values,
         not_run=NOT_EXECUTED in values,
         misdirected=status == MISDIRECTED,
-        load=_parse_load(values.get(ENGINE_LOAD)),
+        load=load,
         keep_alive_s=_parse_keep_alive(values.get(b'keep-alive')),
         encoded=b'content-encoding' in values,
         leaving=values.get(SERVER_LEAVING, b'').strip() == b'1',
@@ -191,6 +197,7 @@
         malformed_pause=malformed_pause,
         rate_limit=rate_limit,
         malformed_limit=malformed_limit,
+        malformed_slowdown=malformed_slowdown,
     )
 
 
@@ -269,14 +276,37 @@
     return tuple(parts)
 
 
-def _parse_load(value: bytes | None) -> proxying.ReportedLoad | None:
-    """Return a reported load, or None if it is absent or malformed."""
+def _parse_load(
+    value: bytes | None,
+) -> tuple[proxying.ReportedLoad | None, str]:
+    """Return a reported load and its slowdown if that is malformed.
+
+    The load is None if it is absent or its counts are malformed.
+    """
     if value is None:
-        return None
+        return None, ''
     fields = value.split(b',')
-    if len(fields) < 3 or not all(field.strip().isdigit() for field in fields):
-        return None
-    return proxying.ReportedLoad(*(int(field) for field in fields[:3]))
+    counts = fields[:3]
+    if len(counts) < 3 or not all(field.strip().isdigit() for field in counts):
+        return None, ''
+    slowdown, malformed_slowdown = None, ''
+    if len(fields) > 3:
+        slowdown, malformed_slowdown = _parse_slowdown(fields[3])
+    load = proxying.ReportedLoad(*(int(field) for field in counts), slowdown)
+    return load, malformed_slowdown
+
+
+def _parse_slowdown(field: bytes) -> tuple[float | None, str]:
+    """Return a slowdown, 1.0 for none, or the field if it is malformed."""
+    text = field.strip().decode('latin-1')
+    try:
+        percent = float(text)
+    except ValueError:
+        return None, text or '-'
+    # Not true of a value that is no number, either.
+    if not _MIN_PERCENT <= percent <= _MAX_PERCENT:
+        return None, text
+    return percent / _USUAL_PERCENT, ''
 
 
 def _parse_keep_alive(value: bytes | None) -> float | None:
--- a/arbutusvale/protocol/proxying.py
+++ b/arbutusvale/protocol/proxying.py
@@ -106,11 +106,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportedLoad:
-    """The load that a backend server reported with a response, in requests."""
+    """The load that a backend server reported with a response, in requests.
+
+    ``slowdown`` is how long work takes there now: 1.0 as usual, 2.0 twice as
+    long; None if the server doesn't say.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -125,6 +130,7 @@
     from this router, None if it doesn't say or ``malformed_pause`` is what it
     says.  ``rate_limit`` is how many requests a second the server takes from
     all routers, None if it names no limit or ``malformed_limit``.
+    ``malformed_slowdown`` is what it says of its speed, if that is none.
     """
 
     status: int
@@ -142,3 +148,4 @@
     malformed_pause: str
     rate_limit: float | None = None
     malformed_limit: str = ''
+    malformed_slowdown: str = ''
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -165,3 +165,24 @@
 def test_a_malformed_load_counts_as_absent(value):
     response_headers = [(b'x-arbutusvale-engine-load', value)]
     assert headers.parse_response_head(200, b'', response_headers).load is None
+
+
+def parse_load(value):
+    response_headers = [(b'x-arbutusvale-engine-load', value)]
+    return headers.parse_response_head(200, b'', response_headers)
+
+
+def test_slowdown_is_the_fourth_figure_of_a_load():
+    assert parse_load(b'3,1,8,250').load == proxying.ReportedLoad(3, 1, 8, 2.5)
+    head = parse_load(b'3,1,8, 100 ,x')
+    assert head.load == proxying.ReportedLoad(3, 1, 8, 1.0)
+    assert not head.malformed_slowdown
+
+
+@pytest.mark.parametrize(
+    'value', [b'0', b'-5', b'x', b'', b'nan', b'inf', b'1e9', b'9' * 400]
+)
+def test_nonsense_in_place_of_a_slowdown_leaves_the_counts(value):
+    head = parse_load(b'3,1,8,' + value)
+    assert head.load == proxying.ReportedLoad(3, 1, 8)
+    assert head.malformed_slowdown == (value.decode() or '-')
