Keep the speed of servers and the demand for prompts, and tell peers

Routers add both to the messages that they send each other; a message that would pass 1,400 bytes goes without.

Nothing uses them yet.

--- a/arbutusvale/coordination/peers.py
+++ b/arbutusvale/coordination/peers.py
@@ -25,6 +25,7 @@
 from arbutusvale.protocol import stream_origin
 from arbutusvale.state import event_log
 from arbutusvale.state import prompt_cache_index
+from arbutusvale.state import prompt_loads
 from arbutusvale.state import server_loads
 
 # Short enough that peers see a burst before it has doubled a load; requests
@@ -103,6 +104,7 @@
         self.read_eras: Callable[[], dict[str, int]] = dict
         self.loads: server_loads.ServerLoads | None = None
         self.prompts: prompt_cache_index.PromptCacheIndex | None = None
+        self.prompt_loads: prompt_loads.PromptLoads | None = None
         # Chosen at random, so that a peer notices each start of this router.
         self.incarnation = self.generator.getrandbits(32)
         self.on_crash_message: Callable[[crash_report.CrashMessage], None] = (
@@ -121,6 +123,12 @@
         self.on_leaving_server: Callable[
             [peer_message.LeavingServer], None
         ] = _ignore_leaving_server
+        self.pop_speed_news: Callable[
+            [], tuple[peer_message.SpeedNews, ...]
+        ] = tuple
+        self.on_speed_news: Callable[
+            [tuple[peer_message.SpeedNews, ...]], None
+        ] = _ignore_speed_news
         # Servers to announce as leaving, each with the messages to go.
         self.leaving_servers: dict[peer_message.LeavingServer, int] = {}
         self.leaving = False
@@ -213,9 +221,16 @@
             self.on_peer_offset(topic, offset, message.eras.get(topic))
         for server in message.leaving_servers:
             self.on_leaving_server(server)
+        if message.speeds:
+            self.on_speed_news(message.speeds)
         if self.loads is not None:
             age_s = LIVE_INTERVALS * self.interval_s()
             self.loads.record_peer_counts(message.host, message.loads, age_s)
+        if self.prompt_loads is not None:
+            age_s = LIVE_INTERVALS * self.interval_s()
+            self.prompt_loads.record_peer(
+                message.host, message.prompt_loads, age_s
+            )
         if self.prompts is not None:
             for location in message.cache_locations:
                 record = (
@@ -251,7 +266,11 @@
             targets.update(self.seeds)
         if not targets:
             return
-        data = peer_message.encode(self._build_message())
+        message = self._build_message()
+        data = peer_message.encode(message)
+        if len(data) > peer_message.MAX_BYTES:
+            message = dataclasses.replace(message, speeds=(), prompt_loads={})
+            data = peer_message.encode(message)
         if len(data) > peer_message.MAX_BYTES:
             self.events.write('peer-news-too-long', bytes=len(data))
         for target in sorted(targets):
@@ -280,6 +299,12 @@
             leaving=self.leaving,
             eras=self.read_eras(),
             leaving_servers=self._pop_leaving_servers(),
+            speeds=self.pop_speed_news(),
+            prompt_loads=(
+                self.prompt_loads.list_own()
+                if self.prompt_loads is not None
+                else {}
+            ),
         )
 
     def _pop_leaving_servers(
@@ -361,6 +386,10 @@
     """Do nothing; the default callback for servers that leave."""
 
 
+def _ignore_speed_news(news: tuple[peer_message.SpeedNews, ...]) -> None:
+    """Do nothing; the default callback for speeds of servers."""
+
+
 def _ignore_origin(message: stream_origin.OriginMessage) -> None:
     """Do nothing; the default callback for origins of streams."""
 
--- a/arbutusvale/protocol/peer_message.py
+++ b/arbutusvale/protocol/peer_message.py
@@ -45,6 +45,19 @@
     address: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SpeedNews:
+    """What a router has lately learned of a server's speed.
+
+    ``slowdown`` is 1.0 if work takes as long as usual.  It is the mean of
+    ``calls`` calls, or what the server told if that is 0.
+    """
+
+    server_id: str
+    slowdown: float
+    calls: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerMessage:
     """One message of a router.
@@ -54,6 +67,8 @@
     counts its requests in flight by server id.  ``peers`` are IP addresses
     of routers that sent to it recently.  ``incarnation`` differs after
     each start; it is None from a router of an earlier build.
+    ``prompt_loads`` are the requests in flight that prompt parts ask for at
+    the sender.
     """
 
     name: str
@@ -67,6 +82,8 @@
     eras: dict[str, int] = dataclasses.field(default_factory=dict)
     leaving_servers: tuple[LeavingServer, ...] = ()
     incarnation: int | None = None
+    speeds: tuple[SpeedNews, ...] = ()
+    prompt_loads: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 def encode(message: PeerMessage) -> bytes:
@@ -104,6 +121,14 @@
                 for server in message.leaving_servers
             ],
             'run': message.incarnation,
+            'speeds': [
+                [news.server_id, round(news.slowdown * 100), news.calls]
+                for news in message.speeds
+            ],
+            'prompts': {
+                prompt: round(load * 100)
+                for prompt, load in message.prompt_loads.items()
+            },
         },
         separators=(',', ':'),
     ).encode()
@@ -146,9 +171,24 @@
                 )
             ),
             incarnation=_check_optional_integer(document.get('run')),
+            speeds=tuple(
+                SpeedNews(
+                    _check_string(server_id),
+                    _check_integer(percent) / 100,
+                    _check_integer(calls),
+                )
+                for server_id, percent, calls in document.get('speeds', ())
+            ),
+            prompt_loads={
+                prompt: load / 100
+                for prompt, load in _check_counts(
+                    document.get('prompts', {})
+                ).items()
+            },
         )
     except (
         ValueError, KeyError, TypeError, AttributeError, RecursionError,
+        OverflowError,
     ) as error:  # fmt: skip
         raise errors.FrameError(
             f'The message is malformed: {error!r}.'
--- a/tests/coordination/test_peers.py
+++ b/tests/coordination/test_peers.py
@@ -320,3 +320,35 @@
     del document['reading']
     second.receive(json.dumps(document).encode())
     assert set(second.prompts.find_engines('p')) == {'e1'}
+
+
+def make_speed_news(count):
+    return tuple(
+        peer_message.SpeedNews(f'i-{number:010x}', 6.0, 0)
+        for number in range(count)
+    )
+
+
+def test_speeds_reach_peers():
+    network = Network(2)
+    network.run(2)
+    first, second = network.routers.values()
+    received = []
+    second.on_speed_news = received.extend
+    first.pop_speed_news = lambda: make_speed_news(2)
+    first.broadcast()
+    assert tuple(received) == make_speed_news(2)
+
+
+def test_speeds_are_left_out_of_a_message_that_would_be_too_long():
+    network = Network(2)
+    network.run(2)
+    first, second = network.routers.values()
+    for number in range(peers.MAX_LOADS):
+        first.loads.record_start(f'i-{number:010x}' + 'x' * 18)
+    first.pop_speed_news = lambda: make_speed_news(8)
+    sent = []
+    first.send = lambda host, data: sent.append(data)
+    first.broadcast()
+    assert all(len(data) <= peer_message.MAX_BYTES for data in sent)
+    assert len(peer_message.decode(sent[0]).loads) == peers.MAX_LOADS
--- a/tests/fuzz/test_edge_untrusted_input.py
+++ b/tests/fuzz/test_edge_untrusted_input.py
@@ -22,6 +22,7 @@
 from arbutusvale.protocol import peer_message
 from arbutusvale.protocol import routing
 from arbutusvale.protocol import stream_origin
+from arbutusvale.state import server_speeds
 from arbutusvale.transport import edge_server
 from arbutusvale.transport import http_connection
 from tests import helpers_edge
@@ -137,6 +138,29 @@
         pass
 
 
+@given(strategies.lists(strategies.integers(0, 50), max_size=4), JSON)
+def test_speeds_of_a_peer_are_decoded_or_rejected(path, value):
+    message = peer_message.PeerMessage(
+        'r', 'h', {}, {}, (), speeds=(peer_message.SpeedNews('e', 2.5, 3),)
+    )
+    document = json.loads(peer_message.encode(message))
+    speeds = server_speeds.ServerSpeeds(helpers_edge.Clock())
+    server = helpers_edge.make_server('e')
+    try:
+        decoded = peer_message.decode(
+            json.dumps(mutate(document, path, value)).encode()
+        )
+    except errors.FrameError:
+        return
+    for news in decoded.speeds:
+        speeds.merge(news, server.started_at_ms)
+    assert (
+        server_speeds.MIN_SLOWDOWN
+        <= speeds.estimate(server)
+        <= server_speeds.MAX_SLOWDOWN
+    )
+
+
 @given(strategies.sampled_from(['origin', 'origin-query']), JSON, JSON, JSON)
 def test_message_on_a_stream_is_decoded_or_rejected(
     kind, attempt, pool, version
