Place requests by the speed of servers, too

No decision knew that servers differ in speed: an engine at a sixth of its usual speed still got requests up to the load bound, and a plain call to a slow server cost its caller the objective.

An engine whose slowdown puts the first event beyond half of the target is passed over, also for its cache, if another one is expected to take at most two thirds of its time; the cached parts are copied. The load bound stays one on counts. Plain servers are drawn with their weight divided by the square of their slowdown, which service times show where nothing is told.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -46,6 +46,7 @@
 from arbutusvale.state import server_list
 from arbutusvale.state import server_loads
 from arbutusvale.state import server_pauses
+from arbutusvale.state import server_speeds
 from arbutusvale.state import service_times
 from arbutusvale.state import socket_budget
 from arbutusvale.state import stream_origins
@@ -167,6 +168,7 @@
             loads=server_loads.ServerLoads(self.clock),
             pauses=server_pauses.ServerPauses(self.clock),
             limits=limits,
+            speeds=server_speeds.ServerSpeeds(self.clock),
             announce_limits=self.limit_exchange.announce,
             prompts=prompt_cache_index.PromptCacheIndex(self.clock),
             outlier_detector=outlier_detection.OutlierDetector(
@@ -231,6 +233,8 @@
         )
         self.peers.loads = self.context.loads
         self.peers.prompts = self.context.prompts
+        self.peers.pop_speed_news = self.context.speeds.pop_news
+        self.peers.on_speed_news = self._merge_speeds
         self.peers.on_crash_message = self.crash_exchange.receive
         self.peers.on_limit_message = self.limit_exchange.receive
         self.peers.on_suspicions = self.crash_exchange.receive_suspicions
@@ -411,6 +415,13 @@
                 'server-leaving', server=server.id, source='peer'
             )
 
+    def _merge_speeds(self, news: tuple[peer_message.SpeedNews, ...]) -> None:
+        """Take over what a peer says of the speed of listed servers."""
+        for each in news:
+            listed = self.servers.by_id.get(each.server_id)
+            if listed is not None:
+                self.context.speeds.merge(each, listed.server.started_at_ms)
+
     def _count_era(self, topic: str) -> None:
         """Count that the store came back from an older copy."""
         self.metrics.increment('store_eras', topic)
--- a/arbutusvale/coordination/edge_context.py
+++ b/arbutusvale/coordination/edge_context.py
@@ -24,6 +24,7 @@
 from arbutusvale.state import server_list
 from arbutusvale.state import server_loads
 from arbutusvale.state import server_pauses
+from arbutusvale.state import server_speeds
 from arbutusvale.state import service_times
 
 
@@ -45,6 +46,7 @@
     loads: server_loads.ServerLoads
     pauses: server_pauses.ServerPauses
     limits: server_limits.ServerLimits
+    speeds: server_speeds.ServerSpeeds
     prompts: prompt_cache_index.PromptCacheIndex
     outlier_detector: outlier_detection.OutlierDetector
     crashes: crash_tracker.CrashTracker
@@ -78,6 +80,10 @@
     reading_times: service_times.ServiceTimes = dataclasses.field(
         default_factory=service_times.ServiceTimes
     )
+    # Seconds until the first byte on a server that works as usual, by route.
+    first_event_times: service_times.ServiceTimes = dataclasses.field(
+        default_factory=service_times.ServiceTimes
+    )
     admission_rates: pool_demand.AdmissionRates = dataclasses.field(
         default_factory=pool_demand.AdmissionRates
     )
@@ -119,4 +125,5 @@
         self.prompts.remove_engine(server_id)
         self.last_received_at.pop(server_id, None)
         self.limits.forget(server_id)
+        self.speeds.forget(server_id)
         self.outlier_detector.prune(set(self.servers.by_id))
--- a/arbutusvale/coordination/edge_placement.py
+++ b/arbutusvale/coordination/edge_placement.py
@@ -8,6 +8,7 @@
 from arbutusvale.coordination import edge_context
 from arbutusvale.coordination import edge_placement_policy
 from arbutusvale.protocol import proxying
+from arbutusvale.protocol import routing
 from arbutusvale.state import server_list
 
 
@@ -16,6 +17,7 @@
 
     metadata: proxying.RequestMetadata
     pool: str
+    route: routing.Route
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,6 +33,7 @@
     server: proxying.BackendServer
     reason: str
     load: float
+    slowdown: float
     bound: float
     cache_source: str
     shared_parts: tuple[str, ...]
@@ -82,6 +85,10 @@
             holders_by_part[0],
             context.settings.bounds.load_factor,
             context.peers.interval_s(),
+            edge_placement_policy.compute_tolerated_slowdown(
+                request.route.target_latency_s,
+                context.first_event_times.average_s(request.route.name),
+            ),
         )
         source = ''
         if choice is not None:
@@ -102,6 +109,7 @@
         server=servers[choice.id],
         reason=choice.reason,
         load=context.loads.estimate(choice.id),
+        slowdown=context.speeds.estimate(servers[choice.id]),
         bound=choice.bound,
         cache_source=(
             context.servers.by_id[source].server.address if source else ''
@@ -212,6 +220,7 @@
         load=context.loads.estimate(server.id),
         slots=server.slots,
         ejected=context.outlier_detector.is_ejected(server.id),
+        slowdown=context.speeds.estimate(server),
     )
 
 
--- a/arbutusvale/coordination/edge_placement_policy.py
+++ b/arbutusvale/coordination/edge_placement_policy.py
@@ -22,6 +22,10 @@
   cache while another one has free slots or a shorter queue;
 - *engines join or return*: prompts stay where they are cached; only new
   prompts and surplus go to an engine with an empty cache;
+- *uneven servers*: some take several times as long as usual, for a moment or
+  for many seconds; an engine is passed over, also for its cache, if the next
+  one is expected to answer much sooner, and a slow server of plain calls is
+  drawn more seldom;
 - *short plain calls from many routers*: they end before other routers learn of
   them, so choosing the least loaded server would make all routers crowd onto
   the same one; servers are drawn at random, with a lower weight for those
@@ -47,6 +51,20 @@
 # slope would react to load counts that are a second old.
 SATURATION_FACTOR = 4
 MIN_WEIGHT = 0.05
+# A request leaves a slow engine only if it takes so much less time elsewhere:
+# speeds change while the news of them travel, and a copy costs.
+MIN_SPEEDUP = 1.5
+# An engine is slow for a request if its first event is expected to take more
+# than this share of the target latency; the rest is for queues and prompts
+# that are longer than usual.
+MAX_TARGET_SHARE = 0.5
+# Whatever the target, a slower engine ends requests so seldom that it queues
+# what others would have served.
+MAX_TOLERATED_SLOWDOWN = 3.0
+# How much longer a token takes with all slots in use than with one.
+FULL_ENGINE_DELAY = 2.0
+# Calls at a slow server are late, so it gets fewer than its speed allows.
+SPEED_EXPONENT = 2
 # Fewer tokens are read in less time than news take between routers.
 MIN_AWAITED_TOKENS = 1000
 
@@ -56,13 +74,15 @@
     """A server that may be chosen.
 
     ``load`` is its estimated number of requests; ``ejected`` means that
-    outlier detection avoids it for now.
+    outlier detection avoids it for now; ``slowdown`` is how long work takes
+    there, 1.0 as usual.
     """
 
     id: str
     load: float
     slots: int
     ejected: bool
+    slowdown: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,21 +128,24 @@
     holders: Mapping[str, float],
     load_factor: float,
     load_age_s: float,
+    tolerated_slowdown: float = MIN_SPEEDUP,
 ) -> Choice | None:
     """Choose an engine for a prompt.
 
     ``ranking`` orders the ids of all candidates for this prompt; ``holders``
     maps each engine that has the prompt cached to the time at which it was
-    cached; ``load_age_s`` is how old the counts of other routers get.  Return
-    None without a candidate.
+    cached; ``load_age_s`` is how old the counts of other routers get.
+    An engine is passed over only beyond ``tolerated_slowdown``.  Return None
+    without a candidate.
     """
     usable = [
         candidate for candidate in candidates if not candidate.ejected
     ] or candidates
     if not usable:
         return None
-    bound = compute_load_bound(usable, load_factor, load_age_s)
-    queue_bound = compute_queue_bound(usable)
+    mean = sum(candidate.load for candidate in usable) / len(usable)
+    bound = compute_load_bound(mean, load_factor, load_age_s)
+    queue_bound = compute_queue_bound(mean)
     candidates_by_id = {candidate.id: candidate for candidate in usable}
     accepting = [
         candidates_by_id[name]
@@ -130,12 +153,17 @@
         if name in candidates_by_id
         and _accepts_load(candidates_by_id[name], bound, queue_bound)
     ]
-    for candidate in accepting:
-        if candidate.id in holders:
-            return Choice(candidate.id, 'cached', bound)
     if accepting:
+        # Sorting is stable, so both parts keep the order of the ranking.
+        if holders:
+            accepting.sort(key=lambda candidate: candidate.id not in holders)
+        chosen = _find_faster(accepting, tolerated_slowdown)
         reason = 'surplus' if holders else 'ranked'
-        return Choice(accepting[0].id, reason, bound)
+        if chosen.id in holders:
+            reason = 'cached'
+        elif chosen is not accepting[0]:
+            reason = 'faster'
+        return Choice(chosen.id, reason, bound)
     least_loaded = min(usable, key=lambda candidate: candidate.load)
     return Choice(least_loaded.id, 'least-loaded', bound)
 
@@ -172,30 +200,25 @@
     if not usable:
         return None
     weights = [_draw_weight(candidate) for candidate in usable]
-    remaining = draw * sum(weights)
-    for candidate, weight in zip(usable, weights, strict=True):
-        remaining -= weight
-        if remaining < 0:
-            return Choice(candidate.id, 'drawn', 0.0)
-    return Choice(usable[-1].id, 'drawn', 0.0)
+    chosen = usable[_draw_index(weights, draw)]
+    return Choice(chosen.id, 'drawn', 0.0)
 
 
 def compute_load_bound(
-    candidates: Sequence[Candidate], load_factor: float, load_age_s: float
+    mean: float, load_factor: float, load_age_s: float
 ) -> float:
     """Return the load that an engine may reach with this request.
 
-    ``load_age_s`` is how old the counts of other routers get.
+    ``mean`` is the mean load of the pool's engines; ``load_age_s`` is how old
+    the counts of other routers get.
     """
-    mean = sum(candidate.load for candidate in candidates) / len(candidates)
     stale_s = min(max(0.0, load_age_s - FRESH_LOAD_S), MAX_STALE_S)
     margin = LOAD_FACTOR_MARGIN + STALE_MARGIN_PER_S * stale_s
     return (load_factor - margin) * mean + LOAD_BOUND_RESERVE
 
 
-def compute_queue_bound(candidates: Sequence[Candidate]) -> float:
+def compute_queue_bound(mean: float) -> float:
     """Return the load that an engine without free slots may reach."""
-    mean = sum(candidate.load for candidate in candidates) / len(candidates)
     return (1 + QUEUE_MARGIN) * mean + 1
 
 
@@ -207,10 +230,57 @@
     return load <= bound and load <= max(candidate.slots, queue_bound)
 
 
+def _draw_index(weights: Sequence[float], draw: float) -> int:
+    """Return the index that ``draw``, between 0 and 1, picks by weight."""
+    remaining = draw * sum(weights)
+    for index, weight in enumerate(weights):
+        remaining -= weight
+        if remaining < 0:
+            return index
+    return len(weights) - 1
+
+
+def compute_tolerated_slowdown(
+    target_latency_s: float, first_event_s: float
+) -> float:
+    """Return the slowdown up to which a request is in time on an engine.
+
+    ``first_event_s`` is how long its first event usually takes; 0 if that
+    isn't known.
+    """
+    if not first_event_s:
+        return MIN_SPEEDUP
+    slowdown = MAX_TARGET_SHARE * target_latency_s / first_event_s
+    return min(max(MIN_SPEEDUP, slowdown), MAX_TOLERATED_SLOWDOWN)
+
+
+def _find_faster(
+    candidates: Sequence[Candidate], tolerated_slowdown: float
+) -> Candidate:
+    """Return the first of the candidates unless it is slow.
+
+    Then it is the next one that is expected to take much less time.
+    """
+    chosen = candidates[0]
+    for candidate in candidates:
+        if chosen.slowdown <= tolerated_slowdown:
+            break
+        if _relative_time(candidate) * MIN_SPEEDUP <= _relative_time(chosen):
+            chosen = candidate
+    return chosen
+
+
+def _relative_time(candidate: Candidate) -> float:
+    """Return how long a token takes, 1.0 on an idle engine as usual."""
+    utilisation = min(1.0, candidate.load / candidate.slots)
+    return candidate.slowdown * (1 + FULL_ENGINE_DELAY * utilisation)
+
+
 def _draw_weight(candidate: Candidate) -> float:
     """Return the weight of a server in the random choice."""
     utilisation = candidate.load / (candidate.slots * SATURATION_FACTOR)
-    return candidate.slots * max(MIN_WEIGHT, 1 - utilisation)
+    weight = candidate.slots * max(MIN_WEIGHT, 1 - utilisation)
+    return weight / candidate.slowdown**SPEED_EXPONENT
 
 
 def _best_ranked_holder(
--- a/arbutusvale/coordination/edge_reporter.py
+++ b/arbutusvale/coordination/edge_reporter.py
@@ -51,6 +51,7 @@
             pool=self.request.pool,
             reason=placement.reason,
             load=placement.load,
+            slowdown=placement.slowdown,
             bound=placement.bound,
             source=placement.cache_source or '-',
             list=self.context.servers.version,
@@ -106,6 +107,32 @@
             self.context.loads.record_reported_load(
                 server.id, head.load.running + head.load.waiting
             )
+            self._record_slowdown(server, head, now - sent_at)
+
+    def _record_slowdown(
+        self,
+        server: proxying.BackendServer,
+        head: proxying.ResponseHead,
+        first_byte_s: float,
+    ) -> None:
+        """Record how long a server says that work takes there now.
+
+        Also record how long the first byte took, as if it worked as usual.
+        """
+        if head.load.slowdown is not None:
+            self.context.speeds.record_told(server, head.load.slowdown)
+            if head.status in SUCCESSES:
+                self.context.first_event_times.record(
+                    self.request.route.name,
+                    first_byte_s / max(1.0, head.load.slowdown),
+                )
+        elif head.malformed_slowdown:
+            self.context.metrics.increment('malformed_slowdowns')
+            self.context.events.write(
+                'slowdown-malformed',
+                server=server.id,
+                value=head.malformed_slowdown[:80],
+            )
 
     def _record_limit(
         self,
@@ -220,6 +247,7 @@
     ) -> None:
         """Record the outcome of an attempt, also in the server's health."""
         self._update_server_health(server, outcome)
+        self._record_service_time(server, outcome)
         if isinstance(outcome, edge_requests.Delivered):
             return
         self.context.metrics.increment('failed_sendings', self.request.pool)
@@ -290,6 +318,32 @@
                 if head is None:
                     self._record_unanswered(server, cause)
 
+    def _record_service_time(
+        self,
+        server: proxying.BackendServer,
+        outcome: edge_requests.Outcome,
+    ) -> None:
+        """Record how long a server took for a plain call.
+
+        An attempt that was given up tells that it takes longer.
+        """
+        if self.request.metadata.prompt:
+            return
+        match outcome:
+            case edge_requests.Delivered('answered', status):
+                # An error may come at once from a server that serves nothing.
+                measured = status in SUCCESSES
+            case edge_requests.Failed('silent'):
+                measured = True
+            case _:
+                measured = False
+        if measured:
+            self.context.speeds.record_call(
+                server,
+                self.request.route.name,
+                self.context.clock() - self.sent_at,
+            )
+
     def _record_answered(
         self, server: proxying.BackendServer, status: int
     ) -> None:
--- a/tests/coordination/test_edge_placement.py
+++ b/tests/coordination/test_edge_placement.py
@@ -4,6 +4,8 @@
 
 from arbutusvale import composeedge
 from arbutusvale.coordination import edge_placement
+from arbutusvale.coordination import edge_reporter
+from arbutusvale.platform import headers
 from arbutusvale.protocol import edge_settings
 from arbutusvale.protocol import keyed_log
 from arbutusvale.protocol import proxying
@@ -37,11 +39,30 @@
     return program.context
 
 
+def record_answer(context, server_id, load):
+    """Record an answer whose head tells a load."""
+    reporter = edge_reporter.RequestReporter(context, make_request())
+    response = [(b'x-arbutusvale-engine-load', load)]
+    reporter.record_response_head(
+        context.servers.by_id[server_id].server,
+        headers.parse_response_head(200, b'', response),
+        None,
+        context.clock(),
+    )
+
+
 def make_request():
     metadata = proxying.RequestMetadata(
         'id', 'host', '', None, None, '', 'm', PROMPT, ''
     )
-    return types.SimpleNamespace(metadata=metadata, pool='chat')
+    caller_request = proxying.CallerRequest(b'', b'', [], b'', 0.0, False)
+    route = types.SimpleNamespace(name='draft', target_latency_s=0.8)
+    return types.SimpleNamespace(
+        metadata=metadata,
+        pool='chat',
+        caller_request=caller_request,
+        route=route,
+    )
 
 
 def place(context):
@@ -72,3 +93,28 @@
     request = make_request()
     request.pool = 'empty'
     assert not edge_placement.is_being_read(context, request)
+
+
+def test_engine_that_tells_to_be_slow_gives_its_prompts_to_the_next():
+    context = make_context(5)
+    first = place(context).server.id
+    context.prompts.record('m/shared', first)
+    record_answer(context, first, b'1,0,8,600')
+    placement = place(context)
+    assert placement.reason == 'faster'
+    address = context.servers.by_id[first].server.address
+    assert placement.cache_source == address
+    # It has told nothing since.
+    context.clock.now += 30.0
+    assert place(context).server.id == first
+
+
+# A figure of 0 must not draw all requests, one of a million not repel them.
+def test_nonsense_in_place_of_a_slowdown_changes_no_placement():
+    context = make_context(5)
+    first = place(context).server.id
+    for nonsense in (b'0', b'-3', b'1000000', b'nan', b'?'):
+        record_answer(context, first, b'0,0,8,' + nonsense)
+        record_answer(context, 'e1', b'0,0,8,' + nonsense)
+        assert place(context).server.id == first
+    assert context.metrics.counters['malformed_slowdowns', ''] == 10
--- a/tests/coordination/test_edge_placement_policy.py
+++ b/tests/coordination/test_edge_placement_policy.py
@@ -14,8 +14,10 @@
 REQUIRED_BOUND_RESERVE = 3
 
 
-def make_candidate(server_id, load=0.0, ejected=False, slots=8):
-    return edge_placement_policy.Candidate(server_id, load, slots, ejected)
+def make_candidate(server_id, load=0.0, ejected=False, slots=8, slowdown=1.0):
+    return edge_placement_policy.Candidate(
+        server_id, load, slots, ejected, slowdown
+    )
 
 
 class SimulatedPool:
@@ -213,6 +215,19 @@
     assert drawn.count('slow') < 50
 
 
+def test_slow_server_of_plain_calls_is_drawn_seldom():
+    generator = random.Random(3)
+    servers = [
+        make_candidate('slow', slowdown=6.0),
+        make_candidate('b'),
+        make_candidate('c'),
+        make_candidate('d', slowdown=0.8),
+    ]
+    drawn = [draw_server(servers, generator) for _ in range(500)]
+    assert drawn.count('slow') < 20
+    assert min(drawn.count(name) for name in 'bcd') > 100
+
+
 def test_server_with_more_slots_is_drawn_more_often():
     generator = random.Random(3)
     servers = [
@@ -291,6 +306,39 @@
     assert max(pool.loads.values()) <= 1.1 * mean_load + 2
 
 
+def choose_by_speed(candidates, holders):
+    return edge_placement_policy.choose_engine(
+        candidates, ['a', 'b', 'c'], holders, LOAD_FACTOR, EXACT_LOADS_S
+    )
+
+
+def test_slow_engine_is_passed_over_also_for_its_cache():
+    candidates = [make_candidate('a', slowdown=6.0), make_candidate('b')]
+    for holders, reason in (({}, 'faster'), ({'a': 1.0}, 'faster')):
+        choice = choose_by_speed(candidates, holders)
+        assert (choice.id, choice.reason) == ('b', reason)
+
+
+def test_faster_holder_is_preferred_to_a_copy():
+    candidates = [
+        make_candidate('a', slowdown=6.0),
+        make_candidate('b'),
+        make_candidate('c'),
+    ]
+    choice = choose_by_speed(candidates, {'a': 1.0, 'c': 2.0})
+    assert (choice.id, choice.reason) == ('c', 'cached')
+
+
+def test_engine_is_kept_if_all_are_slow_or_the_faster_one_is_full():
+    slow = [make_candidate(name, slowdown=6.0) for name in 'abc']
+    assert choose_by_speed(slow, {'a': 1.0}).id == 'a'
+    full = [make_candidate('a', 1, slowdown=3.0), make_candidate('b', 8)]
+    assert choose_by_speed(full, {'a': 1.0}).id == 'a'
+    # A little slower is no reason to copy what is cached.
+    little = [make_candidate('a', slowdown=1.4), make_candidate('b')]
+    assert choose_by_speed(little, {'a': 1.0}).id == 'a'
+
+
 CACHED = edge_placement_policy.PartState.CACHED
 BEING_READ = edge_placement_policy.PartState.BEING_READ
 UNKNOWN = edge_placement_policy.PartState.UNKNOWN
