Count a server of plain calls as slow only beyond chance

A server counts as slow by what exceeds two standard errors of the mean, and only from twice the usual time on.

--- a/arbutusvale/state/server_speeds.py
+++ b/arbutusvale/state/server_speeds.py
@@ -20,7 +20,7 @@
 MAX_SERVERS = 2048
 MAX_ROUTES = 1024
 # Beyond these a server's speed makes no further difference to its choice.
-MIN_SLOWDOWN = 0.7
+MIN_SLOWDOWN = 0.5
 MAX_SLOWDOWN = 16.0
 # Told slowdowns change many times a second: they are averaged over about the
 # duration of a request, and an old one says little of the next request.
@@ -32,8 +32,12 @@
 SLOW = 1.5
 # A told slowdown nearer to 1 than this isn't worth a message or an estimate.
 NOTICEABLE = 0.1
-# Service times of calls vary by far more than their mean, so some must agree.
+# Service times of calls vary, so some must agree: a server counts as slow by
+# what exceeds two standard errors of the mean logarithm.
 PRIOR_CALLS = 2.0
+CALL_DEVIATION = 0.5
+# Less than this is due to a queue that is gone before others hear of it.
+SLOW_CALLS = 2.0
 OBSERVED_RELEVANCE_S = 3.0
 USUAL_SMOOTHING = 0.05
 MAX_NEWS = 8
@@ -158,7 +162,11 @@
         return tuple(news)
 
     def estimate(self, server: proxying.BackendServer) -> float:
-        """Return a server's expected slowdown; 1.0 if nothing is known."""
+        """Return a server's expected slowdown; 1.0 if nothing is known.
+
+        Small differences are left out of what is observed: a small pool has
+        no room for differences that are due to chance.
+        """
         told = self.told.get(server.id)
         if told is not None:
             if told.started_at_ms != server.started_at_ms:
@@ -175,9 +183,11 @@
         if observed is None or observed.started_at_ms != server.started_at_ms:
             return 1.0
         fading = self._fade(observed)
-        return math.exp(
-            fading * observed.log_sum / (fading * observed.calls + PRIOR_CALLS)
-        )
+        calls = fading * observed.calls + PRIOR_CALLS
+        mean_log = fading * observed.log_sum / calls
+        standard_error = CALL_DEVIATION / math.sqrt(calls)
+        slowdown = math.exp(mean_log - 2 * standard_error)
+        return slowdown if slowdown >= SLOW_CALLS else 1.0
 
     def forget(self, server_id: str) -> None:
         """Drop what is known of a server that left the list."""
