Give hot prompts further engines before the first is at its bound

A prompt got a second engine only when the first was at its load bound, with many routers beyond it.

The prompt's load at all routers, as they tell each other, divided by a third of what the load bound leaves beside the mean load is the number of engines that get it; those that hold it are drawn by their room, and if they are too few, the least loaded of the next three in its ranking copies it. A prompt that is still being read isn't spread.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -42,6 +42,7 @@
 from arbutusvale.state import event_log
 from arbutusvale.state import link_queue
 from arbutusvale.state import prompt_cache_index
+from arbutusvale.state import prompt_loads
 from arbutusvale.state import server_limits
 from arbutusvale.state import server_list
 from arbutusvale.state import server_loads
@@ -171,6 +172,7 @@
             speeds=server_speeds.ServerSpeeds(self.clock),
             announce_limits=self.limit_exchange.announce,
             prompts=prompt_cache_index.PromptCacheIndex(self.clock),
+            prompt_loads=prompt_loads.PromptLoads(self.clock),
             outlier_detector=outlier_detection.OutlierDetector(
                 generator, self.clock
             ),
@@ -233,6 +235,7 @@
         )
         self.peers.loads = self.context.loads
         self.peers.prompts = self.context.prompts
+        self.peers.prompt_loads = self.context.prompt_loads
         self.peers.pop_speed_news = self.context.speeds.pop_news
         self.peers.on_speed_news = self._merge_speeds
         self.peers.on_crash_message = self.crash_exchange.receive
--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -72,6 +72,13 @@
     async def run(self) -> None:
         """Send the request until it has a response or no attempt is left."""
         self.context.limits.record_demand(self.request.pool)
+        edge_placement.record_prompt(
+            self.context,
+            self.request,
+            self.context.typical_service_times.average_s(
+                self.request.route.name
+            ),
+        )
         try:
             await self._run_attempts()
         finally:
--- a/arbutusvale/coordination/edge_context.py
+++ b/arbutusvale/coordination/edge_context.py
@@ -19,6 +19,7 @@
 from arbutusvale.state import pool_demand
 from arbutusvale.state import pool_waiters
 from arbutusvale.state import prompt_cache_index
+from arbutusvale.state import prompt_loads
 from arbutusvale.state import rendezvous
 from arbutusvale.state import server_limits
 from arbutusvale.state import server_list
@@ -48,6 +49,7 @@
     limits: server_limits.ServerLimits
     speeds: server_speeds.ServerSpeeds
     prompts: prompt_cache_index.PromptCacheIndex
+    prompt_loads: prompt_loads.PromptLoads
     outlier_detector: outlier_detection.OutlierDetector
     crashes: crash_tracker.CrashTracker
     metrics: edge_metrics.EdgeMetrics
--- a/arbutusvale/coordination/edge_placement.py
+++ b/arbutusvale/coordination/edge_placement.py
@@ -71,10 +71,10 @@
         )
         source = ''
     else:
+        caching = [context.prompts.find_engines(part) for part in shared_parts]
         holders_by_part = [
-            context.prompts.find_engines(part)
-            or context.prompts.find_readers(part)
-            for part in shared_parts
+            engines or context.prompts.find_readers(part)
+            for part, engines in zip(shared_parts, caching, strict=True)
         ]
         ranking = context.ranking(
             request.pool, list(servers), software_version
@@ -85,6 +85,9 @@
             holders_by_part[0],
             context.settings.bounds.load_factor,
             context.peers.interval_s(),
+            # A prompt that is still being read can't be copied.
+            context.prompt_loads.read(shared_parts[0]) if caching[0] else 0.0,
+            context.generator.random(),
             edge_placement_policy.compute_tolerated_slowdown(
                 request.route.target_latency_s,
                 context.first_event_times.average_s(request.route.name),
@@ -121,6 +124,19 @@
     )
 
 
+def record_prompt(
+    context: edge_context.EdgeContext,
+    request: PlaceableRequest,
+    service_time_s: float,
+) -> None:
+    """Count a request that usually takes so long in its prompt's load."""
+    if len(request.metadata.prompt) > 1:
+        part = request.metadata.prompt[-2]
+        context.prompt_loads.record(
+            _make_part_key(request.metadata, part), service_time_s
+        )
+
+
 def _count_unread_tokens(
     context: edge_context.EdgeContext,
     metadata: proxying.RequestMetadata,
--- a/arbutusvale/coordination/edge_placement_policy.py
+++ b/arbutusvale/coordination/edge_placement_policy.py
@@ -13,15 +13,17 @@
 - *the same new prompt from many callers at once*: the first request makes an
   engine read its parts, the others wait for that, briefly, as reading them
   again on another engine takes at least as long;
-- *hot prompt*: when an engine reaches its load bound, the next one in the
-  prompt's ranking takes the surplus, the same one at every router, and copies
-  the cached parts from the first instead of processing them;
+- *hot prompt*: one that asks for more than an engine takes beside its other
+  work gets further engines before the first is at its load bound; they copy
+  the cached parts instead of processing them;
+- *surplus*: when an engine reaches its load bound, the next one in the
+  prompt's ranking takes what is beyond, the same one at every router;
 - *many routers*: each hears of the others' requests too late to stay below the
   users' bound, so its own is lower, the more so the older the counts;
 - *overload of all engines*: an engine without free slots isn't chosen for its
   cache while another one has free slots or a shorter queue;
 - *engines join or return*: prompts stay where they are cached; only new
-  prompts and surplus go to an engine with an empty cache;
+  prompts, copies of hot ones and surplus go to an engine with an empty cache;
 - *uneven servers*: some take several times as long as usual, for a moment or
   for many seconds; an engine is passed over, also for its cache, if the next
   one is expected to answer much sooner, and a slow server of plain calls is
@@ -36,6 +38,7 @@
 from collections.abc import Sequence
 import dataclasses
 import enum
+import math
 
 # Stay below the required bound of factor x mean + 3, as load counts are stale.
 LOAD_FACTOR_MARGIN = 0.1
@@ -65,6 +68,12 @@
 FULL_ENGINE_DELAY = 2.0
 # Calls at a slow server are late, so it gets fewer than its speed allows.
 SPEED_EXPONENT = 2
+# The next engine of a hot prompt is the least loaded of the next few in its
+# ranking, so that routers agree on it mostly, and a new one gets work.
+HOT_CHOICES = 3
+# A hot prompt gets so many engines that it fills this share of what the load
+# bound leaves beside the mean load, as counts of other routers come late.
+HOT_LOAD_SHARE = 0.33
 # Fewer tokens are read in less time than news take between routers.
 MIN_AWAITED_TOKENS = 1000
 
@@ -128,6 +137,8 @@
     holders: Mapping[str, float],
     load_factor: float,
     load_age_s: float,
+    prompt_load: float = 0.0,
+    draw: float = 0.0,
     tolerated_slowdown: float = MIN_SPEEDUP,
 ) -> Choice | None:
     """Choose an engine for a prompt.
@@ -135,6 +146,8 @@
     ``ranking`` orders the ids of all candidates for this prompt; ``holders``
     maps each engine that has the prompt cached to the time at which it was
     cached; ``load_age_s`` is how old the counts of other routers get.
+    ``prompt_load`` is how many requests in flight the prompt asks for;
+    ``draw``, between 0 and 1, picks among the engines that hold a hot one.
     An engine is passed over only beyond ``tolerated_slowdown``.  Return None
     without a candidate.
     """
@@ -158,9 +171,17 @@
         if holders:
             accepting.sort(key=lambda candidate: candidate.id not in holders)
         chosen = _find_faster(accepting, tolerated_slowdown)
+        room = max(1.0, HOT_LOAD_SHARE * (bound - mean))
+        needed = math.ceil(prompt_load / room)
+        if holders and needed > 1:
+            engines = _list_hot_engines(accepting, holders, needed)
+            if engines:
+                chosen = _draw_by_room(engines, bound, draw)
         reason = 'surplus' if holders else 'ranked'
         if chosen.id in holders:
             reason = 'cached'
+        elif holders and needed > 1:
+            reason = 'hot'
         elif chosen is not accepting[0]:
             reason = 'faster'
         return Choice(chosen.id, reason, bound)
@@ -230,6 +251,33 @@
     return load <= bound and load <= max(candidate.slots, queue_bound)
 
 
+def _list_hot_engines(
+    accepting: Sequence[Candidate],
+    holders: Mapping[str, float],
+    needed: int,
+) -> list[Candidate]:
+    """List the engines for a hot prompt, with one more if they are too few.
+
+    ``accepting`` has the engines that hold the prompt first.
+    """
+    engines = [candidate for candidate in accepting if candidate.id in holders]
+    others = accepting[len(engines) :]
+    if len(holders) < needed and others:
+        engines.append(min(others[:HOT_CHOICES], key=_relative_time))
+    return engines[:needed]
+
+
+def _draw_by_room(
+    engines: Sequence[Candidate], bound: float, draw: float
+) -> Candidate:
+    """Draw an engine, weighted by what it takes up to its load bound."""
+    weights = [
+        (bound - engine.load) / engine.slowdown**SPEED_EXPONENT
+        for engine in engines
+    ]
+    return engines[_draw_index(weights, draw)]
+
+
 def _draw_index(weights: Sequence[float], draw: float) -> int:
     """Return the index that ``draw``, between 0 and 1, picks by weight."""
     remaining = draw * sum(weights)
--- a/tests/coordination/stale_pool.py
+++ b/tests/coordination/stale_pool.py
@@ -10,6 +10,7 @@
 
 from arbutusvale.coordination import edge_placement_policy
 from arbutusvale.coordination import peers
+from arbutusvale.state import prompt_loads
 from arbutusvale.state import rendezvous
 from arbutusvale.state import server_loads
 from arbutusvale.state import server_speeds
@@ -48,6 +49,9 @@
         self.speeds = [
             server_speeds.ServerSpeeds(self.clock) for _ in range(router_count)
         ]
+        self.prompt_loads = [
+            prompt_loads.PromptLoads(self.clock) for _ in range(router_count)
+        ]
         self.interval_s = peers.SEND_INTERVAL_S * max(
             1.0, (router_count - 1) / peers.FULL_RATE_PEERS
         )
@@ -89,10 +93,14 @@
     def tell(self, number):
         counts = self.loads[number].own_counts()
         news = self.speeds[number].pop_news()
+        prompts = self.prompt_loads[number].list_own()
         ttl_s = peers.LIVE_INTERVALS * self.interval_s
         for other, loads in enumerate(self.loads):
             if other != number:
                 loads.record_peer_counts(str(number), counts, ttl_s)
+                self.prompt_loads[other].record_peer(
+                    str(number), prompts, ttl_s
+                )
                 for each in news:
                     self.speeds[other].merge(each, 1)
         self.schedule(self.clock.now + self.interval_s, self.tell, number)
@@ -104,6 +112,7 @@
         )
         part = self.draw_part()
         number = self.random.randrange(len(self.loads))
+        self.prompt_loads[number].record(part, DURATION_S)
         engine = self.choose(part, number)
         self.holders[part][engine] = self.clock.now
         if self.clock.now > WARM_UP_S:
@@ -123,6 +132,8 @@
             self.holders.setdefault(part, {}),
             LOAD_FACTOR,
             self.interval_s,
+            self.prompt_loads[number].read(part),
+            self.random.random(),
         ).id
 
     def make_candidate(self, number, name):
--- a/tests/coordination/test_edge_placement_policy.py
+++ b/tests/coordination/test_edge_placement_policy.py
@@ -339,6 +339,28 @@
     assert choose_by_speed(little, {'a': 1.0}).id == 'a'
 
 
+def choose_hot(prompt_load, draw):
+    candidates = [make_candidate('a', 4), make_candidate('b', 4, slots=8)]
+    candidates.append(make_candidate('new', 0))
+    return edge_placement_policy.choose_engine(
+        candidates,
+        ['a', 'b', 'new'],
+        {'a': 1.0},
+        LOAD_FACTOR,
+        EXACT_LOADS_S,
+        prompt_load,
+        draw,
+    )
+
+
+def test_hot_prompt_gets_a_second_engine_before_the_first_is_at_its_bound():
+    draws = [number / 20 for number in range(20)]
+    chosen = [choose_hot(6.0, draw) for draw in draws]
+    assert {choice.id for choice in chosen} == {'a', 'new'}
+    assert {choice.reason for choice in chosen} == {'cached', 'hot'}
+    assert {choose_hot(1.0, draw).id for draw in draws} == {'a'}
+
+
 CACHED = edge_placement_policy.PartState.CACHED
 BEING_READ = edge_placement_policy.PartState.BEING_READ
 UNKNOWN = edge_placement_policy.PartState.UNKNOWN
--- a/tests/test_composeedge.py
+++ b/tests/test_composeedge.py
@@ -55,7 +55,7 @@
                 'pauses', 'limits', 'announce_limits', 'generator', 'clock',
                 'peers', 'origins', 'store_age_s',
                 'server_list_age_s', 'link_queue', 'latency_estimator',
-                'speeds',
+                'speeds', 'prompt_loads',
             ]
         ),
         servers=UnchangingServerList(),
