--- a/arbutusvale/standins/edge_engine.py
+++ b/arbutusvale/standins/edge_engine.py
@@ -54,7 +54,7 @@
 
     Without an entry ``default_fault`` applies, empty for none.  ``leaving``
     is sent as ``Server-Leaving`` with all answers, ``limit`` as
-    ``Server-Limit``.
+    ``Server-Limit``; ``slowdown`` is the last figure of its load.
     Faults: 'error' (500), 'not-found' (404), 'shed' (503 without
     execution), 'reset' (before the response), 'hang', 'truncate', 'extra'
     (a second response), 'foreign' (first a response to another attempt),
@@ -92,6 +92,8 @@
         self.leaving = ''
         # The value of Server-Limit in all answers; empty for none.
         self.limit = ''
+        # The fourth figure of the load in all answers; empty for none.
+        self.slowdown = ''
         # The steady time at which each request arrived.
         self.arrivals: list[float] = []
         self.received: list[ReceivedRequest] = []
@@ -165,6 +167,8 @@
             ATTEMPT_HEADER: received_request.attempt_id,
             LOAD_HEADER: f'{self.active_requests},0,8',
         }
+        if self.slowdown:
+            response_headers[LOAD_HEADER] += f',{self.slowdown}'
         if self.limit:
             response_headers['Server-Limit'] = self.limit
         if self.leaving:
--- a/tests/soak/fault_schedule.py
+++ b/tests/soak/fault_schedule.py
@@ -16,7 +16,7 @@
     'crashing-part', 'limit-engine',
 )  # fmt: skip
 # Drawn beside the others, so that a seed's other faults stay the same.
-ADDED_KINDS = ('crashing-request',)
+ADDED_KINDS = ('crashing-request', 'uneven-engines')
 ADDED_SHARE = 0.3
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import http.client
+import itertools
 import random
 import signal
 import time
@@ -56,6 +57,10 @@
 REQUEST_CRASH_DELAY_S = 0.1
 CRASH_DOWN_S = 1.2
 ENGINE_LIMIT = 5.0
+# What engines tell of their speed, the last two by mistake; one is slow.
+TOLD_SLOWDOWNS = ('100', '250', '0', '1000000')
+SLOWDOWN_PERCENT = '600'
+SLOW_SERVICE_TIME_S = 0.15
 SOFTWARE_VERSIONS = ('v1', 'v2')
 ORGANISATIONS = [{'Name': 'acme', 'ApiKeys': ['key-1', 'key-2']}]
 
@@ -187,6 +192,8 @@
         for engine in self.all_engines:
             engine.faults = []
             engine.limit = ''
+            engine.slowdown = ''
+            engine.service_time_s = 0.0
         self.faults_ended_at = time.monotonic()
         for router in self.fleet.routers:
             if router.process.poll() is not None:
@@ -428,6 +435,16 @@
             engine.limit = str(ENGINE_LIMIT)
             self.limited.append((engine, time.monotonic()))
 
+    def inject_uneven_engines(self, fault):
+        """Slow an engine that tells it, and have others tell nonsense."""
+        for engine, slowdown in zip(
+            self.all_engines, itertools.cycle(TOLD_SLOWDOWNS), strict=False
+        ):
+            engine.slowdown = slowdown
+        slow = self.pick_engine(fault)
+        slow.slowdown = SLOWDOWN_PERCENT
+        slow.service_time_s = SLOW_SERVICE_TIME_S
+
     def inject_configure(self, fault):
         organisations = ORGANISATIONS
         if self.revoked_at is not None:
