--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -52,10 +52,12 @@
 from arbutusvale.state import event_log
 from arbutusvale.state import link_queue
 from arbutusvale.state import prompt_cache_index
+from arbutusvale.state import prompt_loads
 from arbutusvale.state import server_limits
 from arbutusvale.state import server_list
 from arbutusvale.state import server_loads
 from arbutusvale.state import server_pauses
+from arbutusvale.state import server_speeds
 from arbutusvale.state import server_warmups
 from arbutusvale.state import service_times
 from arbutusvale.state import socket_budget
@@ -223,9 +225,11 @@
             pauses=server_pauses.ServerPauses(self.clock),
             limits=limits,
             pacer=self.pacer,
+            speeds=server_speeds.ServerSpeeds(self.clock),
             announce_limits=self.limit_exchange.announce,
             load_age_s=self._load_age_s,
             prompts=prompt_cache_index.PromptCacheIndex(self.clock),
+            prompt_loads=prompt_loads.PromptLoads(self.clock),
             outlier_detector=outlier_detection.OutlierDetector(
                 generator, self.clock
             ),
@@ -313,6 +317,9 @@
         )
         self.peers.loads = self.context.loads
         self.peers.prompts = self.context.prompts
+        self.peers.prompt_loads = self.context.prompt_loads
+        self.peers.pop_speed_news = self.context.speeds.pop_news
+        self.peers.on_speed_news = self._merge_speeds
         self.peers.on_crash_message = self.crash_exchange.receive
         self.peers.on_limit_message = self.limit_exchange.receive
         self.peers.on_load_message = self.load_exchange.receive
@@ -503,6 +510,13 @@
                 'server-leaving', server=server.id, source='peer'
             )
 
+    def _merge_speeds(self, news: tuple[peer_message.SpeedNews, ...]) -> None:
+        """Take over what a peer says of the speed of listed servers."""
+        for each in news:
+            listed = self.servers.by_id.get(each.server_id)
+            if listed is not None:
+                self.context.speeds.merge(each, listed.server.started_at_ms)
+
     def _count_era(self, topic: str) -> None:
         """Count that the store came back from an older copy."""
         self.metrics.increment('store_eras', topic)
--- a/arbutusvale/coordination/edge_context.py
+++ b/arbutusvale/coordination/edge_context.py
@@ -21,11 +21,13 @@
 from arbutusvale.state import pool_demand
 from arbutusvale.state import pool_waiters
 from arbutusvale.state import prompt_cache_index
+from arbutusvale.state import prompt_loads
 from arbutusvale.state import rendezvous
 from arbutusvale.state import server_limits
 from arbutusvale.state import server_list
 from arbutusvale.state import server_loads
 from arbutusvale.state import server_pauses
+from arbutusvale.state import server_speeds
 from arbutusvale.state import service_times
 
 
@@ -49,7 +51,9 @@
     pauses: server_pauses.ServerPauses
     limits: server_limits.ServerLimits
     pacer: server_pacing.ServerPacer
+    speeds: server_speeds.ServerSpeeds
     prompts: prompt_cache_index.PromptCacheIndex
+    prompt_loads: prompt_loads.PromptLoads
     outlier_detector: outlier_detection.OutlierDetector
     crashes: crash_tracker.CrashTracker
     metrics: edge_metrics.EdgeMetrics
@@ -84,6 +88,10 @@
     reading_times: service_times.ServiceTimes = dataclasses.field(
         default_factory=service_times.ServiceTimes
     )
+    # Seconds until the first byte on a server that works as usual, by route.
+    first_event_times: service_times.ServiceTimes = dataclasses.field(
+        default_factory=service_times.ServiceTimes
+    )
     admission_rates: pool_demand.AdmissionRates = dataclasses.field(
         default_factory=pool_demand.AdmissionRates
     )
@@ -125,4 +133,5 @@
         self.prompts.remove_engine(server_id)
         self.last_received_at.pop(server_id, None)
         self.limits.forget(server_id)
+        self.speeds.forget(server_id)
         self.outlier_detector.prune(set(self.servers.by_id))
--- a/arbutusvale/coordination/edge_placement.py
+++ b/arbutusvale/coordination/edge_placement.py
@@ -8,6 +8,7 @@
 from arbutusvale.coordination import edge_context
 from arbutusvale.coordination import edge_placement_policy
 from arbutusvale.protocol import proxying
+from arbutusvale.protocol import routing
 from arbutusvale.state import server_list
 
 
@@ -16,6 +17,7 @@
 
     metadata: proxying.RequestMetadata
     pool: str
+    route: routing.Route
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,6 +33,7 @@
     server: proxying.BackendServer
     reason: str
     load: float
+    slowdown: float
     bound: float
     cache_source: str
     shared_parts: tuple[str, ...]
@@ -68,10 +71,10 @@
         )
         source = ''
     else:
+        caching = [context.prompts.find_engines(part) for part in shared_parts]
         holders_by_part = [
-            context.prompts.find_engines(part)
-            or context.prompts.find_readers(part)
-            for part in shared_parts
+            engines or context.prompts.find_readers(part)
+            for part, engines in zip(shared_parts, caching, strict=True)
         ]
         ranking = context.ranking(
             request.pool, list(servers), software_version
@@ -82,6 +85,13 @@
             holders_by_part[0],
             _load_factor(context, request.pool, candidates),
             context.load_age_s(),
+            # A prompt that is still being read can't be copied.
+            context.prompt_loads.read(shared_parts[0]) if caching[0] else 0.0,
+            context.generator.random(),
+            edge_placement_policy.compute_tolerated_slowdown(
+                request.route.target_latency_s,
+                context.first_event_times.average_s(request.route.name),
+            ),
         )
         source = ''
         if choice is not None:
@@ -102,6 +112,7 @@
         server=servers[choice.id],
         reason=choice.reason,
         load=context.loads.estimate(choice.id),
+        slowdown=context.speeds.estimate(servers[choice.id]),
         bound=choice.bound,
         cache_source=(
             context.servers.by_id[source].server.address if source else ''
@@ -113,6 +124,19 @@
     )
 
 
+def record_prompt(
+    context: edge_context.EdgeContext,
+    request: PlaceableRequest,
+    service_time_s: float,
+) -> None:
+    """Count a request that usually takes so long in its prompt's load."""
+    if len(request.metadata.prompt) > 1:
+        part = request.metadata.prompt[-2]
+        context.prompt_loads.record(
+            _make_part_key(request.metadata, part), service_time_s
+        )
+
+
 def _count_unread_tokens(
     context: edge_context.EdgeContext,
     metadata: proxying.RequestMetadata,
@@ -221,6 +245,7 @@
         load=context.loads.estimate(server.id),
         slots=server.slots,
         ejected=context.outlier_detector.is_ejected(server.id),
+        slowdown=context.speeds.estimate(server),
     )
 
 
--- a/arbutusvale/protocol/proxying.py
+++ b/arbutusvale/protocol/proxying.py
@@ -109,11 +109,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportedLoad:
-    """The load that a backend server reported with a response, in requests."""
+    """The load that a backend server reported with a response, in requests.
+
+    ``slowdown`` is how long work takes there now: 1.0 as usual, 2.0 twice as
+    long; None if the server doesn't say.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -129,6 +134,7 @@
     says.  ``rate_limit`` is how many requests a second the server takes from
     all routers, None if it names no limit or ``malformed_limit``.
     ``cold_for_s`` is for how long it stays cold, 0 if it doesn't say.
+    ``malformed_slowdown`` is what it says of its speed, if that is none.
     """
 
     status: int
@@ -147,3 +153,4 @@
     rate_limit: float | None = None
     malformed_limit: str = ''
     cold_for_s: float = 0.0
+    malformed_slowdown: str = ''
--- a/tests/coordination/test_edge_placement.py
+++ b/tests/coordination/test_edge_placement.py
@@ -5,6 +5,8 @@
 
 from arbutusvale import composeedge
 from arbutusvale.coordination import edge_placement
+from arbutusvale.coordination import edge_reporter
+from arbutusvale.platform import headers
 from arbutusvale.protocol import edge_settings
 from arbutusvale.protocol import keyed_log
 from arbutusvale.protocol import proxying
@@ -40,11 +42,30 @@
     return program.context
 
 
+def record_answer(context, server_id, load):
+    """Record an answer whose head tells a load."""
+    reporter = edge_reporter.RequestReporter(context, make_request())
+    response = [(b'x-arbutusvale-engine-load', load)]
+    reporter.record_response_head(
+        context.servers.by_id[server_id].server,
+        headers.parse_response_head(200, b'', response),
+        None,
+        context.clock(),
+    )
+
+
 def make_request():
     metadata = proxying.RequestMetadata(
         'id', 'host', '', None, None, '', 'm', PROMPT, ''
     )
-    return types.SimpleNamespace(metadata=metadata, pool='chat')
+    caller_request = proxying.CallerRequest(b'', b'', [], b'', 0.0, False)
+    route = types.SimpleNamespace(name='draft', target_latency_s=0.8)
+    return types.SimpleNamespace(
+        metadata=metadata,
+        pool='chat',
+        caller_request=caller_request,
+        route=route,
+    )
 
 
 def place(context):
@@ -152,3 +173,28 @@
         context.waiters.join('chat')
     wait_s = edge_placement.find_shortest_wait_s(context, make_request(), [])
     assert 2.9 < wait_s <= 3.0 + server_warmups.PACE_LIFE_S
+
+
+def test_engine_that_tells_to_be_slow_gives_its_prompts_to_the_next():
+    context = make_context(5)
+    first = place(context).server.id
+    context.prompts.record('m/shared', first)
+    record_answer(context, first, b'1,0,8,600')
+    placement = place(context)
+    assert placement.reason == 'faster'
+    address = context.servers.by_id[first].server.address
+    assert placement.cache_source == address
+    # It has told nothing since.
+    context.clock.now += 30.0
+    assert place(context).server.id == first
+
+
+# A figure of 0 must not draw all requests, one of a million not repel them.
+def test_nonsense_in_place_of_a_slowdown_changes_no_placement():
+    context = make_context(5)
+    first = place(context).server.id
+    for nonsense in (b'0', b'-3', b'1000000', b'nan', b'?'):
+        record_answer(context, first, b'0,0,8,' + nonsense)
+        record_answer(context, 'e1', b'0,0,8,' + nonsense)
+        assert place(context).server.id == first
+    assert context.metrics.counters['malformed_slowdowns', ''] == 10
--- a/tests/soak/fault_schedule.py
+++ b/tests/soak/fault_schedule.py
@@ -16,7 +16,9 @@
     'crashing-part', 'limit-engine',
 )  # fmt: skip
 # Drawn beside the others, so that a seed's other faults stay the same.
-ADDED_KINDS = ('crashing-request', 'kill-all-routers', 'evacuate')
+ADDED_KINDS = (
+    'crashing-request', 'kill-all-routers', 'evacuate', 'uneven-engines',
+)  # fmt: skip
 ADDED_SHARE = 0.3
 
 
