--- a/arbutusvale/state/server_warmups.py
+++ b/arbutusvale/state/server_warmups.py
@@ -204,6 +204,10 @@
         """List the servers that are cold or paced now."""
         return list(self.cold.values())
 
+    def list_limited_ids(self) -> set[str]:
+        """List the ids of the servers that are cold or paced."""
+        return {server_id for server_id, _ in self.cold}
+
     def is_cold(self, server: proxying.BackendServer) -> bool:
         """Return whether a server is cold now."""
         cold = self._find(server)
@@ -306,6 +310,10 @@
                 by_host = self.announcements.setdefault(pool, {})
                 by_host[host] = (now, announcement)
 
+    def forget_announcements(self) -> None:
+        """Rely on no announcement, as this process was frozen."""
+        self.announcements.clear()
+
     def forget_router(self, host: str) -> None:
         """Drop a router that says that it leaves."""
         self.router_listed_at.pop(host, None)
--- a/arbutusvale/state/warmup_shares.py
+++ b/arbutusvale/state/warmup_shares.py
@@ -111,7 +111,7 @@
     return _share_of(warmup, keepers)
 
 
-@functools.lru_cache(maxsize=256)
+@functools.lru_cache(maxsize=64)
 def list_senders(
     server_key: str, routers: frozenset[str], count: int
 ) -> frozenset[str]:
@@ -154,7 +154,7 @@
     return min(warmup.rate / senders, REFILL_MARGIN * most)
 
 
-@functools.lru_cache(maxsize=4096)
+@functools.lru_cache(maxsize=1024)
 def _draw(server_key: str, host: str) -> float:
     """Return a number from 0 to 1, the same at all routers."""
     return rendezvous.hash_to_fraction(f'{host} {server_key}')
--- a/tests/state/test_server_warmups.py
+++ b/tests/state/test_server_warmups.py
@@ -175,3 +175,15 @@
     assert not warmups.record_listed(entry, True)
     assert warmups.time_until_free_s(entry) == 0.0
     assert not warmups.announce().keys() - {'chat'}
+
+
+def test_router_that_was_frozen_relies_on_no_announcement():
+    clock, warmups = make_warmups(['a', 'b'])
+    clock.now += 10.0
+    warmups.begin(SERVER, 3.0)
+    lent = {'chat': peer_message.PoolAnnouncement(0.0, 0.0)}
+    warmups.record_announced('b', lent)
+    assert warmups.share(SERVER) == 18.0
+    warmups.forget_announcements()
+    clock.now += 0.2
+    assert warmups.share(SERVER) == 9.0
