Admit by this router's part of a pool's room, by urgency

Where a configuration says what engines hold (their memory), each router keeps to its part of the pool's slots and memory while these run short: its part of the demand, which peers tell each other then. Kinds get what more urgent ones leave; callers that come back after a refusal, whose answers would be late, come last, also requests that lost their engine. An organisation's share is counted by work.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -41,6 +41,7 @@
 from arbutusvale.state import edge_metrics
 from arbutusvale.state import event_log
 from arbutusvale.state import link_queue
+from arbutusvale.state import pool_room
 from arbutusvale.state import prompt_cache_index
 from arbutusvale.state import server_limits
 from arbutusvale.state import server_list
@@ -168,6 +169,7 @@
             pauses=server_pauses.ServerPauses(self.clock),
             limits=limits,
             announce_limits=self.limit_exchange.announce,
+            rooms=pool_room.PoolRooms(self.clock),
             prompts=prompt_cache_index.PromptCacheIndex(self.clock),
             outlier_detector=outlier_detection.OutlierDetector(
                 generator, self.clock
@@ -236,6 +238,8 @@
         self.peers.on_suspicions = self.crash_exchange.receive_suspicions
         self.peers.list_suspicions = self.crash_exchange.list_suspicions
         self.peers.on_peer_returned = self.crash_exchange.sync
+        self.peers.on_peer_demand = self.context.rooms.record_peer_demand
+        self.peers.read_demand = self.context.rooms.read_demand
         self.peers.read_offsets = self._read_offsets
         self.peers.read_eras = self._read_eras
         self.peers.on_peer_offset = self._on_peer_offset
--- a/arbutusvale/coordination/edge_admission.py
+++ b/arbutusvale/coordination/edge_admission.py
@@ -1,20 +1,31 @@
-"""Admission control: apply the policy to one request."""
+"""Admission control: apply the policies to one request."""
 
 from arbutusvale.coordination import edge_admission_policy
 from arbutusvale.coordination import edge_context
 from arbutusvale.coordination import edge_requests
+from arbutusvale.coordination import room_policy
+from arbutusvale.state import pool_room
 
 
 def admit(
     context: edge_context.EdgeContext, request: edge_requests.RoutedRequest
 ) -> edge_admission_policy.Admitted | edge_admission_policy.Rejected:
     """Admit a request, or reject it and log the reason."""
+    pool_state = _describe_pool(context, request.pool)
+    if pool_state.memory_tokens:
+        request.late = _has_come_back(context, request)
+        context.rooms.get(request.pool).record_arrival(request.urgency)
+        request.work = _estimate_work(context, request)
     admission_request = _describe_request(context, request)
     jitter = context.generator.random()
+    room_check = _check_room(context, request, pool_state)
     decision = edge_admission_policy.check_link(
         context.link_queue.queueing_delay_s(), jitter
     ) or edge_admission_policy.decide_admission(
-        _sum_loads(context, request.pool), admission_request, jitter
+        edge_admission_policy.PoolLoad(pool_state.requests, pool_state.slots),
+        admission_request,
+        jitter,
+        room_check,
     )
     rejected = isinstance(decision, edge_admission_policy.Rejected)
     context.admission_rates.record(
@@ -25,9 +36,73 @@
     return decision
 
 
-def _sum_loads(
+def record_start(
+    context: edge_context.EdgeContext, request: edge_requests.RoutedRequest
+) -> None:
+    """Count an admitted request as in flight."""
+    context.in_flight.record_start(
+        request.pool, request.organisation or '', request.work
+    )
+    take_room(context, request)
+
+
+def record_end(
+    context: edge_context.EdgeContext, request: edge_requests.RoutedRequest
+) -> None:
+    """Count the end of a request."""
+    context.in_flight.record_end(
+        request.pool, request.organisation or '', request.work
+    )
+    release_room(context, request)
+    context.latency_estimator.record_completion(request.pool)
+
+
+def record_service_time(
+    context: edge_context.EdgeContext,
+    request: edge_requests.RoutedRequest,
+    elapsed_s: float,
+) -> None:
+    """Record how long a request took that ran to its end."""
+    for key in (request.route.name, request.pool):
+        context.typical_service_times.record(key, elapsed_s)
+    if request.holds_room:
+        context.rooms.get(request.pool).record_service_time(
+            request.urgency, elapsed_s
+        )
+
+
+def take_room(
+    context: edge_context.EdgeContext, request: edge_requests.RoutedRequest
+) -> None:
+    """Count a request's slot and memory, if its pool has known memory."""
+    if not request.holds_room and _memory_tokens(context, request.pool):
+        request.holds_room = True
+        context.rooms.get(request.pool).take(request.urgency, request.metadata)
+
+
+def release_room(
+    context: edge_context.EdgeContext, request: edge_requests.RoutedRequest
+) -> None:
+    """Give a request's slot and memory to others."""
+    if request.holds_room:
+        request.holds_room = False
+        context.rooms.get(request.pool).release(
+            request.urgency, request.metadata
+        )
+
+
+def has_room(
+    context: edge_context.EdgeContext, request: edge_requests.RoutedRequest
+) -> bool:
+    """Return whether a request that lost its server has room at another."""
+    state = _describe_pool(context, request.pool)
+    check = _check_room(context, request, state)
+    return check is None or not check.obstacle
+
+
+def _describe_pool(
     context: edge_context.EdgeContext, pool: str
-) -> edge_admission_policy.PoolLoad:
+) -> room_policy.PoolState:
     """Sum the load and slots of a pool's ready servers that aren't ejected.
 
     Slots of a server that has had the requests that it takes are of no use.
@@ -38,11 +113,82 @@
         if not context.outlier_detector.is_ejected(listed.server.id)
         and not context.limits.time_until_free_s(listed.server)
     ]
-    requests = sum(
-        context.loads.estimate(candidate.id) for candidate in servers
+    return room_policy.PoolState(
+        requests=sum(
+            context.loads.estimate(candidate.id) for candidate in servers
+        ),
+        slots=sum(candidate.slots for candidate in servers),
+        engines=len(servers),
+        memory_tokens=_memory_tokens(context, pool),
+    )
+
+
+def _memory_tokens(context: edge_context.EdgeContext, pool: str) -> int:
+    """Return the memory of each engine of a pool; 0 if it isn't known."""
+    table = context.config.route_table
+    if table is None:
+        return 0
+    settings = table.configuration.pools.get(pool)
+    return 0 if settings is None else settings.memory_tokens
+
+
+def _check_room(
+    context: edge_context.EdgeContext,
+    request: edge_requests.RoutedRequest,
+    pool: room_policy.PoolState,
+) -> edge_admission_policy.RoomCheck | None:
+    """Check a request against this router's part of its pool's room."""
+    if not pool.memory_tokens:
+        return None
+    room = context.rooms.get(request.pool)
+    share = room_policy.Share(
+        part=room.own_part(context.peers.list_live()),
+        requests=room.in_flight,
+        tokens=room.tokens,
+    )
+    used = room_policy.utilisation(pool, share)
+    if used >= room_policy.BUSY_UTILISATION:
+        room.busy_until = context.clock() + pool_room.BUSY_RETENTION_S
+    urgency = request.urgency
+    room_request = room_policy.RoomRequest(
+        tokens=request.metadata.total_tokens,
+        new_tokens=room.count_new_tokens(request.metadata),
+        wanted_before=room.count_wanted_before(urgency),
+        in_flight_from=room.count_in_flight_from(urgency),
+        starved=not request.late
+        and context.admission_rates.is_starved(
+            request.pool, request.route.name
+        ),
+    )
+    return edge_admission_policy.RoomCheck(
+        obstacle=room_policy.find_obstacle(pool, share, room_request),
+        is_short=used >= room_policy.SHORT_UTILISATION,
+        in_flight=room.in_flight,
+        slots=room_policy.slot_limit(pool, share) if pool.slots else 0.0,
+        wanted_before=room_request.wanted_before,
+        tokens=room.tokens,
+    )
+
+
+def _has_come_back(
+    context: edge_context.EdgeContext, request: edge_requests.RoutedRequest
+) -> bool:
+    """Return whether a caller has been refused, or lost its stream."""
+    time_left_s = request.metadata.time_left_s
+    returned = time_left_s is not None and context.usual_deadlines.record(
+        request.route.name, time_left_s
+    )
+    return returned or request.resumes_stream
+
+
+def _estimate_work(
+    context: edge_context.EdgeContext, request: edge_requests.RoutedRequest
+) -> float:
+    """Return a request's time in a slot over that of all of its pool."""
+    times = context.typical_service_times
+    return edge_admission_policy.relative_work(
+        times.average_s(request.route.name), times.average_s(request.pool)
     )
-    slots = sum(candidate.slots for candidate in servers)
-    return edge_admission_policy.PoolLoad(requests, slots)
 
 
 def _describe_request(
@@ -52,7 +198,7 @@
     pool = request.pool
     route = request.route
     organisation = request.organisation or ''
-    context.in_flight.record_arrival(pool, organisation)
+    context.in_flight.record_arrival(pool, organisation, request.work)
     context.demand.record(pool, request.priority, route.target_latency_s)
     return edge_admission_policy.AdmissionRequest(
         time_left_s=request.deadline - context.clock(),
@@ -88,6 +234,19 @@
     decision: edge_admission_policy.Rejected,
 ) -> None:
     """Log a rejection with the inputs of the decision."""
+    room = decision.room
+    room_fields = (
+        {}
+        if room is None
+        else {
+            'urgency': f'{request.priority}.{request.route.priority}',
+            'late': int(request.late),
+            'own': room.in_flight,
+            'slots': room.slots,
+            'wanted': room.wanted_before,
+            'tokens': room.tokens,
+        }
+    )
     context.events.write(
         'turned-away',
         id=request.metadata.attempt_id,
@@ -101,4 +260,5 @@
         rank=admission_request.priority_rank,
         held=admission_request.organisation_in_flight,
         fair_held=admission_request.organisation_fair_share,
+        **room_fields,
     )
--- a/arbutusvale/coordination/edge_admission_policy.py
+++ b/arbutusvale/coordination/edge_admission_policy.py
@@ -44,6 +44,7 @@
 MIN_RETRY_AFTER_S = 0.1
 # Callers honour a Retry-After of up to a third of the time they have left.
 RETRY_AFTER_SHARE = 0.33
+EARLIEST_RETURN_SHARE = 0.25
 PAUSE_SPREAD_SHARE = 0.5
 # Callers give up if their request isn't read within a second, and each request
 # crosses the link at least twice.
@@ -82,11 +83,28 @@
     service_time_s: float
     pool_service_time_s: float
     priority_rank: int
-    organisation_in_flight: int
+    organisation_in_flight: float
     organisation_fair_share: float
     starved: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoomCheck:
+    """Whether this router's part of a pool has room for a request.
+
+    ``obstacle`` is why not, empty if it has.  While the pool ``is_short`` of
+    room, an organisation is held to its share.  ``in_flight``, ``slots``,
+    ``wanted_before`` and ``tokens`` are inputs of the check, for the log.
+    """
+
+    obstacle: str
+    is_short: bool
+    in_flight: int
+    slots: float
+    wanted_before: float
+    tokens: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Admitted:
     """Decision to forward a request, with the expected wait in a queue."""
@@ -101,6 +119,7 @@
     cause: str
     wait_s: float
     retry_after_s: float
+    room: RoomCheck | None = None
 
 
 def check_link(wait_s: float, jitter: float) -> Rejected | None:
@@ -111,21 +130,32 @@
 
 
 def decide_admission(
-    load: PoolLoad, request: AdmissionRequest, jitter: float
+    load: PoolLoad,
+    request: AdmissionRequest,
+    jitter: float,
+    room: RoomCheck | None = None,
 ) -> Admitted | Rejected:
-    """Admit or reject a request; ``jitter`` is between 0 and 1."""
+    """Admit or reject a request; ``jitter`` is between 0 and 1.
+
+    With a check of the ``room`` that replaces the bound on the wait.
+    """
     if not load.slots:
         return Admitted(0.0)
     wait_s = _expected_wait_s(load, request.pool_service_time_s)
-    if wait_s <= 0 or request.service_time_s <= 0:
+    if room is not None and room.obstacle:
+        retry_after_s = room_retry_after_s(request.time_left_s, jitter)
+        return Rejected(room.obstacle, max(0.0, wait_s), retry_after_s, room)
+    is_full = wait_s > 0 or (room is not None and room.is_short)
+    if not is_full or request.service_time_s <= 0:
         return Admitted(max(0.0, wait_s))
+    wait_s = max(0.0, wait_s)
     if (
         request.organisation_in_flight >= FAIR_SHARE_MIN_IN_FLIGHT
         and request.organisation_in_flight
         > FAIR_SHARE_FACTOR * request.organisation_fair_share
     ):
         cause = 'share'
-    elif wait_s > max_wait_s(request):
+    elif room is None and wait_s > max_wait_s(request):
         cause = 'overload'
     elif (
         wait_s + request.service_time_s
@@ -135,7 +165,17 @@
     else:
         return Admitted(wait_s)
     retry_after_s = pool_retry_after_s(request.time_left_s, jitter)
-    return Rejected(cause, wait_s, retry_after_s)
+    return Rejected(cause, wait_s, retry_after_s, room)
+
+
+def relative_work(service_time_s: float, pool_service_time_s: float) -> float:
+    """Return how much more work a request is than one of its pool.
+
+    It is its time in a slot over theirs, 1 while either isn't known.
+    """
+    if service_time_s <= 0 or pool_service_time_s <= 0:
+        return 1.0
+    return service_time_s / pool_service_time_s
 
 
 def max_wait_s(request: AdmissionRequest) -> float:
@@ -162,6 +202,17 @@
     return max_delay_s * (1 + jitter) / 2
 
 
+def room_retry_after_s(time_left_s: float, jitter: float) -> float:
+    """Return the Retry-After for a pool that is short of room, in seconds.
+
+    Callers come back so late that their deadlines tell them from new ones.
+    """
+    share = EARLIEST_RETURN_SHARE + jitter * (
+        RETRY_AFTER_SHARE - EARLIEST_RETURN_SHARE
+    )
+    return max(MIN_RETRY_AFTER_S, share * time_left_s)
+
+
 def alternate_retry_after_s(jitter: float) -> float:
     """Return the Retry-After for another VM or server, in seconds."""
     return MIN_RETRY_AFTER_S * (1 + 2 * jitter)
--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -9,6 +9,7 @@
 import asyncio
 
 from arbutusvale import errors
+from arbutusvale.coordination import edge_admission
 from arbutusvale.coordination import edge_admission_policy
 from arbutusvale.coordination import edge_context
 from arbutusvale.coordination import edge_placement
@@ -27,6 +28,7 @@
 # With less time left no attempt can succeed.
 MIN_TIME_S = 0.01
 SERVER_CHECK_INTERVAL_S = 0.1
+ROOM_CHECK_INTERVAL_S = 0.05
 # How long a request waits for an engine that is reading the same prompt.
 MAX_READ_WAIT_SHARE = 0.75
 READ_CHECK_INTERVAL_S = 0.02
@@ -139,6 +141,8 @@
             if not self._spend_retry(outcome):
                 self._end_unanswered(cause)
                 return
+            if not await self._wait_for_room():
+                break
         self._end_unanswered('deadline')
 
     def _time_left_s(self) -> float:
@@ -226,6 +230,32 @@
         if waited_s >= READ_CHECK_INTERVAL_S:
             self.reporter.record_read_wait(waited_s)
 
+    async def _wait_for_room(self) -> bool:
+        """Wait until the servers that are left have room for the request.
+
+        It doesn't count as in flight meanwhile.  Return whether it has room
+        before its deadline.
+        """
+        started_at = self.context.clock()
+        if self.caller.started:
+            late_at = started_at + self.request.route.target_gap_s
+        else:
+            late_at = (
+                self.request.caller_request.received_at
+                + self.request.route.target_latency_s
+            )
+        edge_admission.release_room(self.context, self.request)
+        while not edge_admission.has_room(self.context, self.request):
+            self.request.late |= self.context.clock() > late_at
+            if self._time_left_s() < MIN_TIME_S:
+                return False
+            await asyncio.sleep(ROOM_CHECK_INTERVAL_S)
+        edge_admission.take_room(self.context, self.request)
+        waited_s = self.context.clock() - started_at
+        if waited_s >= ROOM_CHECK_INTERVAL_S:
+            self.reporter.record_room_wait(waited_s)
+        return True
+
     def _stop_waiting(self) -> None:
         """Leave the line of requests that wait for a server."""
         if self.ticket is not None:
--- a/arbutusvale/coordination/edge_context.py
+++ b/arbutusvale/coordination/edge_context.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 import random
+import time
 
 from arbutusvale.coordination import config_view
 from arbutusvale.coordination import crash_tracker
@@ -12,11 +13,13 @@
 from arbutusvale.coordination import retries
 from arbutusvale.protocol import edge_ports
 from arbutusvale.protocol import edge_settings
+from arbutusvale.state import caller_deadlines
 from arbutusvale.state import edge_metrics
 from arbutusvale.state import event_log
 from arbutusvale.state import link_queue
 from arbutusvale.state import organisation_usage
 from arbutusvale.state import pool_demand
+from arbutusvale.state import pool_room
 from arbutusvale.state import pool_waiters
 from arbutusvale.state import prompt_cache_index
 from arbutusvale.state import rendezvous
@@ -59,6 +62,9 @@
     link_queue: link_queue.LinkQueue
     latency_estimator: service_times.LatencyEstimator
     announce_limits: Callable[[], None]
+    rooms: pool_room.PoolRooms = dataclasses.field(
+        default_factory=lambda: pool_room.PoolRooms(time.monotonic)
+    )
     retry_budgets: dict[str, retries.WindowedRetryBudget] = dataclasses.field(
         default_factory=dict
     )
@@ -81,6 +87,9 @@
     admission_rates: pool_demand.AdmissionRates = dataclasses.field(
         default_factory=pool_demand.AdmissionRates
     )
+    usual_deadlines: caller_deadlines.CallerDeadlines = dataclasses.field(
+        default_factory=caller_deadlines.CallerDeadlines
+    )
     waiters: pool_waiters.PoolWaiters = dataclasses.field(
         default_factory=pool_waiters.PoolWaiters
     )
--- a/arbutusvale/coordination/edge_reporter.py
+++ b/arbutusvale/coordination/edge_reporter.py
@@ -146,6 +146,11 @@
         self.context.metrics.increment('pause_waits', self.request.pool)
         self.write('pause-wait', seconds=wait_s, ahead=ahead)
 
+    def record_room_wait(self, waited_s: float) -> None:
+        """Log that the request waited for room at another server."""
+        self.context.metrics.increment('room_waits', self.request.pool)
+        self.write('room-wait', seconds=waited_s)
+
     def record_read_wait(self, waited_s: float) -> None:
         """Log that the request waited while its prompt was being read."""
         self.context.metrics.increment('read_waits', self.request.pool)
--- a/arbutusvale/coordination/edge_requests.py
+++ b/arbutusvale/coordination/edge_requests.py
@@ -4,6 +4,7 @@
 
 from arbutusvale.protocol import proxying
 from arbutusvale.protocol import routing
+from arbutusvale.state import pool_room
 
 
 @dataclasses.dataclass(slots=True)
@@ -13,7 +14,10 @@
     ``deadline`` is on the monotonic clock, in seconds; ``organisation`` is
     None for a request without a known key.  ``version`` is that of the
     configuration.  ``suspects`` are the digests under which crashes count
-    against it, its own first, then those of its prompt parts.
+    against it, its own first, then those of its prompt parts.  ``work`` is its
+    expected time in a slot over that of its pool's requests.  ``holds_room``
+    is set while it counts in its pool's room.  ``late`` is set if its answer
+    can't be in time any more.
     """
 
     caller_request: proxying.CallerRequest
@@ -25,6 +29,20 @@
     deadline: float
     version: int
     suspects: tuple[bytes, ...]
+    work: float = 1.0
+    holds_room: bool = False
+    late: bool = False
+
+    @property
+    def urgency(self) -> tuple[int, int]:
+        """The order of urgency, 0 first: its priority, then its route's.
+
+        An organisation's priority precedes those of routes.  What is late
+        comes last: it must not make others late, too.
+        """
+        if self.late:
+            return pool_room.LATE
+        return self.priority, self.route.priority
 
     @property
     def resumes_stream(self) -> bool:
--- a/arbutusvale/coordination/edge_router.py
+++ b/arbutusvale/coordination/edge_router.py
@@ -72,26 +72,19 @@
         caller: edge_ports.CallerStream,
     ) -> None:
         """Count a request as in flight while it runs."""
-        usage = self.context.in_flight
-        organisation = routed_request.organisation or ''
         self.active_requests += 1
-        usage.record_start(routed_request.pool, organisation)
+        edge_admission.record_start(self.context, routed_request)
         started_at = self.context.clock()
         try:
             await self._run(routed_request, caller)
-            elapsed_s = self.context.clock() - started_at
-            self.context.typical_service_times.record(
-                routed_request.route.name, elapsed_s
-            )
-            self.context.typical_service_times.record(
-                routed_request.pool, elapsed_s
+            edge_admission.record_service_time(
+                self.context,
+                routed_request,
+                self.context.clock() - started_at,
             )
         finally:
             self.active_requests -= 1
-            usage.record_end(routed_request.pool, organisation)
-            self.context.latency_estimator.record_completion(
-                routed_request.pool
-            )
+            edge_admission.record_end(self.context, routed_request)
 
     async def _run(
         self,
--- a/arbutusvale/coordination/peers.py
+++ b/arbutusvale/coordination/peers.py
@@ -99,6 +99,10 @@
         self.on_origin_message: Callable[
             [stream_origin.OriginMessage], None
         ] = _ignore_origin
+        self.on_peer_demand: Callable[[str, dict[str, float]], None] = (
+            _ignore_demand
+        )
+        self.read_demand: Callable[[], dict[str, float]] = dict
         self.read_offsets: Callable[[], dict[str, int]] = dict
         self.read_eras: Callable[[], dict[str, int]] = dict
         self.loads: server_loads.ServerLoads | None = None
@@ -216,6 +220,7 @@
         if self.loads is not None:
             age_s = LIVE_INTERVALS * self.interval_s()
             self.loads.record_peer_counts(message.host, message.loads, age_s)
+        self.on_peer_demand(message.host, message.demand)
         if self.prompts is not None:
             for location in message.cache_locations:
                 record = (
@@ -280,6 +285,7 @@
             leaving=self.leaving,
             eras=self.read_eras(),
             leaving_servers=self._pop_leaving_servers(),
+            demand=self.read_demand(),
         )
 
     def _pop_leaving_servers(
@@ -361,6 +367,10 @@
     """Do nothing; the default callback for servers that leave."""
 
 
+def _ignore_demand(host: str, demand: dict[str, float]) -> None:
+    """Do nothing; the default callback for peers' demand."""
+
+
 def _ignore_origin(message: stream_origin.OriginMessage) -> None:
     """Do nothing; the default callback for origins of streams."""
 
--- a/arbutusvale/platform/headers.py
+++ b/arbutusvale/platform/headers.py
@@ -107,6 +107,7 @@
         model=values.get(MODEL_ID, b'').decode('latin-1'),
         prompt=_parse_prompt(values.get(PROMPT_PREFIX, b'')),
         validation_error=fault,
+        max_output_tokens=_parse_output_tokens(values.get(TOKEN_COUNT)),
     )
 
 
@@ -269,6 +270,13 @@
     return tuple(parts)
 
 
+def _parse_output_tokens(value: bytes | None) -> int:
+    """Return the longest answer in tokens, 0 if absent or malformed."""
+    if value is None:
+        return 0
+    return _parse_integer(value.partition(b',')[2]) or 0
+
+
 def _parse_load(value: bytes | None) -> proxying.ReportedLoad | None:
     """Return a reported load, or None if it is absent or malformed."""
     if value is None:
--- a/arbutusvale/platform/records.py
+++ b/arbutusvale/platform/records.py
@@ -133,9 +133,22 @@
         max_connections=_get_integer(
             row, 'MaxConnections', _DEFAULT_MAX_CONNECTIONS
         ),
+        memory_tokens=_decode_memory_tokens(row.get('EngineId')),
     )
 
 
+def _decode_memory_tokens(row: object) -> int:
+    """Decode what an engine holds; 0 if that isn't a positive number.
+
+    The store accepts no invalid configuration, so a value of another type
+    comes from a later build and must not make the rest unreadable.
+    """
+    value = row.get('KvCapacityTokens') if isinstance(row, dict) else None
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return 0
+    return int(value) if math.isfinite(value) and value > 0 else 0
+
+
 def _decode_limits(row: object) -> routing.CallerLimits:
     """Decode the limits of callers; absent ones have their default."""
     if not isinstance(row, dict):
--- a/arbutusvale/protocol/peer_message.py
+++ b/arbutusvale/protocol/peer_message.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import json
+import math
 
 from arbutusvale import errors
 
@@ -53,7 +54,8 @@
     topics, and ``eras`` those of the offsets, as far as known.  ``loads``
     counts its requests in flight by server id.  ``peers`` are IP addresses
     of routers that sent to it recently.  ``incarnation`` differs after
-    each start; it is None from a router of an earlier build.
+    each start; it is None from a router of an earlier build.  ``demand``
+    has its callers' requests a second, by pool, for pools that get full.
     """
 
     name: str
@@ -67,6 +69,7 @@
     eras: dict[str, int] = dataclasses.field(default_factory=dict)
     leaving_servers: tuple[LeavingServer, ...] = ()
     incarnation: int | None = None
+    demand: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 def encode(message: PeerMessage) -> bytes:
@@ -104,6 +107,7 @@
                 for server in message.leaving_servers
             ],
             'run': message.incarnation,
+            **({'demand': message.demand} if message.demand else {}),
         },
         separators=(',', ':'),
     ).encode()
@@ -146,6 +150,7 @@
                 )
             ),
             incarnation=_check_optional_integer(document.get('run')),
+            demand=_check_rates(document.get('demand', {})),
         )
     except (
         ValueError, KeyError, TypeError, AttributeError, RecursionError,
@@ -190,6 +195,18 @@
     return value
 
 
+def _check_rates(value: object) -> dict[str, float]:
+    """Return a map from strings to rates, or raise TypeError."""
+    if not isinstance(value, dict):
+        raise TypeError('not an object')
+    for rate in value.values():
+        if isinstance(rate, bool) or not isinstance(rate, int | float):
+            raise TypeError('not a rate')
+        if not math.isfinite(rate) or rate < 0:
+            raise TypeError('not a rate')
+    return value
+
+
 def _check_integer(value: object) -> int:
     """Return an integer, or raise TypeError."""
     if not isinstance(value, int) or isinstance(value, bool):
--- a/arbutusvale/protocol/proxying.py
+++ b/arbutusvale/protocol/proxying.py
@@ -75,6 +75,7 @@
     lists the parts of a prompt in order; the last one
     is specific to the request or its session.  ``validation_error`` says
     why the request is invalid; it is empty for a valid one.
+    ``max_output_tokens`` is the longest answer, 0 if the caller names none.
     """
 
     attempt_id: str
@@ -86,6 +87,14 @@
     model: str
     prompt: tuple[PromptPart, ...]
     validation_error: str
+    max_output_tokens: int = 0
+
+    @property
+    def total_tokens(self) -> int:
+        """Tokens of the prompt and of the longest answer."""
+        return sum(part.tokens for part in self.prompt) + (
+            self.max_output_tokens
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/arbutusvale/protocol/routing.py
+++ b/arbutusvale/protocol/routing.py
@@ -70,10 +70,13 @@
     """The backend servers of one service.
 
     ``max_connections`` limits the connections of all routers to one server.
+    ``memory_tokens`` is how many tokens of prompts and answers each server
+    holds; 0 if the configuration doesn't say.
     """
 
     name: str
     max_connections: int
+    memory_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
