Count no room at servers that were ejected and haven't answered since

Dead engines stay listed for some seconds, and their ejection ends after a quarter of a second, so that routers counted their slots by turns and admitted for 24 engines where 8 were left. A refused connection costs a millisecond, so four of them are no reason to give a request up.

--- a/arbutusvale/coordination/edge_admission.py
+++ b/arbutusvale/coordination/edge_admission.py
@@ -106,11 +106,16 @@
     """Sum the load and slots of a pool's ready servers that aren't ejected.
 
     Slots of a server that has had the requests that it takes are of no use.
+    A pool with known memory has no room at servers that were ejected and
+    haven't answered since: most are dead, but listed for some seconds.
     """
+    memory_tokens = _memory_tokens(context, pool)
+    detector = context.outlier_detector
     servers = [
         listed.server
         for listed in context.servers.list_ready_servers(pool)
-        if not context.outlier_detector.is_ejected(listed.server.id)
+        if not detector.is_ejected(listed.server.id)
+        and not (memory_tokens and detector.is_on_probation(listed.server.id))
         and not context.limits.time_until_free_s(listed.server)
     ]
     return room_policy.PoolState(
@@ -119,7 +124,7 @@
         ),
         slots=sum(candidate.slots for candidate in servers),
         engines=len(servers),
-        memory_tokens=_memory_tokens(context, pool),
+        memory_tokens=memory_tokens,
     )
 
 
--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -60,6 +60,8 @@
         self.tried_servers: list[str] = []
         self.attempts = 0
         self.connect_failures = 0
+        # The time spent on connections that failed.
+        self.connecting_s = 0.0
         self.possibly_executed = False
         self.last_failure: edge_requests.Failed | None = None
         # The version at which a stream must go on; None while any may serve.
@@ -108,7 +110,10 @@
             if connection is None:
                 self.context.limits.refund(placement.server)
                 cause = 'unreachable'
-                if self.connect_failures >= MAX_CONNECT_FAILURES:
+                if (
+                    self.connect_failures >= MAX_CONNECT_FAILURES
+                    and self.connecting_s >= CONNECT_TIMEOUT_S
+                ):
                     self._end_unanswered(cause)
                     return
                 continue
@@ -276,12 +281,14 @@
         """Return a connection to a server; None if it can't be reached."""
         timeout_s = min(CONNECT_TIMEOUT_S, self._time_left_s())
         require_fresh = not self.request.route.retryable
+        started_at = self.context.clock()
         try:
             return await self.context.connection_pool.acquire(
                 server, require_fresh, timeout_s
             )
         except errors.ServerFailed as error:
             self.connect_failures += 1
+            self.connecting_s += self.context.clock() - started_at
             self.reporter.record_unreachable(server, error)
             return None
 
--- a/arbutusvale/coordination/outlier_detection.py
+++ b/arbutusvale/coordination/outlier_detection.py
@@ -68,6 +68,11 @@
         record = self.records.get(server_id)
         return record is not None and record.ejected_until > self.clock()
 
+    def is_on_probation(self, server_id: str) -> bool:
+        """Check whether a server was ejected and hasn't answered since."""
+        record = self.records.get(server_id)
+        return record is not None and record.probation
+
     def record_unreachable(self, server_id: str) -> None:
         """Eject a server that accepted no connection."""
         self._eject(self._get_record(server_id))
