Keep slots free for urgent requests by how much these vary

A reserve of all the slots that urgent kinds want by Little's law left slots idle; the square root of it is what their number varies by. A request that waits at an engine that is only as busy as all isn't sent to another one, which would read its prompt anew.

--- a/arbutusvale/coordination/edge_admission.py
+++ b/arbutusvale/coordination/edge_admission.py
@@ -4,6 +4,7 @@
 from arbutusvale.coordination import edge_context
 from arbutusvale.coordination import edge_requests
 from arbutusvale.coordination import room_policy
+from arbutusvale.state import pool_demand
 from arbutusvale.state import pool_room
 
 
@@ -28,9 +29,10 @@
         room_check,
     )
     rejected = isinstance(decision, edge_admission_policy.Rejected)
-    context.admission_rates.record(
-        request.pool, request.route.name, not rejected
-    )
+    if not request.late:
+        context.admission_rates.record(
+            request.pool, request.route.name, not rejected
+        )
     if rejected:
         _log_rejection(context, request, admission_request, decision)
     return decision
@@ -77,7 +79,7 @@
     """Count a request's slot and memory, if its pool has known memory."""
     if not request.holds_room and _memory_tokens(context, request.pool):
         request.holds_room = True
-        context.rooms.get(request.pool).take(request.urgency, request.metadata)
+        context.rooms.get(request.pool).take(request.metadata)
 
 
 def release_room(
@@ -86,9 +88,7 @@
     """Give a request's slot and memory to others."""
     if request.holds_room:
         request.holds_room = False
-        context.rooms.get(request.pool).release(
-            request.urgency, request.metadata
-        )
+        context.rooms.get(request.pool).release(request.metadata)
 
 
 def has_room(
@@ -100,6 +100,13 @@
     return check is None or not check.obstacle
 
 
+def is_short_of_room(
+    context: edge_context.EdgeContext, request: edge_requests.RoutedRequest
+) -> bool:
+    """Return whether all servers of a request's pool were busy just now."""
+    return request.holds_room and context.rooms.get(request.pool).is_short()
+
+
 def _describe_pool(
     context: edge_context.EdgeContext, pool: str
 ) -> room_policy.PoolState:
@@ -154,15 +161,17 @@
     used = room_policy.utilisation(pool, share)
     if used >= room_policy.BUSY_UTILISATION:
         room.busy_until = context.clock() + pool_room.BUSY_RETENTION_S
-    urgency = request.urgency
+    if used >= room_policy.SHORT_UTILISATION:
+        room.short_until = context.clock() + pool_room.SHORT_RETENTION_S
     room_request = room_policy.RoomRequest(
         tokens=request.metadata.total_tokens,
         new_tokens=room.count_new_tokens(request.metadata),
-        wanted_before=room.count_wanted_before(urgency),
-        in_flight_from=room.count_in_flight_from(urgency),
+        wanted_before=room.count_wanted_before(request.urgency),
         starved=not request.late
         and context.admission_rates.is_starved(
-            request.pool, request.route.name
+            request.pool,
+            request.route.name,
+            pool_demand.STARVED_RATIO_BY_URGENCY,
         ),
     )
     return edge_admission_policy.RoomCheck(
--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -17,6 +17,7 @@
 from arbutusvale.coordination import edge_reporter
 from arbutusvale.coordination import edge_requests
 from arbutusvale.coordination import event_stream
+from arbutusvale.coordination import response_timeouts
 from arbutusvale.coordination import stream_continuity
 from arbutusvale.protocol import edge_ports
 from arbutusvale.protocol import proxying
@@ -400,6 +401,8 @@
             return False
         if self.attempts >= self.request.route.max_attempts:
             return False
+        if self._is_queued_like_others():
+            return False
         alternatives_exist = any(
             not self.context.outlier_detector.is_ejected(server.id)
             and not self.context.pauses.time_left_s(server)
@@ -410,6 +413,19 @@
             self.request.pool
         ).can_spend(self.context.peers.count_live())
 
+    def _is_queued_like_others(self) -> bool:
+        """Check whether its server is only as busy as all are.
+
+        Another server would begin anew, behind its own queue.
+        """
+        received_at = self.context.last_received_at.get(self.tried_servers[-1])
+        return (
+            received_at is not None
+            and self.context.clock() - received_at
+            < response_timeouts.SILENT_ENGINE_S
+            and edge_admission.is_short_of_room(self.context, self.request)
+        )
+
     def _list_untried(self) -> list[proxying.BackendServer]:
         """List the servers of the pool and version that weren't tried yet."""
         return [
--- a/arbutusvale/coordination/room_policy.py
+++ b/arbutusvale/coordination/room_policy.py
@@ -11,9 +11,9 @@
 - *many routers with old counts*: all would take the same free slots and then
   all refuse; each keeps to its own part, which it counts exactly, and corrects
   it by what the counts of the others say of the whole pool;
-- *urgent and other requests compete*: a request gets the slots that more
-  urgent ones won't need, by how often these arrive and how long they stay, so
-  urgent ones are refused last and slots that they leave aren't idle;
+- *urgent and other requests compete*: a request leaves some slots free for
+  more urgent ones, as many as these vary by, so that urgent ones find a slot
+  while others still take what they leave;
 - *urgent requests alone fill the engines*: a route that is hardly ever
   admitted competes like the most urgent, so that none starves;
 - *long prompts*: they run out of memory before slots, and what is evicted for
@@ -26,6 +26,7 @@
 """
 
 import dataclasses
+import math
 
 # Below this share of a pool's slots in use, requests are admitted freely.
 SHORT_UTILISATION = 0.75
@@ -70,14 +71,13 @@
 
     ``tokens`` is all that it needs at an engine, ``new_tokens`` what others
     don't need as well.  ``wanted_before`` is the number of this router's slots
-    that more urgent requests need; ``in_flight_from`` counts its requests that
-    aren't more urgent.  ``starved`` means that its route is hardly admitted.
+    that more urgent requests need.  ``starved`` means that its route is hardly
+    admitted.
     """
 
     tokens: int
     new_tokens: int
     wanted_before: float
-    in_flight_from: int
     starved: bool
 
 
@@ -109,14 +109,22 @@
     slots = slot_limit(pool, share)
     if share.requests + 1 > slots:
         return 'slots'
-    if (
-        not request.starved
-        and request.in_flight_from + 1 > slots - request.wanted_before
+    if not request.starved and share.requests + 1 > slots - reserved_slots(
+        request.wanted_before
     ):
         return 'urgency'
     return ''
 
 
+def reserved_slots(wanted: float) -> float:
+    """Return the slots to keep free for requests that need ``wanted`` slots.
+
+    The number of requests that arrive and leave independently varies by about
+    its square root.
+    """
+    return min(wanted, math.sqrt(wanted))
+
+
 def slot_limit(pool: PoolState, share: Share) -> float:
     """Return how many requests this router may have in flight.
 
--- a/arbutusvale/state/pool_demand.py
+++ b/arbutusvale/state/pool_demand.py
@@ -9,6 +9,8 @@
 # A route counts as starved when its admission rate falls below this share
 # of the pool's; the users' bound is a quarter.
 _STARVED_RATIO = 0.5
+# The same where urgency decides who is admitted at all.
+STARVED_RATIO_BY_URGENCY = 0.35
 
 
 class AdmissionRates:
@@ -28,10 +30,12 @@
             rate = self.rates.get(key, 1.0)
             self.rates.put(key, rate + _SMOOTHING * (admitted - rate))
 
-    def is_starved(self, pool: str, route: str) -> bool:
+    def is_starved(
+        self, pool: str, route: str, ratio: float = _STARVED_RATIO
+    ) -> bool:
         """Return whether a route is admitted far less often than its pool."""
         rate = self.rates.get(f'{pool}/{route}', 1.0)
-        return rate < _STARVED_RATIO * self.rates.get(pool, 1.0)
+        return rate < ratio * self.rates.get(pool, 1.0)
 
 
 class PoolDemand:
--- a/arbutusvale/state/pool_room.py
+++ b/arbutusvale/state/pool_room.py
@@ -19,6 +19,8 @@
 DEMAND_AVERAGE_S = 2.0
 # Peers are told of the demand for this long after the pool was last busy.
 BUSY_RETENTION_S = 3.0
+# A router looks at a pool's room with each request.
+SHORT_RETENTION_S = 0.5
 # Weight of a router without demand.
 IDLE_DEMAND = 0.05
 # A few dozen requests determine an average.
@@ -31,9 +33,8 @@
 
 @dataclasses.dataclass(slots=True)
 class _Kind:
-    """Requests of one urgency: in flight, arriving, and time in a slot."""
+    """Requests of one urgency: how many arrive, and their time in a slot."""
 
-    in_flight: int = 0
     rate: float = 0.0
     updated_at: float = 0.0
     service_time_s: float = 0.0
@@ -58,26 +59,21 @@
         self.in_flight = 0
         self.peer_demand: dict[str, float] = {}
         self.busy_until = -math.inf
+        self.short_until = -math.inf
 
     def record_arrival(self, urgency: Urgency) -> None:
         """Count a caller's request, admitted or not."""
         kind = self._get_kind(urgency)
         kind.rate = kind.read_rate(self.clock()) + 1 / DEMAND_AVERAGE_S
 
-    def take(
-        self, urgency: Urgency, metadata: proxying.RequestMetadata
-    ) -> None:
+    def take(self, metadata: proxying.RequestMetadata) -> None:
         """Count a request that now needs a slot and memory."""
-        self._get_kind(urgency).in_flight += 1
         self.in_flight += 1
         self.tokens += self.count_new_tokens(metadata)
         self.part_counts.update(metadata.prompt)
 
-    def release(
-        self, urgency: Urgency, metadata: proxying.RequestMetadata
-    ) -> None:
+    def release(self, metadata: proxying.RequestMetadata) -> None:
         """Count that a request needs neither any more."""
-        self._get_kind(urgency).in_flight -= 1
         self.in_flight -= 1
         for part in metadata.prompt:
             self.part_counts[part] -= 1
@@ -93,6 +89,10 @@
             if part not in self.part_counts
         )
 
+    def is_short(self) -> bool:
+        """Return whether the pool was short of room when last looked at."""
+        return self.short_until >= self.clock()
+
     def record_service_time(self, urgency: Urgency, seconds: float) -> None:
         """Add how long a request held its slot to the average."""
         kind = self._get_kind(urgency)
@@ -102,24 +102,15 @@
     def count_wanted_before(self, urgency: Urgency) -> float:
         """Return the slots that more urgent requests need.
 
-        By Little's law these are their arrivals times their time in a slot,
-        but at least the slots that they have.
+        By Little's law these are their arrivals times their time in a slot.
         """
         now = self.clock()
         return sum(
-            max(kind.in_flight, kind.read_rate(now) * kind.service_time_s)
+            kind.read_rate(now) * kind.service_time_s
             for other, kind in self.kinds.items()
             if other < urgency
         )
 
-    def count_in_flight_from(self, urgency: Urgency) -> int:
-        """Return the requests in flight that aren't more urgent."""
-        return sum(
-            kind.in_flight
-            for other, kind in self.kinds.items()
-            if other >= urgency
-        )
-
     def read_demand(self) -> float:
         """Return the requests a second that can be in time."""
         now = self.clock()
