Reserve slots by work, and allow a short queue at full engines

A tag holds its slot for a tenth of the time of a draft, so it leaves fewer slots free for urgent requests; a queue that takes 0.4 of the shortest target keeps slots in use between a router's arrivals. Memory counts in the utilisation of a pool, and engines queue by urgency.

--- a/arbutusvale/coordination/edge_admission.py
+++ b/arbutusvale/coordination/edge_admission.py
@@ -12,7 +12,7 @@
     context: edge_context.EdgeContext, request: edge_requests.RoutedRequest
 ) -> edge_admission_policy.Admitted | edge_admission_policy.Rejected:
     """Admit a request, or reject it and log the reason."""
-    pool_state = _describe_pool(context, request.pool)
+    pool_state = describe_pool(context, request.pool)
     if pool_state.memory_tokens:
         request.late = _has_come_back(context, request)
         context.rooms.get(request.pool).record_arrival(request.urgency)
@@ -95,11 +95,20 @@
     context: edge_context.EdgeContext, request: edge_requests.RoutedRequest
 ) -> bool:
     """Return whether a request that lost its server has room at another."""
-    state = _describe_pool(context, request.pool)
+    state = describe_pool(context, request.pool)
     check = _check_room(context, request, state)
     return check is None or not check.obstacle
 
 
+def engine_priority(
+    context: edge_context.EdgeContext, request: edge_requests.RoutedRequest
+) -> int:
+    """Return the priority at which an engine queues a request, 0 first."""
+    if not request.holds_room:
+        return request.priority
+    return context.rooms.get(request.pool).count_kinds_before(request.urgency)
+
+
 def is_short_of_room(
     context: edge_context.EdgeContext, request: edge_requests.RoutedRequest
 ) -> bool:
@@ -107,7 +116,7 @@
     return request.holds_room and context.rooms.get(request.pool).is_short()
 
 
-def _describe_pool(
+def describe_pool(
     context: edge_context.EdgeContext, pool: str
 ) -> room_policy.PoolState:
     """Sum the load and slots of a pool's ready servers that aren't ejected.
@@ -127,11 +136,18 @@
     ]
     return room_policy.PoolState(
         requests=sum(
-            context.loads.estimate(candidate.id) for candidate in servers
+            room_policy.plausible_load(
+                context.loads.estimate(candidate.id),
+                candidate.slots,
+                memory_tokens,
+            )
+            for candidate in servers
         ),
         slots=sum(candidate.slots for candidate in servers),
         engines=len(servers),
         memory_tokens=memory_tokens,
+        service_time_s=context.typical_service_times.average_s(pool),
+        shortest_target_s=context.demand.shortest_target_s(pool),
     )
 
 
@@ -167,6 +183,7 @@
         tokens=request.metadata.total_tokens,
         new_tokens=room.count_new_tokens(request.metadata),
         wanted_before=room.count_wanted_before(request.urgency),
+        work=max(1.0, request.work) if request.late else request.work,
         starved=not request.late
         and context.admission_rates.is_starved(
             request.pool,
--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -347,7 +347,9 @@
             server=placement.server,
             time_left_s=self._time_left_s(),
             organisation=self.request.organisation,
-            priority=self.request.priority,
+            priority=edge_admission.engine_priority(
+                self.context, self.request
+            ),
             last_event_id=self.event_buffer.last_event_id,
             cache_source=placement.cache_source,
         )
--- a/arbutusvale/coordination/room_policy.py
+++ b/arbutusvale/coordination/room_policy.py
@@ -32,10 +32,18 @@
 SHORT_UTILISATION = 0.75
 # Peers are told of the demand from here on, so that parts are known in time.
 BUSY_UTILISATION = 0.5
-# How far this router's part follows what is free or queued in the pool.
+# How strongly, and how far, this router's part follows what is free in the
+# pool or queues there beyond what may.
+CORRECTION_GAIN = 2.0
 MAX_CORRECTION = 0.5
-# Share of the memory for prompts in use; the rest keeps cached prompts.
-MEMORY_SHARE = 1.0
+# Slots kept free for urgent requests, in standard deviations of their number.
+RESERVE_DEVIATIONS = 2.0
+# Share of the shortest target latency that requests may wait for a slot.
+MAX_WAIT_SHARE = 0.4
+# The rest of the memory allows for parts that shift with the demand.
+MEMORY_SHARE = 0.9
+# Requests at an engine per slot; one that reports more is in error.
+MAX_LOAD_FACTOR = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,12 +53,16 @@
     ``requests`` is the estimated number at all of them, from all routers;
     ``slots`` counts those of all engines.  ``memory_tokens`` is the memory of
     one engine, 0 if not known, and ``engines`` the number of engines.
+    ``service_time_s`` is how long a request has a slot, 0 if not known;
+    ``shortest_target_s`` is the shortest target latency of its requests.
     """
 
     requests: float
     slots: int
     engines: int
     memory_tokens: int
+    service_time_s: float = 0.0
+    shortest_target_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,23 +83,39 @@
 
     ``tokens`` is all that it needs at an engine, ``new_tokens`` what others
     don't need as well.  ``wanted_before`` is the number of this router's slots
-    that more urgent requests need.  ``starved`` means that its route is hardly
+    that more urgent requests need.  ``work`` is its time in a slot over that
+    of its pool's requests.  ``starved`` means that its route is hardly
     admitted.
     """
 
     tokens: int
     new_tokens: int
     wanted_before: float
+    work: float
     starved: bool
 
 
+def plausible_load(requests: float, slots: int, memory_tokens: int) -> float:
+    """Return the load to count for an engine, whatever it reports.
+
+    Servers without known memory count as they are.
+    """
+    if not memory_tokens:
+        return requests
+    return min(requests, MAX_LOAD_FACTOR * slots)
+
+
 def utilisation(pool: PoolState, share: Share) -> float:
-    """Return the used share of a pool's slots, or of this router's part."""
+    """Return the used share of what runs out first.
+
+    That is the pool's slots, or this router's part of its slots or memory.
+    """
     if not pool.slots:
         return 0.0
     return max(
         pool.requests / pool.slots,
         share.requests / max(1.0, share.part * pool.slots),
+        share.tokens / max(1.0, memory_limit(pool, share)),
     )
 
 
@@ -103,34 +131,48 @@
         return 'too-large'
     if utilisation(pool, share) < SHORT_UTILISATION:
         return ''
-    memory = MEMORY_SHARE * share.part * pool.engines * pool.memory_tokens
-    if share.requests and share.tokens + request.new_tokens > memory:
+    tokens = share.tokens + request.new_tokens
+    if share.requests and tokens > memory_limit(pool, share):
         return 'memory'
     slots = slot_limit(pool, share)
     if share.requests + 1 > slots:
         return 'slots'
     if not request.starved and share.requests + 1 > slots - reserved_slots(
-        request.wanted_before
+        request
     ):
         return 'urgency'
     return ''
 
 
-def reserved_slots(wanted: float) -> float:
-    """Return the slots to keep free for requests that need ``wanted`` slots.
+def reserved_slots(request: RoomRequest) -> float:
+    """Return the slots that a request leaves free for more urgent ones.
 
     The number of requests that arrive and leave independently varies by about
-    its square root.
+    its square root.  One that is soon over is soon out of the way.
     """
-    return min(wanted, math.sqrt(wanted))
+    wanted = request.wanted_before
+    deviations = RESERVE_DEVIATIONS * min(1.0, request.work)
+    return min(wanted, deviations * math.sqrt(wanted))
+
+
+def memory_limit(pool: PoolState, share: Share) -> float:
+    """Return the tokens that this router's requests may need at once."""
+    return MEMORY_SHARE * share.part * pool.engines * pool.memory_tokens
 
 
 def slot_limit(pool: PoolState, share: Share) -> float:
     """Return how many requests this router may have in flight.
 
-    It is more than its part while the pool has free slots, and less while
-    requests queue; at least one, as others may know of less demand.
+    It is more than its part while the pool has free slots, or a short queue
+    that keeps them in use, and less while the queue is longer; at least one,
+    as others may know of less demand.
     """
-    free = (pool.slots - pool.requests) / pool.slots
-    correction = min(MAX_CORRECTION, max(-MAX_CORRECTION, free))
+    queue = 0.0
+    if pool.service_time_s > 0:
+        wait_s = MAX_WAIT_SHARE * pool.shortest_target_s
+        queue = min(1.0, wait_s / pool.service_time_s) * pool.slots
+    free = (pool.slots + queue - pool.requests) / pool.slots
+    correction = min(
+        MAX_CORRECTION, max(-MAX_CORRECTION, CORRECTION_GAIN * free)
+    )
     return max(1.0, share.part * pool.slots * (1 + correction))
--- a/arbutusvale/state/pool_demand.py
+++ b/arbutusvale/state/pool_demand.py
@@ -10,7 +10,7 @@
 # of the pool's; the users' bound is a quarter.
 _STARVED_RATIO = 0.5
 # The same where urgency decides who is admitted at all.
-STARVED_RATIO_BY_URGENCY = 0.35
+STARVED_RATIO_BY_URGENCY = 0.3
 
 
 class AdmissionRates:
--- a/arbutusvale/state/pool_room.py
+++ b/arbutusvale/state/pool_room.py
@@ -16,7 +16,7 @@
 
 from arbutusvale.protocol import proxying
 
-DEMAND_AVERAGE_S = 2.0
+DEMAND_AVERAGE_S = 1.0
 # Peers are told of the demand for this long after the pool was last busy.
 BUSY_RETENTION_S = 3.0
 # A router looks at a pool's room with each request.
@@ -111,6 +111,10 @@
             if other < urgency
         )
 
+    def count_kinds_before(self, urgency: Urgency) -> int:
+        """Return how many more urgent kinds of requests there are."""
+        return sum(1 for other in self.kinds if other < urgency)
+
     def read_demand(self) -> float:
         """Return the requests a second that can be in time."""
         now = self.clock()
