--- a/arbutusvale/coordination/edge_admission.py
+++ b/arbutusvale/coordination/edge_admission.py
@@ -15,7 +15,9 @@
     pool_state = describe_pool(context, request.pool)
     if pool_state.memory_tokens:
         request.late = _has_come_back(context, request)
-        context.rooms.get(request.pool).record_arrival(request.urgency)
+        context.rooms.get(request.pool).record_arrival(
+            request.urgency, request.metadata
+        )
         request.work = _estimate_work(context, request)
     admission_request = _describe_request(context, request)
     jitter = context.generator.random()
@@ -182,7 +184,7 @@
     room_request = room_policy.RoomRequest(
         tokens=request.metadata.total_tokens,
         new_tokens=room.count_new_tokens(request.metadata),
-        wanted_before=room.count_wanted_before(request.urgency),
+        wanted_before=room.sum_wanted_before(request.urgency),
         work=max(1.0, request.work) if request.late else request.work,
         starved=not request.late
         and context.admission_rates.is_starved(
@@ -196,7 +198,7 @@
         is_short=used >= room_policy.SHORT_UTILISATION,
         in_flight=room.in_flight,
         slots=room_policy.slot_limit(pool, share) if pool.slots else 0.0,
-        wanted_before=room_request.wanted_before,
+        wanted_before=room_request.wanted_before.slots,
         tokens=room.tokens,
     )
 
--- a/arbutusvale/coordination/room_policy.py
+++ b/arbutusvale/coordination/room_policy.py
@@ -28,6 +28,8 @@
 import dataclasses
 import math
 
+from arbutusvale.state import pool_room
+
 # Below this share of a pool's slots in use, requests are admitted freely.
 SHORT_UTILISATION = 0.75
 # Peers are told of the demand from here on, so that parts are known in time.
@@ -82,15 +84,15 @@
     """A request that needs a slot and memory.
 
     ``tokens`` is all that it needs at an engine, ``new_tokens`` what others
-    don't need as well.  ``wanted_before`` is the number of this router's slots
-    that more urgent requests need.  ``work`` is its time in a slot over that
+    don't need as well.  ``wanted_before`` is what more urgent requests of this
+    router need.  ``work`` is its time in a slot over that
     of its pool's requests.  ``starved`` means that its route is hardly
     admitted.
     """
 
     tokens: int
     new_tokens: int
-    wanted_before: float
+    wanted_before: pool_room.WantedRoom
     work: float
     starved: bool
 
@@ -132,6 +134,8 @@
     if utilisation(pool, share) < SHORT_UTILISATION:
         return ''
     tokens = share.tokens + request.new_tokens
+    if not request.starved:
+        tokens += reserved_tokens(request)
     if share.requests and tokens > memory_limit(pool, share):
         return 'memory'
     slots = slot_limit(pool, share)
@@ -150,9 +154,22 @@
     The number of requests that arrive and leave independently varies by about
     its square root.  One that is soon over is soon out of the way.
     """
+    wanted = request.wanted_before.slots
+    return min(wanted, _count_deviations(request) * math.sqrt(wanted))
+
+
+def reserved_tokens(request: RoomRequest) -> float:
+    """Return the tokens that a request leaves free for more urgent ones."""
     wanted = request.wanted_before
-    deviations = RESERVE_DEVIATIONS * min(1.0, request.work)
-    return min(wanted, deviations * math.sqrt(wanted))
+    return min(
+        wanted.tokens,
+        _count_deviations(request) * math.sqrt(wanted.token_variance),
+    )
+
+
+def _count_deviations(request: RoomRequest) -> float:
+    """Return the standard deviations of what is kept free."""
+    return RESERVE_DEVIATIONS * min(1.0, request.work)
 
 
 def memory_limit(pool: PoolState, share: Share) -> float:
--- a/arbutusvale/state/pool_room.py
+++ b/arbutusvale/state/pool_room.py
@@ -33,9 +33,10 @@
 
 @dataclasses.dataclass(slots=True)
 class _Kind:
-    """Requests of one urgency: how many arrive, and their time in a slot."""
+    """Requests of one urgency: how many arrive, their time and memory."""
 
     rate: float = 0.0
+    tokens: float = 0.0
     updated_at: float = 0.0
     service_time_s: float = 0.0
 
@@ -46,6 +47,18 @@
         return self.rate
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WantedRoom:
+    """The mean slots and tokens that some requests need at once.
+
+    ``token_variance`` is that of the tokens, if requests arrive independently.
+    """
+
+    slots: float = 0.0
+    tokens: float = 0.0
+    token_variance: float = 0.0
+
+
 class PoolRoom:
     """What this router's requests take of a pool, and who asks for it."""
 
@@ -61,10 +74,14 @@
         self.busy_until = -math.inf
         self.short_until = -math.inf
 
-    def record_arrival(self, urgency: Urgency) -> None:
+    def record_arrival(
+        self, urgency: Urgency, metadata: proxying.RequestMetadata
+    ) -> None:
         """Count a caller's request, admitted or not."""
         kind = self._get_kind(urgency)
         kind.rate = kind.read_rate(self.clock()) + 1 / DEMAND_AVERAGE_S
+        tokens = self.count_new_tokens(metadata)
+        kind.tokens += _SMOOTHING * (tokens - kind.tokens)
 
     def take(self, metadata: proxying.RequestMetadata) -> None:
         """Count a request that now needs a slot and memory."""
@@ -99,17 +116,21 @@
         average_s = kind.service_time_s or seconds
         kind.service_time_s = average_s + _SMOOTHING * (seconds - average_s)
 
-    def count_wanted_before(self, urgency: Urgency) -> float:
-        """Return the slots that more urgent requests need.
+    def sum_wanted_before(self, urgency: Urgency) -> WantedRoom:
+        """Return the room that more urgent requests need.
 
-        By Little's law these are their arrivals times their time in a slot.
+        By Little's law so many need it at once as arrive in the time that one
+        has its slot.
         """
         now = self.clock()
-        return sum(
-            kind.read_rate(now) * kind.service_time_s
-            for other, kind in self.kinds.items()
-            if other < urgency
-        )
+        slots = tokens = variance = 0.0
+        for other, kind in self.kinds.items():
+            if other < urgency:
+                wanted = kind.read_rate(now) * kind.service_time_s
+                slots += wanted
+                tokens += wanted * kind.tokens
+                variance += wanted * kind.tokens**2
+        return WantedRoom(slots, tokens, variance)
 
     def count_kinds_before(self, urgency: Urgency) -> int:
         """Return how many more urgent kinds of requests there are."""
--- a/tests/coordination/test_room_policy.py
+++ b/tests/coordination/test_room_policy.py
@@ -8,6 +8,7 @@
 from arbutusvale.coordination import edge_admission_policy
 from arbutusvale.coordination import room_policy
 from arbutusvale.state import organisation_usage
+from arbutusvale.state import pool_room
 from tests.coordination import room_replay
 
 POOL = room_policy.PoolState(
@@ -24,7 +25,7 @@
     fields = {
         'tokens': 100,
         'new_tokens': 100,
-        'wanted_before': 0.0,
+        'wanted_before': pool_room.WantedRoom(),
         'work': 1.0,
         'starved': False,
     }
@@ -47,22 +48,29 @@
 def test_less_urgent_requests_leave_slots_to_urgent_ones():
     find = room_policy.find_obstacle
     assert not find(POOL, make_share(), make_request())
-    less_urgent = make_request(wanted_before=16)
+    wanted = pool_room.WantedRoom(slots=16.0)
+    less_urgent = make_request(wanted_before=wanted)
     assert find(POOL, make_share(), less_urgent) == 'urgency'
     assert not find(POOL, make_share(requests=11), less_urgent)
     # One that is soon over needn't leave as many slots free.
-    short = make_request(wanted_before=16, work=0.1)
+    short = make_request(wanted_before=wanted, work=0.1)
     assert not find(POOL, make_share(), short)
-    starved = make_request(wanted_before=16, starved=True)
+    starved = make_request(wanted_before=wanted, starved=True)
     assert not find(POOL, make_share(), starved)
 
 
 def test_a_long_prompt_is_refused_when_the_memory_is_used():
     find = room_policy.find_obstacle
-    share = make_share(tokens=1950)
+    share = make_share(tokens=1750)
     assert find(POOL, share, make_request()) == 'memory'
     assert not find(POOL, share, make_request(new_tokens=50))
     assert find(POOL, make_share(), make_request(tokens=1001)) == 'too-large'
+    # Long urgent requests find memory that shorter ones have left to them.
+    wanted = pool_room.WantedRoom(4.0, 1200.0, 360_000.0)
+    urgent = make_request(new_tokens=300)
+    assert not find(POOL, make_share(), urgent)
+    less_urgent = make_request(new_tokens=50, wanted_before=wanted)
+    assert find(POOL, make_share(), less_urgent) == 'memory'
 
 
 # Untouched, the most urgent kind was served worst (0.42 of its worth), and
