--- a/arbutusvale/coordination/room_policy.py
+++ b/arbutusvale/coordination/room_policy.py
@@ -40,6 +40,8 @@
 MAX_CORRECTION = 0.5
 # Slots kept free for urgent requests, in standard deviations of their number.
 RESERVE_DEVIATIONS = 2.0
+# Shorter requests count as this much work, as many of them take many slots.
+MIN_WORK = 0.5
 # Share of the shortest target latency that requests may wait for a slot.
 MAX_WAIT_SHARE = 0.4
 # The rest of the memory allows for parts that shift with the demand.
@@ -169,7 +171,7 @@
 
 def _count_deviations(request: RoomRequest) -> float:
     """Return the standard deviations of what is kept free."""
-    return RESERVE_DEVIATIONS * min(1.0, request.work)
+    return RESERVE_DEVIATIONS * min(1.0, max(MIN_WORK, request.work))
 
 
 def memory_limit(pool: PoolState, share: Share) -> float:
--- a/tests/coordination/test_peers.py
+++ b/tests/coordination/test_peers.py
@@ -1,10 +1,14 @@
 """Tests of gossip between edge routers, with lost and malformed messages."""
 
 import asyncio
+import dataclasses
 import json
 import random
 import time
 
+import pytest
+
+from arbutusvale import errors
 from arbutusvale.coordination import crash_exchange
 from arbutusvale.coordination import peers
 from arbutusvale.protocol import peer_message
@@ -311,6 +315,18 @@
     assert set(second.prompts.find_readers('new')) == {'e1'}
 
 
+def test_demand_for_busy_pools_is_told_and_nonsense_is_not_read():
+    message = peer_message.PeerMessage(
+        'a', '10.0.0.1', {}, {}, (), demand={'chat': 7.5}
+    )
+    data = peer_message.encode(message)
+    assert peer_message.decode(data).demand == {'chat': 7.5}
+    with pytest.raises(errors.FrameError):
+        peer_message.decode(data.replace(b'7.5', b'NaN'))
+    quiet = peer_message.encode(dataclasses.replace(message, demand={}))
+    assert b'demand' not in quiet
+
+
 def test_message_of_a_build_that_tells_no_readings_is_read():
     network = Network(2)
     network.run(2)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -35,6 +35,7 @@
     assert traits.attempt_id == 'a1'
     assert traits.time_left_s == 1.5
     assert traits.prompt[1] == proxying.PromptPart('91', 410)
+    assert traits.total_tokens == 1540
     assert traits.last_event_id == 12
     assert traits.api_key == 'key'
 
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -36,6 +36,23 @@
     assert configuration.limits.idle_timeout_s == 3.0
 
 
+@pytest.mark.parametrize(
+    ('engine', 'tokens'),
+    [
+        ({'Slots': 8, 'KvCapacityTokens': 9000}, 9000),
+        ({'KvCapacityTokens': -1}, 0),
+        ({'KvCapacityTokens': 'much'}, 0),
+        ({'KvCapacityTokens': float('inf')}, 0),
+        ([], 0),
+        (None, 0),
+    ],
+)
+def test_the_memory_of_engines_is_decoded(engine, tokens):
+    service = {'Name': 'chat', 'EngineId': engine}
+    configuration = make_configuration(Services=[service])
+    assert configuration.pools['chat'].memory_tokens == tokens
+
+
 def test_a_route_of_unknown_kind_is_not_retryable():
     [route] = make_configuration(
         routes=[helpers_edge.make_route(RouteType='new')]
