--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -147,7 +147,7 @@
             if not self._spend_retry(outcome):
                 self._end_unanswered(cause)
                 return
-            if not await self._wait_for_room():
+            if not await self.wait_for_room():
                 break
         self._end_unanswered('deadline')
 
@@ -236,7 +236,7 @@
         if waited_s >= READ_CHECK_INTERVAL_S:
             self.reporter.record_read_wait(waited_s)
 
-    async def _wait_for_room(self) -> bool:
+    async def wait_for_room(self) -> bool:
         """Wait until the servers that are left have room for the request.
 
         It doesn't count as in flight meanwhile.  Return whether it has room
--- a/arbutusvale/coordination/room_policy.py
+++ b/arbutusvale/coordination/room_policy.py
@@ -41,7 +41,7 @@
 # Slots kept free for urgent requests, in standard deviations of their number.
 RESERVE_DEVIATIONS = 2.0
 # Shorter requests count as this much work, as many of them take many slots.
-MIN_WORK = 0.5
+MIN_WORK = 0.4
 # Share of the shortest target latency that requests may wait for a slot.
 MAX_WAIT_SHARE = 0.4
 # The rest of the memory allows for parts that shift with the demand.
