--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -51,6 +51,7 @@
 from arbutusvale.state import evacuations
 from arbutusvale.state import event_log
 from arbutusvale.state import link_queue
+from arbutusvale.state import pool_room
 from arbutusvale.state import prompt_cache_index
 from arbutusvale.state import prompt_loads
 from arbutusvale.state import server_limits
@@ -228,6 +229,7 @@
             speeds=server_speeds.ServerSpeeds(self.clock),
             announce_limits=self.limit_exchange.announce,
             load_age_s=self._load_age_s,
+            rooms=pool_room.PoolRooms(self.clock),
             prompts=prompt_cache_index.PromptCacheIndex(self.clock),
             prompt_loads=prompt_loads.PromptLoads(self.clock),
             outlier_detector=outlier_detection.OutlierDetector(
@@ -326,6 +328,8 @@
         self.peers.on_suspicions = self.crash_exchange.receive_suspicions
         self.peers.list_suspicions = self.crash_exchange.list_suspicions
         self.peers.on_peer_returned = self.crash_exchange.sync
+        self.peers.on_peer_demand = self.context.rooms.record_peer_demand
+        self.peers.read_demand = self.context.rooms.read_demand
         self.peers.read_offsets = self._read_offsets
         self.peers.read_eras = self._read_eras
         self.peers.on_peer_offset = self._on_peer_offset
--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -9,6 +9,7 @@
 import asyncio
 
 from arbutusvale import errors
+from arbutusvale.coordination import edge_admission
 from arbutusvale.coordination import edge_admission_policy
 from arbutusvale.coordination import edge_context
 from arbutusvale.coordination import edge_placement
@@ -16,6 +17,7 @@
 from arbutusvale.coordination import edge_reporter
 from arbutusvale.coordination import edge_requests
 from arbutusvale.coordination import event_stream
+from arbutusvale.coordination import response_timeouts
 from arbutusvale.coordination import stream_continuity
 from arbutusvale.protocol import edge_ports
 from arbutusvale.protocol import proxying
@@ -27,6 +29,7 @@
 # With less time left no attempt can succeed.
 MIN_TIME_S = 0.01
 SERVER_CHECK_INTERVAL_S = 0.1
+ROOM_CHECK_INTERVAL_S = 0.05
 # How long a request waits for an engine that is reading the same prompt.
 MAX_READ_WAIT_SHARE = 0.75
 READ_CHECK_INTERVAL_S = 0.02
@@ -58,6 +61,8 @@
         self.tried_servers: list[str] = []
         self.attempts = 0
         self.connect_failures = 0
+        # The time spent on connections that failed.
+        self.connecting_s = 0.0
         self.possibly_executed = False
         self.last_failure: edge_requests.Failed | None = None
         # The version at which a stream must go on; None while any may serve.
@@ -113,7 +118,10 @@
             if connection is None:
                 self._cancel_reservation(placement.server)
                 cause = 'unreachable'
-                if self.connect_failures >= MAX_CONNECT_FAILURES:
+                if (
+                    self.connect_failures >= MAX_CONNECT_FAILURES
+                    and self.connecting_s >= CONNECT_TIMEOUT_S
+                ):
                     self._end_unanswered(cause)
                     return
                 continue
@@ -153,6 +161,8 @@
             if not self._spend_retry(outcome):
                 self._end_unanswered(cause)
                 return
+            if not await self.wait_for_room():
+                break
         self._end_unanswered('deadline')
 
     def _time_left_s(self) -> float:
@@ -240,6 +250,32 @@
         if waited_s >= READ_CHECK_INTERVAL_S:
             self.reporter.record_read_wait(waited_s)
 
+    async def wait_for_room(self) -> bool:
+        """Wait until the servers that are left have room for the request.
+
+        It doesn't count as in flight meanwhile.  Return whether it has room
+        before its deadline.
+        """
+        started_at = self.context.clock()
+        if self.caller.started:
+            late_at = started_at + self.request.route.target_gap_s
+        else:
+            late_at = (
+                self.request.caller_request.received_at
+                + self.request.route.target_latency_s
+            )
+        edge_admission.release_room(self.context, self.request)
+        while not edge_admission.has_room(self.context, self.request):
+            self.request.late |= self.context.clock() > late_at
+            if self._time_left_s() < MIN_TIME_S:
+                return False
+            await asyncio.sleep(ROOM_CHECK_INTERVAL_S)
+        edge_admission.take_room(self.context, self.request)
+        waited_s = self.context.clock() - started_at
+        if waited_s >= ROOM_CHECK_INTERVAL_S:
+            self.reporter.record_room_wait(waited_s)
+        return True
+
     def _stop_waiting(self) -> None:
         """Leave the line of requests that wait for a server."""
         if self.ticket is not None:
@@ -275,12 +311,14 @@
         """Return a connection to a server; None if it can't be reached."""
         timeout_s = min(CONNECT_TIMEOUT_S, self._time_left_s())
         require_fresh = not self.request.route.retryable
+        started_at = self.context.clock()
         try:
             return await self.context.connection_pool.acquire(
                 server, require_fresh, timeout_s
             )
         except errors.ServerFailed as error:
             self.connect_failures += 1
+            self.connecting_s += self.context.clock() - started_at
             self.reporter.record_unreachable(server, error)
             return None
         except asyncio.CancelledError:
@@ -340,7 +378,9 @@
             server=placement.server,
             time_left_s=self._time_left_s(),
             organisation=self.request.organisation,
-            priority=self.request.priority,
+            priority=edge_admission.engine_priority(
+                self.context, self.request
+            ),
             last_event_id=self.event_buffer.last_event_id,
             cache_source=placement.cache_source,
         )
@@ -394,6 +434,8 @@
             return False
         if self.attempts >= self.request.route.max_attempts:
             return False
+        if self._is_queued_like_others():
+            return False
         alternatives_exist = any(
             not self.context.outlier_detector.is_ejected(server.id)
             and not self.context.pauses.time_left_s(server)
@@ -404,6 +446,19 @@
             self.request.pool
         ).can_spend(self.context.peers.count_live())
 
+    def _is_queued_like_others(self) -> bool:
+        """Check whether its server is only as busy as all are.
+
+        Another server would begin anew, behind its own queue.
+        """
+        received_at = self.context.last_received_at.get(self.tried_servers[-1])
+        return (
+            received_at is not None
+            and self.context.clock() - received_at
+            < response_timeouts.SILENT_ENGINE_S
+            and edge_admission.is_short_of_room(self.context, self.request)
+        )
+
     def _list_untried(self) -> list[proxying.BackendServer]:
         """List the servers of the pool and version that weren't tried yet."""
         return [
--- a/arbutusvale/coordination/peers.py
+++ b/arbutusvale/coordination/peers.py
@@ -102,6 +102,10 @@
         self.on_origin_message: Callable[
             [stream_origin.OriginMessage], None
         ] = _ignore_origin
+        self.on_peer_demand: Callable[[str, dict[str, float]], None] = (
+            _ignore_demand
+        )
+        self.read_demand: Callable[[], dict[str, float]] = dict
         self.read_offsets: Callable[[], dict[str, int]] = dict
         self.read_eras: Callable[[], dict[str, int]] = dict
         self.loads: server_loads.ServerLoads | None = None
@@ -249,6 +253,7 @@
             self.prompt_loads.record_peer(
                 message.host, message.prompt_loads, age_s
             )
+        self.on_peer_demand(message.host, message.demand)
         if self.prompts is not None:
             for location in message.cache_locations:
                 record = (
@@ -327,6 +332,7 @@
                 if self.prompt_loads is not None
                 else {}
             ),
+            demand=self.read_demand(),
         )
 
     def _pop_leaving_servers(
@@ -424,6 +430,10 @@
     """Do nothing; the default callback for speeds of servers."""
 
 
+def _ignore_demand(host: str, demand: dict[str, float]) -> None:
+    """Do nothing; the default callback for peers' demand."""
+
+
 def _ignore_origin(message: stream_origin.OriginMessage) -> None:
     """Do nothing; the default callback for origins of streams."""
 
--- a/arbutusvale/protocol/peer_message.py
+++ b/arbutusvale/protocol/peer_message.py
@@ -90,7 +90,8 @@
     of routers that sent to it recently.  ``incarnation`` differs after
     each start; it is None from a router of an earlier build.
     ``prompt_loads`` are the requests in flight that prompt parts ask for at
-    the sender.
+    the sender.  ``demand`` has its callers' requests a second, by pool, for
+    pools that get full.
     """
 
     name: str
@@ -110,6 +111,7 @@
     )
     speeds: tuple[SpeedNews, ...] = ()
     prompt_loads: dict[str, float] = dataclasses.field(default_factory=dict)
+    demand: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 def encode(message: PeerMessage) -> bytes:
@@ -167,6 +169,8 @@
             prompt: round(load * 100)
             for prompt, load in message.prompt_loads.items()
         }
+    if message.demand:
+        document['demand'] = message.demand
     return json.dumps(document, separators=(',', ':')).encode()
 
 
@@ -235,6 +239,7 @@
                     document.get('prompts', {})
                 ).items()
             },
+            demand=_check_rates(document.get('demand', {})),
         )
     except (
         ValueError, KeyError, TypeError, AttributeError, RecursionError,
@@ -280,6 +285,18 @@
     return value
 
 
+def _check_rates(value: object) -> dict[str, float]:
+    """Return a map from strings to rates, or raise TypeError."""
+    if not isinstance(value, dict):
+        raise TypeError('not an object')
+    for rate in value.values():
+        if isinstance(rate, bool) or not isinstance(rate, int | float):
+            raise TypeError('not a rate')
+        if not math.isfinite(rate) or rate < 0:
+            raise TypeError('not a rate')
+    return value
+
+
 def _check_integer(value: object) -> int:
     """Return an integer, or raise TypeError."""
     if not isinstance(value, int) or isinstance(value, bool):
--- a/arbutusvale/protocol/routing.py
+++ b/arbutusvale/protocol/routing.py
@@ -73,12 +73,15 @@
     A server is cold for ``warmup_s`` after its start and takes
     ``warmup_rate`` requests a second from all routers meanwhile; both are 0
     for a pool that declares no warm-up.
+    ``memory_tokens`` is how many tokens of prompts and answers each server
+    holds; 0 if the configuration doesn't say.
     """
 
     name: str
     max_connections: int
     warmup_s: float = 0.0
     warmup_rate: float = 0.0
+    memory_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
