--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -470,6 +470,7 @@
 
     async def _refresh_after_freeze(self) -> None:
         """Refresh both topics; idle connections may be closed by now."""
+        self.warmups.forget_announcements()
         self.connection_pool.close_idle()
         await asyncio.gather(
             self.config_follower.refresh(), self.server_follower.refresh()
