--- a/arbutusvale/coordination/pace_policy.py
+++ b/arbutusvale/coordination/pace_policy.py
@@ -42,6 +42,9 @@
 SLOW_FLOOR_S = 0.1
 # A prompt that fewer engines have cached may be a chat.
 MIN_HOLDERS = 2
+# Where more of a pool has just returned, the surplus of the others fills it,
+# and copies would queue at the few engines that have something cached.
+MAX_RETURNING_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -125,6 +128,8 @@
     """
     if choice.reason != 'cached' or len(holders) < MIN_HOLDERS:
         return choice
+    if len(returning) > MAX_RETURNING_SHARE * len(ranking):
+        return choice
     loads = {each.id: each.load for each in candidates if not each.ejected}
     mean = sum(loads.values()) / max(1, len(loads))
     for engine_id in ranking:
--- a/tests/coordination/test_server_pacing.py
+++ b/tests/coordination/test_server_pacing.py
@@ -240,4 +240,6 @@
     assert restore(['second'], [0, 9, 9]) == ('second', 'cached')
     assert restore(shared, [9, 9, 9]) == ('second', 'cached')
     assert restore(shared, [0, 9, 9], returning=()) == ('second', 'cached')
+    most = ['back', 'third']
+    assert restore(shared, [0, 9, 0], most) == ('second', 'cached')
     assert restore(shared, [9, 9, 0], ['third']) == ('second', 'cached')
