--- a/arbutusvale/coordination/pace_policy.py
+++ b/arbutusvale/coordination/pace_policy.py
@@ -128,7 +128,8 @@
     """
     if choice.reason != 'cached' or len(holders) < MIN_HOLDERS:
         return choice
-    if len(returning) > MAX_RETURNING_SHARE * len(ranking):
+    returned = sum(engine_id in returning for engine_id in ranking)
+    if returned > MAX_RETURNING_SHARE * len(ranking):
         return choice
     loads = {each.id: each.load for each in candidates if not each.ejected}
     mean = sum(loads.values()) / max(1, len(loads))
