Count engines that can't be chosen in the mean of the load bound

Cause: engines that have just returned and have had the requests that they take are no candidates, so that the mean was that of the loaded ones only. The same was mended for evacuated data centres before; the mean now counts all ready engines of the pool.

--- a/arbutusvale/coordination/edge_placement.py
+++ b/arbutusvale/coordination/edge_placement.py
@@ -260,15 +260,25 @@
     pool: str,
     candidates: Sequence[edge_placement_policy.Candidate],
 ) -> float:
-    """Return the load factor, lower while data centres are evacuated."""
+    """Return the load factor, lower where engines can't be chosen.
+
+    The users' bound refers to the mean of all engines, also of those that are
+    evacuated, of another version or have had the requests that they take.
+    """
     load_factor = context.settings.bounds.load_factor
-    evacuated = context.servers.list_evacuated_servers(pool)
-    if not evacuated:
+    chosen_from = {candidate.id for candidate in candidates}
+    left_out = [
+        listed.server.id
+        for listed in context.servers.list_all_ready(pool)
+        if listed.server.id not in chosen_from
+        and not context.outlier_detector.is_ejected(listed.server.id)
+    ]
+    if not left_out:
         return load_factor
     return edge_placement_policy.scale_load_factor(
         load_factor,
         [candidate.load for candidate in candidates],
-        [context.loads.estimate(listed.server.id) for listed in evacuated],
+        [context.loads.estimate(server_id) for server_id in left_out],
     )
 
 
--- a/arbutusvale/coordination/edge_placement_policy.py
+++ b/arbutusvale/coordination/edge_placement_policy.py
@@ -20,8 +20,9 @@
   prompt's ranking takes what is beyond, the same one at every router;
 - *many routers*: each hears of the others' requests too late to stay below the
   users' bound, so its own is lower, the more so the older the counts;
-- *a data centre is emptied*: its engines count in the pool's mean, so the
-  bound of the others falls to what the whole pool allows;
+- *engines that can't be chosen*: evacuated ones, and those that are cold and
+  have had their requests, count in the pool's mean, so the bound of the others
+  falls to what the whole pool allows;
 - *overload of all engines*: an engine without free slots isn't chosen for its
   cache while another one has free slots or a shorter queue;
 - *engines join or return*: prompts stay where they are cached; only new
--- a/arbutusvale/state/server_list.py
+++ b/arbutusvale/state/server_list.py
@@ -172,6 +172,14 @@
             if self.leaving[_incarnation(entry.server)] > oldest
         ]
 
+    def list_all_ready(self, pool: str) -> list[ListedServer]:
+        """List the ready servers of a pool, also evacuated ones."""
+        return [
+            entry
+            for entry in self.by_pool.get(pool, ())
+            if entry.server.state is proxying.ServerState.READY
+        ]
+
     def is_evacuated(self, server: proxying.BackendServer) -> bool:
         """Return whether a server's data centre is evacuated."""
         return self.evacuations.is_evacuated(server.data_centre)
--- a/tests/coordination/test_edge_placement.py
+++ b/tests/coordination/test_edge_placement.py
@@ -132,6 +132,32 @@
     assert not any(loads[f'e{number}'] for number in range(1, 9))
 
 
+# Engines that had just returned were left out of the mean.
+def test_bound_of_the_others_counts_engines_that_return_cold():
+    context = make_cold_pool(24, 10.0)
+    warm = [f'e{number}' for number in range(1, 9)]
+    for name in warm:
+        server = dataclasses.replace(
+            context.servers.by_id[name].server, slots=64
+        )
+        context.servers.put(server)
+        context.limits.warmups.forget(name)
+        for _ in range(30):
+            context.loads.record_start(name)
+    while any(
+        not context.limits.time_until_free_s(listed.server)
+        for listed in context.servers.list_ready_servers('chat')
+        if listed.server.id not in warm
+    ):
+        for listed in context.servers.list_ready_servers('chat'):
+            context.limits.spend(listed.server)
+    placement = place(context)
+    assert placement.server.id in warm
+    mean = 8 * 30 / 24
+    factor = context.settings.bounds.load_factor
+    assert placement.bound <= factor * mean + 3
+
+
 def make_cold_pool(engines, seconds_after_start):
     """Return the context of a router, with a pool that has just returned."""
     context = make_context(engines)
