--- a/arbutusvale/coordination/edge_placement.py
+++ b/arbutusvale/coordination/edge_placement.py
@@ -12,6 +12,10 @@
 from arbutusvale.protocol import routing
 from arbutusvale.state import server_list
 
+# While engines return, the mean load falls sooner than the loads of others, as
+# streams last; counts say as little then as much older ones.
+RETURN_LOAD_AGE_S = 1.0
+
 
 class PlaceableRequest(typing.Protocol):
     """The attributes of a request that placement uses."""
@@ -85,7 +89,8 @@
             ranking,
             holders_by_part[0],
             _load_factor(context, request.pool, candidates),
-            context.load_age_s(),
+            context.load_age_s()
+            + (RETURN_LOAD_AGE_S if context.limits.has_warmups() else 0.0),
             # A prompt that is still being read can't be copied.
             context.prompt_loads.read(shared_parts[0]) if caching[0] else 0.0,
             context.generator.random(),
--- a/arbutusvale/state/server_limits.py
+++ b/arbutusvale/state/server_limits.py
@@ -166,6 +166,10 @@
             return True
         return self.warmups.is_limited(server)
 
+    def has_warmups(self) -> bool:
+        """Return whether any server is cold or paced."""
+        return bool(self.warmups.cold)
+
     def ends_in_s(self, server: proxying.BackendServer) -> float:
         """Return when a server's limit ends, inf if nothing tells."""
         limit = self.limits.get((server.id, server.started_at_ms))
--- a/tests/coordination/room_replay.py
+++ b/tests/coordination/room_replay.py
@@ -92,8 +92,7 @@
 def summarise(arrivals):
     """Return the shares in aim by kind, and counts in aim and late.
 
-    Answers that callers get when the pool has room again aren't late at the
-    cost of others, so only those that begin while it is short count as late.
+    They are of the requests asked while the pool is short of room.
     """
     short = [each for each in arrivals if each.at >= CALM_S]
     counts = collections.Counter(each.kind.name for each in short)
@@ -101,10 +100,7 @@
         each.kind.name for each in short if each.in_aim
     )
     late = sum(
-        each.first_event_s is not None
-        and not each.in_aim
-        and each.at + each.first_event_s < CALM_S + SHORT_S
-        for each in short
+        each.first_event_s is not None and not each.in_aim for each in short
     )
     return (
         {name: in_aim[name] / counts[name] for name in counts},
--- a/tests/coordination/test_room_policy.py
+++ b/tests/coordination/test_room_policy.py
@@ -79,28 +79,42 @@
     assert find(POOL, make_share(), less_urgent) == 'memory'
 
 
-# Untouched, the most urgent kind was served worst (0.42 of its worth), and
-# late answers were two thirds of those in aim.  The bounds are those of issue
-# 30: 0.85 of the best, 0.05 between kinds, late under a tenth of those given.
-@pytest.mark.parametrize('routers', [5, 26])
-@pytest.mark.parametrize('seed', [1, 2, 3])
-def test_a_pool_short_of_room_serves_in_time_by_urgency(seed, routers):
+def play(seed, routers):
+    """Return what is served, and the answers in aim at best."""
     arrivals = room_replay.draw_arrivals(seed, routers)
     best = copy.deepcopy(arrivals)
     room_replay.play_seeing_everything(best, seed)
     _, best_in_aim, _ = room_replay.summarise(best)
     room_replay.Replay(seed, routers).play(arrivals)
-    shares, in_aim, late = room_replay.summarise(arrivals)
+    return arrivals, best_in_aim
+
+
+# Untouched, the most urgent kind was served worst (0.42 of its worth).  The
+# bounds are those of issue 30: 0.85 of the best, 0.05 between kinds.
+@pytest.mark.parametrize('routers', [5, 26])
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_a_pool_short_of_room_serves_in_time_by_urgency(seed, routers):
+    arrivals, best_in_aim = play(seed, routers)
+    shares, in_aim, _ = room_replay.summarise(arrivals)
     assert in_aim >= 0.85 * best_in_aim
     assert shares['chat'] >= shares['tag'] - 0.05
     assert shares['tag'] >= shares['draft'] - 0.05
-    assert late < 0.1 * (in_aim + late)
     # The users' gate: no kind may be served less than a quarter as often.
     assert shares['draft'] >= 0.25 * in_aim / sum(
         arrival.at >= room_replay.CALM_S for arrival in arrivals
     )
 
 
+# Untouched, late answers were two thirds of those in aim; issue 30 wants them
+# under a tenth of those given.
+@pytest.mark.parametrize('routers', [5, 26])
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_a_pool_short_of_room_gives_few_late_answers(seed, routers):
+    arrivals, _ = play(seed, routers)
+    _, in_aim, late = room_replay.summarise(arrivals)
+    assert late < 0.1 * (in_aim + late)
+
+
 # Too long prompts were sent on, evicted others and were read again.
 def test_long_prompts_take_no_more_than_the_memory():
     arrivals = room_replay.draw_arrivals(1, 5)
