--- a/arbutusvale/coordination/holder_exchange.py
+++ b/arbutusvale/coordination/holder_exchange.py
@@ -30,7 +30,7 @@
     """A query to some peers; ``answers`` has tokens by server id."""
 
     awaited: set[str]
-    answers: dict[str, int | None]
+    answers: dict[str, int]
     finished: asyncio.Event
 
 
@@ -124,7 +124,7 @@
 
     async def _ask_readers(
         self, reader_by_id: dict[str, str], model: str, part: str
-    ) -> dict[str, int | None]:
+    ) -> dict[str, int]:
         """Return what peers answer in time, by server id."""
         hosts = set(reader_by_id.values()) - {self.host}
         if not hosts:
@@ -174,13 +174,22 @@
         )
 
     async def _reply(self, query: stream_origin.HolderQuery) -> None:
-        """Answer a query as far as this router knows the servers."""
+        """Answer a query as far as this router can read servers' lists.
+
+        The cause may be this router's link, so the others are left out.
+        """
         known = [
             self.servers.by_id[server_id].server
             for server_id in query.server_ids
             if server_id in self.servers.by_id
         ]
-        counts = await self._count_directly(known, query.model, query.part)
+        counts = {
+            server_id: count
+            for server_id, count in (
+                await self._count_directly(known, query.model, query.part)
+            ).items()
+            if count is not None
+        }
         answer = stream_origin.HolderAnswer(self.host, query.query_id, counts)
         self.send(query.host, stream_origin.encode(answer))
 
--- a/arbutusvale/protocol/stream_origin.py
+++ b/arbutusvale/protocol/stream_origin.py
@@ -51,14 +51,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HolderAnswer:
-    """The tokens of a part by server id, None for one that didn't tell.
+    """The tokens of a part by id of the servers that told.
 
     ``host`` is that of the answering router.
     """
 
     host: str
     query_id: int
-    counts: dict[str, int | None]
+    counts: dict[str, int]
 
 
 OriginMessage = StreamOrigin | OriginQuery | HolderQuery | HolderAnswer
@@ -148,8 +148,8 @@
     return value
 
 
-def _check_count(value: object) -> int | None:
-    """Return an integer or None, or raise TypeError."""
-    if value is not None and not isinstance(value, int):
+def _check_count(value: object) -> int:
+    """Return an integer, or raise TypeError."""
+    if not isinstance(value, int):
         raise TypeError('not a number')
     return value
--- a/tests/coordination/test_holder_exchange.py
+++ b/tests/coordination/test_holder_exchange.py
@@ -86,6 +86,17 @@
     assert found == expected
 
 
+# A router whose link is full let streams of all its engines be refused.
+def test_engines_that_their_router_cannot_read_are_asked_directly():
+    network = Network(4)
+    hosts = list(network.routers)
+    unable = continuity.Caches()
+    unable.refusing = set(VERSIONS)
+    network.routers[hosts[0]].holders.survey.caches = unable
+    expected, found = network.run_take_ups(hosts[1:], 40)
+    assert found == expected
+
+
 def test_router_without_a_list_yet_leaves_its_engines_to_others():
     network = Network(2)
     first, second = network.routers
