Count what a router holds for callers and servers in one budget

Each connection was bounded, their sum was not: some thousand slow readers on both sides exceed a VM of 200 MB. Bodies, unparsed requests, unread and unsent bytes now count in one budget. From half of it on, connections buffer less; from three quarters on, the reader that holds most for the longest without taking any is cut. A body beyond the budget is refused at its head. A stream that a server cut off while its caller was slow goes on elsewhere and counts as no failure, unless a probe shows that the server crashed. Responses to further requests wait until the caller took the last one.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+import functools
 import os
 import random
 import signal
@@ -68,8 +69,9 @@
 from arbutusvale.transport import page_server
 from arbutusvale.transport import udp_socket
 
-# Share of the memory for request bodies; the router's tables take some 25 MB.
-BODY_MEMORY_SHARE = 0.25
+# Share of the memory for request bodies and responses that callers or servers
+# haven't taken; the router's tables take some 25 MB.
+HELD_MEMORY_SHARE = 0.25
 LISTEN_BACKLOG = 512
 CHECK_INTERVAL_S = 0.1
 # A server that leaves must get no request sent later than the drain time; the
@@ -272,7 +274,7 @@
         self.caller_server = edge_server.EdgeServer(
             self.router.serve,
             self._caller_limits,
-            int(self.settings.memory_bytes * BODY_MEMORY_SHARE),
+            int(self.settings.memory_bytes * HELD_MEMORY_SHARE),
             self.events.write,
             self.link_queue.add_bytes,
             self.sockets.callers,
@@ -283,6 +285,11 @@
             self.events.write,
         )
         self.caller_server.on_capacity_freed = self.acceptor.resume
+        self.caller_server.on_cut = functools.partial(
+            self.metrics.increment, 'cut_readers'
+        )
+        self.connection_pool.budget = self.caller_server.budget
+        self.context.held = self.caller_server.budget
 
     def _connect_peers(self) -> None:
         """Connect what shares state with other routers."""
@@ -632,6 +639,9 @@
         counters = self.metrics.counters
         counters['server_connections', ''] = self.connection_pool.opened_count
         counters['config_version', ''] = self.config.version
+        budget = self.caller_server.budget
+        self.metrics.gauges['held_bytes', 'now'] = float(budget.held_bytes)
+        self.metrics.gauges['held_bytes', 'peak'] = float(budget.peak_bytes)
         for data_centre in self.evacuations.list_known():
             self.metrics.gauges['data_centre_evacuated', data_centre] = float(
                 self.evacuations.is_evacuated(data_centre)
--- a/arbutusvale/coordination/edge_context.py
+++ b/arbutusvale/coordination/edge_context.py
@@ -14,6 +14,7 @@
 from arbutusvale.coordination import server_pacing
 from arbutusvale.protocol import edge_ports
 from arbutusvale.protocol import edge_settings
+from arbutusvale.state import byte_budget
 from arbutusvale.state import edge_metrics
 from arbutusvale.state import event_log
 from arbutusvale.state import link_queue
@@ -94,6 +95,11 @@
         default_factory=pool_demand.PoolDemand
     )
 
+    # What is in memory for callers and servers.
+    held: byte_budget.ByteBudget = dataclasses.field(
+        default_factory=byte_budget.ByteBudget
+    )
+
     def retry_budget(self, pool: str) -> retries.WindowedRetryBudget:
         """Return the retry budget of a pool."""
         if pool not in self.retry_budgets:
--- a/arbutusvale/coordination/edge_relay.py
+++ b/arbutusvale/coordination/edge_relay.py
@@ -16,6 +16,7 @@
 from arbutusvale.coordination import edge_requests
 from arbutusvale.coordination import event_stream
 from arbutusvale.coordination import response_timeouts
+from arbutusvale.coordination import slow_reader_policy
 from arbutusvale.protocol import edge_ports
 from arbutusvale.protocol import proxying
 
@@ -82,6 +83,8 @@
         self.server = server
         self.connection = connection
         self.unread_tokens = unread_tokens
+        # Whether the connection broke while the caller was too slow.
+        self.broke_unread = False
 
     async def run(self, data: bytes) -> RelayResult:
         """Send the request and relay its response."""
@@ -105,6 +108,8 @@
         except errors.ServerFailed as error:
             if not error.sent:
                 return RelayResult(edge_requests.NotRun(error.cause))
+            if await self._was_cut_unread():
+                return RelayResult(edge_requests.Ambiguous('unread'))
             return RelayResult(edge_requests.Failed(error.cause))
 
     def _time_left_s(self) -> float:
@@ -208,16 +213,16 @@
         self, exchange: edge_ports.ServerExchange, head: proxying.ResponseHead
     ) -> RelayResult:
         """Buffer a response until it is complete, unless it is too large."""
-        buffered = []
-        size = 0
-        async with asyncio.timeout(self._time_left_s() + DEADLINE_SLACK_S):
-            while data := await self.connection.read(exchange):
-                buffered.append(data)
-                size += len(data)
-                if size > MAX_BUFFERED_BYTES:
+        buffered: list[bytes] = []
+        try:
+            async with asyncio.timeout(self._time_left_s() + DEADLINE_SLACK_S):
+                is_whole = await self._fill(buffered, exchange)
+                if not is_whole:
                     return await self._relay_unbuffered(
                         exchange, head, buffered
                     )
+        finally:
+            self.context.held.change(-sum(map(len, buffered)))
         if await self._ends_in_crash(exchange):
             return RelayResult(edge_requests.Failed('connection closed'))
         body = b''.join(buffered)
@@ -234,6 +239,22 @@
             edge_requests.Delivered('answered', head.status), head
         )
 
+    async def _fill(
+        self, buffered: list[bytes], exchange: edge_ports.ServerExchange
+    ) -> bool:
+        """Read a response into a buffer; return whether it is whole."""
+        held = self.context.held
+        size = 0
+        while data := await self.connection.read(exchange):
+            buffered.append(data)
+            size += len(data)
+            held.change(len(data))
+            if size > slow_reader_policy.allowance_bytes(
+                held.limit_bytes, held.held_bytes, MAX_BUFFERED_BYTES
+            ):
+                return False
+        return True
+
     async def _relay_unbuffered(
         self,
         exchange: edge_ports.ServerExchange,
@@ -242,7 +263,9 @@
     ) -> RelayResult:
         """Pass a large response on as it arrives."""
         self.caller.start(head.status, head.headers)
+        self.context.held.change(-sum(map(len, buffered)))
         self.caller.write(b''.join(buffered))
+        buffered.clear()
         try:
             while data := await self.connection.read(exchange):
                 self.caller.write(data)
@@ -288,7 +311,7 @@
             if passed_on:
                 self.on_events()
                 self.caller.write(passed_on)
-                await self.caller.wait_until_drained()
+                await self._wait_until_drained(exchange)
         ends_at_close = exchange.framing is edge_ports.Framing.CLOSE
         if self._is_broken_off(exchange) or await self._ends_in_crash(
             exchange
@@ -304,6 +327,27 @@
             edge_requests.Delivered('answered', head.status), head
         )
 
+    async def _wait_until_drained(
+        self, exchange: edge_ports.ServerExchange
+    ) -> None:
+        """Wait for the caller; note if the response breaks off meanwhile."""
+        if exchange.error is not None:
+            await self.caller.wait_until_drained()
+            return
+        started_at = self.context.clock()
+        await self.caller.wait_until_drained()
+        if exchange.error is not None:
+            waited_s = self.context.clock() - started_at
+            self.broke_unread = waited_s >= slow_reader_policy.UNREAD_S
+
+    async def _was_cut_unread(self) -> bool:
+        """Return whether a server that is up cut off an unread stream."""
+        return (
+            self.broke_unread
+            and self.request.route.resumable
+            and not await self.context.crashes.has_crashed(self.server)
+        )
+
     async def _ends_in_crash(
         self, exchange: edge_ports.ServerExchange
     ) -> bool:
--- a/arbutusvale/coordination/edge_reporter.py
+++ b/arbutusvale/coordination/edge_reporter.py
@@ -232,7 +232,7 @@
         self._update_server_health(server, outcome)
         if isinstance(outcome, edge_requests.Delivered):
             return
-        if outcome.cause not in ('deadline', 'misdirected'):
+        if outcome.cause not in ('deadline', 'misdirected', 'unread'):
             self.context.pacer.record_failure(server)
         self.context.metrics.increment('failed_sendings', self.request.pool)
         self.write(
--- a/arbutusvale/transport/connection_pool.py
+++ b/arbutusvale/transport/connection_pool.py
@@ -6,6 +6,7 @@
 import time
 
 from arbutusvale.protocol import proxying
+from arbutusvale.state import byte_budget
 from arbutusvale.transport import http_connection
 
 # For servers that advertise no idle timeout: a Keep-Alive header has whole
@@ -44,6 +45,8 @@
         self.open_count = 0
         self.max_idle_per_server = max_idle_per_server
         self.on_bytes_sent = on_bytes_sent
+        # Counts unread responses and unsent requests.
+        self.budget = byte_budget.ByteBudget()
         self.idle: dict[str, list[http_connection.HttpConnection]] = {}
         self.opened_count = 0
 
@@ -73,6 +76,7 @@
             self._record_closed, server.id, connection
         )
         connection.on_bytes_sent = self.on_bytes_sent
+        connection.budget = self.budget
         return connection
 
     def has_open_since(
--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -13,8 +13,10 @@
 
 import httptools
 
+from arbutusvale.coordination import slow_reader_policy
 from arbutusvale.protocol import proxying
 from arbutusvale.protocol import routing
+from arbutusvale.state import byte_budget
 from arbutusvale.transport import socket_options
 
 # Limit of pipelined data that is buffered while a response is pending.
@@ -23,6 +25,10 @@
 LINGER_S = 1.0
 # Precise enough, as the timeouts of callers are seconds.
 CHECK_INTERVAL_S = 0.5
+# Least time between two searches for stalled readers.
+CUT_INTERVAL_S = 0.05
+# A response pauses with more unsent data than this.
+MAX_UNSENT_BYTES = 64 * 1024
 
 _REASONS = {
     200: b'OK',
@@ -48,14 +54,16 @@
 class EdgeServer:
     """The callers' open connections and their common limits.
 
-    ``max_total_body_bytes`` limits the request bodies in memory at a time.
+    ``max_held_bytes`` limits what is in memory at a time: request bodies and
+    responses, here and on the connections that share the ``budget``.
+    ``on_cut`` is called when a slow reader's connection is cut.
     """
 
     def __init__(
         self,
         serve: Serve,
         limits: Callable[[], routing.CallerLimits],
-        max_total_body_bytes: int,
+        max_held_bytes: int,
         write_event: Callable[..., None],
         on_bytes_sent: Callable[[int], None],
         max_connections: int,
@@ -64,8 +72,12 @@
         self.on_capacity_freed: Callable[[], None] = _ignore_freed_capacity
         self.serve = serve
         self.limits = limits
-        self.max_total_body_bytes = max_total_body_bytes
-        self.total_body_bytes = 0
+        self.budget = byte_budget.ByteBudget(max_held_bytes)
+        self.budget.on_added = self.cut_if_spent
+        # Callers' connections with unsent bytes, as far as noticed.
+        self.slow_readers: set[CallerConnection] = set()
+        self.next_cut_at = 0.0
+        self.on_cut: Callable[[], None] = _ignore_cut
         self.write_event = write_event
         self.on_bytes_sent = on_bytes_sent
         self.connections: set[CallerConnection] = set()
@@ -81,8 +93,47 @@
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             now = loop.time()
+            self._count_unsent()
             for connection in list(self.connections):
                 connection.check_timeouts(now)
+            self.cut_if_spent()
+
+    def allowance_bytes(self, maximum: int) -> int:
+        """Return how many bytes one connection may buffer now."""
+        return slow_reader_policy.allowance_bytes(
+            self.budget.limit_bytes, self.budget.held_bytes, maximum
+        )
+
+    def cut_if_spent(self) -> None:
+        """Cut stalled readers if the budget is nearly spent."""
+        budget = self.budget
+        if not slow_reader_policy.must_cut(
+            budget.limit_bytes, budget.held_bytes
+        ):
+            return
+        now = asyncio.get_running_loop().time()
+        if now < self.next_cut_at:
+            return
+        self.next_cut_at = now + CUT_INTERVAL_S
+        self._count_unsent()
+        readers = list(self.slow_readers)
+        cuts = slow_reader_policy.choose_cuts(
+            (
+                slow_reader_policy.Reader(
+                    number, reader.unsent_bytes, now - reader.taken_at
+                )
+                for number, reader in enumerate(readers)
+            ),
+            budget.limit_bytes,
+            budget.held_bytes,
+        )
+        for number in cuts:
+            readers[number].cut('budget')
+
+    def _count_unsent(self) -> None:
+        """Count anew what slow readers haven't taken."""
+        for connection in list(self.slow_readers):
+            connection.count_unsent(0)
 
     def has_capacity(self, opening: int) -> bool:
         """Return whether one more may be opened beside ``opening`` others.
@@ -142,6 +193,10 @@
         self.idle_since = self.loop.time()
         self.idle_limit_s = server.limits().idle_timeout_s
         self.write_resumed: asyncio.Future | None = None
+        self.unsent_bytes = 0
+        # When the caller last took bytes of those that were sent.
+        self.taken_at = self.loop.time()
+        self.has_small_buffer = False
         # Unlike head_bytes, includes what the parser hasn't reported yet.
         self.raw_head_bytes = 0
         self._reset_request()
@@ -162,7 +217,10 @@
             return
         if self.task is not None:
             self.unparsed_data += data
-            if len(self.unparsed_data) > MAX_UNPARSED_BYTES:
+            self.server.budget.change(len(data))
+            if len(self.unparsed_data) > self.server.allowance_bytes(
+                MAX_UNPARSED_BYTES
+            ):
                 self.transport.pause_reading()
             return
         self._parse(data)
@@ -175,6 +233,9 @@
         self.disconnected = True
         self.server.connections.discard(self)
         self._release_body_bytes()
+        self._set_unsent(0)
+        self.server.budget.change(-len(self.unparsed_data))
+        self.unparsed_data = b''
         self.server.on_capacity_freed()
         if self.write_resumed is not None and not self.write_resumed.done():
             self.write_resumed.set_result(None)
@@ -187,6 +248,7 @@
 
     def resume_writing(self) -> None:
         """Resume the response."""
+        self.count_unsent(0)
         if self.write_resumed is not None and not self.write_resumed.done():
             self.write_resumed.set_result(None)
         self.write_resumed = None
@@ -194,7 +256,14 @@
     # Called by the server.
 
     def check_timeouts(self, now: float) -> None:
-        """Close if idle or receiving a request for too long."""
+        """Close if idle, or receiving or sending for too long."""
+        if (
+            self.unsent_bytes
+            and (self.finished or self.closing)
+            and now - self.taken_at > self.idle_limit_s
+        ):
+            self.cut('idle')
+            return
         if self.task is not None or self.closing:
             return
         if self.received_at is not None:
@@ -224,6 +293,29 @@
         self.server.connections.discard(self)
         self.transport.close()
 
+    def count_unsent(self, written_bytes: int) -> None:
+        """Count what the caller hasn't taken yet, after writing some more."""
+        unsent_bytes = self.transport.get_write_buffer_size()
+        if not self.unsent_bytes or (
+            unsent_bytes < self.unsent_bytes + written_bytes
+        ):
+            self.taken_at = self.loop.time()
+        self._set_unsent(unsent_bytes)
+
+    def cut(self, cause: str) -> None:
+        """Close the connection of a caller that has stopped reading."""
+        self.server.write_event(
+            'reader-cut',
+            cause=cause,
+            bytes=self.unsent_bytes,
+            stalled=self.loop.time() - self.taken_at,
+            held=self.server.budget.held_bytes,
+        )
+        self.closing = True
+        self._set_unsent(0)
+        self.abort()
+        self.server.on_cut()
+
     # Called by the parser.
 
     def on_message_begin(self) -> None:
@@ -275,6 +367,10 @@
             and int(content_length) > limits.max_body_bytes
         ):
             self._record_error(413)
+        elif content_length is not None and not self.server.budget.has_room(
+            int(content_length)
+        ):
+            self._record_error(503)
         elif self._expects_continue() and not self.error_status:
             self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
@@ -284,10 +380,10 @@
             return
         self.body.append(data)
         self.body_size += len(data)
-        self.server.total_body_bytes += len(data)
+        self.server.budget.change(len(data))
         if self.body_size > self.server.limits().max_body_bytes:
             self._record_error(413)
-        elif self.server.total_body_bytes > self.server.max_total_body_bytes:
+        elif not self.server.budget.has_room(0):
             self._record_error(503)
 
     def on_message_complete(self) -> None:
@@ -362,8 +458,28 @@
 
     async def wait_until_drained(self) -> None:
         """Wait until the caller has read most of what was sent."""
+        if not self.unsent_bytes:
+            return
+        allowance = self.server.allowance_bytes(MAX_UNSENT_BYTES)
+        if self.write_resumed is None and self.unsent_bytes > allowance:
+            self._pause(allowance)
         if self.write_resumed is not None:
             await self.write_resumed
+        if self.has_small_buffer and not self.disconnected:
+            self.has_small_buffer = False
+            self.transport.set_write_buffer_limits()
+
+    def _pause(self, allowance: int) -> None:
+        """Pause the response until few bytes are unsent."""
+        if not self.was_paused:
+            self.server.write_event(
+                'reader-paused',
+                bytes=self.unsent_bytes,
+                held=self.server.budget.held_bytes,
+            )
+        self.was_paused = True
+        self.has_small_buffer = True
+        self.transport.set_write_buffer_limits(high=allowance)
 
     # Parsing and request order.
 
@@ -386,6 +502,7 @@
         self.finished = False
         self.chunked = False
         self.is_head_request = False
+        self.was_paused = False
 
     def _parse(self, data: bytes) -> None:
         """Parse data, then start a request or reject it."""
@@ -398,6 +515,9 @@
             self.close_after_response = True
         except httptools.HttpParserError:
             self.error_status = self.error_status or 400
+        if self.closing:
+            # It was cut meanwhile, so that its requests would be in vain.
+            return
         if self.request_queue:
             self.raw_head_bytes = 0
             self._start_next_request()
@@ -420,9 +540,12 @@
         try:
             await self._detect_disconnect()
             await self.server.serve(request, self)
+            if self.finished:
+                # Or responses to further requests would pile up.
+                await self.wait_until_drained()
         finally:
             self.task = None
-            self.server.total_body_bytes -= len(request.body)
+            self.server.budget.change(-len(request.body))
             if not self.disconnected:
                 self._on_response_end()
 
@@ -454,6 +577,7 @@
         self.idle_limit_s = self.server.limits().idle_timeout_s
         if self.unparsed_data:
             data, self.unparsed_data = self.unparsed_data, b''
+            self.server.budget.change(-len(data))
             self.transport.resume_reading()
             self._parse(data)
         self.server.on_capacity_freed()
@@ -465,6 +589,10 @@
     def _reject(self, status: int) -> None:
         """Respond with an error to an invalid request, and close."""
         self.error_status = status
+        if self.received_at is not None:
+            self.server.budget.change(-self.body_size)
+            self.body_size = 0
+            self.body = []
         self.server.write_event(
             'unreadable', status=status, bytes=self.head_bytes
         )
@@ -484,9 +612,9 @@
     def _release_body_bytes(self) -> None:
         """Stop counting the bodies of requests that won't be served."""
         if self.received_at is not None:
-            self.server.total_body_bytes -= self.body_size
+            self.server.budget.change(-self.body_size)
         for request in self.request_queue:
-            self.server.total_body_bytes -= len(request.body)
+            self.server.budget.change(-len(request.body))
         self.request_queue.clear()
 
     # Writing.
@@ -509,6 +637,18 @@
         if not self.disconnected and self.transport is not None:
             self.transport.write(data)
             self.server.on_bytes_sent(len(data))
+            if self.unsent_bytes or self.transport.get_write_buffer_size():
+                self.count_unsent(len(data))
+
+    def _set_unsent(self, unsent_bytes: int) -> None:
+        """Record how many bytes the caller hasn't taken."""
+        difference = unsent_bytes - self.unsent_bytes
+        self.unsent_bytes = unsent_bytes
+        if unsent_bytes:
+            self.server.slow_readers.add(self)
+        else:
+            self.server.slow_readers.discard(self)
+        self.server.budget.change(difference)
 
     def _close_gracefully(self) -> None:
         """Close gracefully: send the rest, ignore what is received.
@@ -530,5 +670,9 @@
             self.transport.close()
 
 
+def _ignore_cut() -> None:
+    """Default of ``on_cut``."""
+
+
 def _ignore_freed_capacity() -> None:
     """Default of ``on_capacity_freed``."""
--- a/arbutusvale/transport/http_connection.py
+++ b/arbutusvale/transport/http_connection.py
@@ -9,7 +9,9 @@
 import httptools
 
 from arbutusvale import errors
+from arbutusvale.coordination import slow_reader_policy
 from arbutusvale.protocol import edge_ports
+from arbutusvale.state import byte_budget
 from arbutusvale.transport import socket_options
 
 # With more unread data than this, reading from the server pauses.
@@ -21,6 +23,10 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+_UNLIMITED = byte_budget.ByteBudget()
+# Shared, as the data is parsed before the next read from any socket.
+_read_buffer = memoryview(bytearray(_MAX_BUFFERED_BYTES))
+
 
 class Head(typing.Protocol):
     """What a decoded response head must provide."""
@@ -116,7 +122,7 @@
             self.data_available.set_result(None)
 
 
-class HttpConnection(asyncio.Protocol):
+class HttpConnection(asyncio.BufferedProtocol):
     """A connection to one server: sends requests and parses responses.
 
     ``on_close`` is called when the connection ends.
@@ -145,6 +151,10 @@
         self.idle_limit_s = 0.0
         self.on_close: Callable[[], None] | None = None
         self.on_bytes_sent: Callable[[int], None] = _ignore_bytes_sent
+        self.budget = _UNLIMITED
+        # What counts in the budget: of the response and of the request.
+        self.unread_bytes = 0
+        self.unsent_bytes = 0
 
     # Called by asyncio.
 
@@ -153,12 +163,27 @@
         self.transport = typing.cast(asyncio.Transport, transport)
         socket_options.apply(transport, socket_options.SERVER_KEEPALIVE)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where to read to: less if much is held already."""
+        budget = self.budget
+        return _read_buffer[
+            : slow_reader_policy.read_size(
+                budget.limit_bytes, budget.held_bytes, _MAX_BUFFERED_BYTES
+            )
+        ]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse what was read."""
+        self.data_received(_read_buffer[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
         """Parse a response; unsolicited data closes the connection."""
         if self.exchange is None:
             self.abort()
             return
         self.receiving = True
+        if self.unsent_bytes:
+            self._count_unsent()
         if self.in_body:
             self.bodiless_bytes += len(data)
         else:
@@ -178,17 +203,27 @@
         exchange = self.exchange
         if (
             exchange is not None
-            and exchange.buffered_bytes > _MAX_BUFFERED_BYTES
+            and exchange.buffered_bytes
+            > slow_reader_policy.allowance_bytes(
+                self.budget.limit_bytes,
+                self.budget.held_bytes,
+                _MAX_BUFFERED_BYTES,
+            )
         ):
             self.transport.pause_reading()
 
     def eof_received(self) -> None:
         """Let the transport close."""
 
+    def resume_writing(self) -> None:
+        """Count what the server has taken of a request."""
+        self._count_unsent()
+
     def connection_lost(self, error: Exception | None) -> None:
         """End the response, as complete if only the close ends its body."""
         self.closed = True
         self.reusable = False
+        self._release_unsent()
         exchange, self.exchange = self.exchange, None
         if self.on_close is not None:
             self.on_close()
@@ -223,6 +258,7 @@
             self.exchange.fail(errors.ServerFailed('connection closed', False))
             return self.exchange
         self.transport.write(request)
+        self._count_unsent()
         self.on_bytes_sent(len(request))
         return self.exchange
 
@@ -234,6 +270,7 @@
         await exchange.wait_for_data()
         data = exchange.read_buffered()
         if data:
+            self._release_unread(min(len(data), self.unread_bytes))
             if self.transport is not None and not self.closed:
                 self.transport.resume_reading()
             return data
@@ -251,6 +288,7 @@
     def release(self) -> bool:
         """End a complete exchange; return whether to reuse the connection."""
         self.exchange = None
+        self._release_unread(self.unread_bytes)
         self.receiving = False
         self.idle_since = time.monotonic()
         if self.closed or not self.reusable or self.transport is None:
@@ -264,7 +302,13 @@
         return True
 
     def abort(self) -> None:
-        """Close at once and discard unsent data."""
+        """Close at once and discard unsent and unread data."""
+        self._release_unread(self.unread_bytes)
+        self._close()
+
+    def _close(self) -> None:
+        """Close at once; what has arrived of the response can be read."""
+        self._release_unsent()
         self.reusable = False
         self.closing = True
         if self.transport is not None and not self.closed:
@@ -325,6 +369,8 @@
         self.bodiless_bytes = 0
         if not self.skip_response and self.exchange is not None:
             self.exchange.append_body(data)
+            self.unread_bytes += len(data)
+            self.budget.change(len(data))
 
     def on_message_complete(self) -> None:
         """Complete the response."""
@@ -340,7 +386,28 @@
         exchange = self.exchange
         if exchange is not None and not exchange.ended:
             exchange.fail(errors.ServerFailed(cause, True))
-        self.abort()
+        self._close()
+
+    # Counting in the budget.
+
+    def _release_unread(self, size: int) -> None:
+        """Count bytes of the response no longer."""
+        if size:
+            self.unread_bytes -= size
+            self.budget.change(-size)
+
+    def _count_unsent(self) -> None:
+        """Count the bytes of the request that the server hasn't taken."""
+        unsent_bytes = self.transport.get_write_buffer_size()
+        if unsent_bytes != self.unsent_bytes:
+            difference = unsent_bytes - self.unsent_bytes
+            self.unsent_bytes = unsent_bytes
+            self.budget.change(difference)
+
+    def _release_unsent(self) -> None:
+        """Count the bytes of a discarded request no longer."""
+        self.budget.change(-self.unsent_bytes)
+        self.unsent_bytes = 0
 
 
 def _ignore_bytes_sent(count: int) -> None:
