Test slow readers, and let a stream that was cut off unread go on

A stream counts as cut off unread once its response waited a second for the caller: a connection that isn't read shows its end only later. Reads from servers shrink with the free part of the budget, and responses wait up to 0.2 s for cuts once it is nearly spent.

150 callers that read nothing, beside good ones: at most the budget of 2 MB is held and good requests take at most 0.4 s; with a budget that never gets spent more than 2 MB are held. An engine stream cut off after 1.5 s unread goes on at another engine without a gap.

--- a/arbutusvale/coordination/edge_relay.py
+++ b/arbutusvale/coordination/edge_relay.py
@@ -83,8 +83,8 @@
         self.server = server
         self.connection = connection
         self.unread_tokens = unread_tokens
-        # Whether the connection broke while the caller was too slow.
-        self.broke_unread = False
+        # Whether the response has remained unread for long.
+        self.was_unread = False
 
     async def run(self, data: bytes) -> RelayResult:
         """Send the request and relay its response."""
@@ -311,7 +311,7 @@
             if passed_on:
                 self.on_events()
                 self.caller.write(passed_on)
-                await self._wait_until_drained(exchange)
+                await self._wait_until_drained()
         ends_at_close = exchange.framing is edge_ports.Framing.CLOSE
         if self._is_broken_off(exchange) or await self._ends_in_crash(
             exchange
@@ -327,23 +327,22 @@
             edge_requests.Delivered('answered', head.status), head
         )
 
-    async def _wait_until_drained(
-        self, exchange: edge_ports.ServerExchange
-    ) -> None:
-        """Wait for the caller; note if the response breaks off meanwhile."""
-        if exchange.error is not None:
-            await self.caller.wait_until_drained()
-            return
+    async def _wait_until_drained(self) -> None:
+        """Wait for the caller; note if that takes long.
+
+        A connection that breaks meanwhile is noticed only when what came
+        before has been read.
+        """
         started_at = self.context.clock()
         await self.caller.wait_until_drained()
-        if exchange.error is not None:
-            waited_s = self.context.clock() - started_at
-            self.broke_unread = waited_s >= slow_reader_policy.UNREAD_S
+        waited_s = self.context.clock() - started_at
+        if waited_s >= slow_reader_policy.UNREAD_S:
+            self.was_unread = True
 
     async def _was_cut_unread(self) -> bool:
         """Return whether a server that is up cut off an unread stream."""
         return (
-            self.broke_unread
+            self.was_unread
             and self.request.route.resumable
             and not await self.context.crashes.has_crashed(self.server)
         )
--- a/arbutusvale/coordination/slow_reader_policy.py
+++ b/arbutusvale/coordination/slow_reader_policy.py
@@ -15,15 +15,18 @@
 PRESSURE_SHARE = 0.5
 # Above this share of the budget, stalled readers are cut.
 CUT_SHARE = 0.75
+# Above this share of the budget, responses wait until readers were cut.
+WAIT_SHARE = 0.875
 # One connection may buffer this share of what is free.
 ALLOWANCE_SHARE = 1 / 1024
 # One read from a socket, so that a response goes on with a spent budget, too.
 MIN_READ_BYTES = 4096
 # A reader without progress for so long is stalled: longer than a lost packet
-# or two take to be sent again.
+# or two take to be sent again.  With a spent budget a shorter time has to do,
+# still longer than the round trip of a reader that takes bytes.
 MIN_STALL_S = 1.0
-# A server's connection that broke in so long a wait for the caller may have
-# been cut because its response remained unread.
+MIN_STALL_SPENT_S = 0.1
+# A server may cut off a response that has remained unread for so long.
 UNREAD_S = 1.0
 
 
@@ -39,9 +42,14 @@
     stalled_s: float
 
 
+def calm_bytes(limit_bytes: int) -> int:
+    """Return up to how many held bytes nothing is limited."""
+    return int(limit_bytes * PRESSURE_SHARE)
+
+
 def allowance_bytes(limit_bytes: int, held_bytes: int, maximum: int) -> int:
     """Return how many bytes one connection may buffer."""
-    if held_bytes <= limit_bytes * PRESSURE_SHARE:
+    if held_bytes <= calm_bytes(limit_bytes):
         return maximum
     free_bytes = max(0, limit_bytes - held_bytes)
     return min(maximum, int(free_bytes * ALLOWANCE_SHARE))
@@ -59,15 +67,29 @@
     return held_bytes > limit_bytes * CUT_SHARE
 
 
+def must_wait(limit_bytes: int, held_bytes: int) -> bool:
+    """Return whether responses have to wait for readers to be cut."""
+    return held_bytes > limit_bytes * WAIT_SHARE
+
+
+def min_stall_s(limit_bytes: int, held_bytes: int) -> float:
+    """Return after how many seconds without progress a reader is cut."""
+    free_share = max(0.0, 1 - held_bytes / limit_bytes) / (1 - CUT_SHARE)
+    return MIN_STALL_SPENT_S + min(1.0, free_share) * (
+        MIN_STALL_S - MIN_STALL_SPENT_S
+    )
+
+
 def choose_cuts(
     readers: Iterable[Reader], limit_bytes: int, held_bytes: int
 ) -> list[int]:
     """Return the numbers of the readers to cut, the first one first."""
+    stall_s = min_stall_s(limit_bytes, held_bytes)
     stalled = sorted(
         (
             reader
             for reader in readers
-            if reader.held_bytes and reader.stalled_s >= MIN_STALL_S
+            if reader.held_bytes and reader.stalled_s >= stall_s
         ),
         key=lambda reader: reader.held_bytes * reader.stalled_s,
         reverse=True,
--- a/arbutusvale/protocol/edge_ports.py
+++ b/arbutusvale/protocol/edge_ports.py
@@ -45,13 +45,11 @@
 class ServerExchange(typing.Protocol):
     """A request's pending response; await its ``head`` before the body.
 
-    ``framing`` is known from the head on; ``error`` is set when the response
-    breaks off, also while what has arrived of it is still to be read.
+    ``framing`` is known from the head on.
     """
 
     head: typing.Any
     framing: Framing | None
-    error: Exception | None
 
 
 class ServerConnection(typing.Protocol):
--- a/arbutusvale/standins/edge_engine.py
+++ b/arbutusvale/standins/edge_engine.py
@@ -20,6 +20,8 @@
 PROMPT_HEADER = headers.PROMPT_PREFIX.decode()
 CACHE_LIST_PATH = '/-/kv-list'
 EVENT_INTERVAL_S = 0.02
+# With the fault 'unread-cut'.
+UNREAD_LIMIT_S = 1.5
 # What comes before bytes without end, and the bytes.
 ENDLESS_BYTES = {
     'garbage': (b'', b'\x00\x01'),
@@ -69,9 +71,10 @@
     same, a stream closed before the first event), 'encoded'
     (Content-Encoding: gzip), 'stream-cut' and 'stream-hang' (at the third
     event), 'stream-end-early' (its last chunk follows a part of the third
-    event), 'slow' (by a second), 'endless-X' (bytes until the caller
-    closes, X one of ``ENDLESS_BYTES``), 'not-mine' (421), 'pause=X' (503
-    without execution and Retry-After: X).
+    event), 'unread-cut' (a stream that remains unread for a while; its events
+    have ``padding_bytes`` each), 'slow' (by a second), 'endless-X' (bytes
+    until the caller closes, X one of ``ENDLESS_BYTES``), 'not-mine' (421),
+    'pause=X' (503 without execution and Retry-After: X).
 
     Paths that start with ``stream_prefix`` are answered with
     ``event_count`` server-sent events, which name ``software_version``
@@ -385,6 +388,8 @@
         )
         for number in range(first_number, self.event_count + 1):
             data = f'piece {number} {self.software_version}'.rstrip()
+            if fault == 'unread-cut':
+                data += ' ' + 'p' * self.padding_bytes
             event = f'id: {number}\ndata: {data}\n\n'.encode()
             if number == first_number + 2:
                 match fault:
@@ -405,6 +410,10 @@
                         await self._send_and_reset(event[:9], writer)
                         return False
             writer.write(_encode_chunk(event) if is_chunked else event)
+            if fault == 'unread-cut':
+                if not await _drain_in_time(writer):
+                    return False
+                continue
             await writer.drain()
             await asyncio.sleep(EVENT_INTERVAL_S)
         if is_chunked:
@@ -448,6 +457,17 @@
         await writer.drain()
 
 
+async def _drain_in_time(writer: asyncio.StreamWriter) -> bool:
+    """Wait until a response is read; cut it off if that takes too long."""
+    try:
+        async with asyncio.timeout(UNREAD_LIMIT_S):
+            await writer.drain()
+    except TimeoutError:
+        writer.transport.abort()
+        return False
+    return True
+
+
 def _list_shared_parts(request: raw_server.RawRequest) -> set[str]:
     """List the ids of a prompt's parts, without the last one."""
     prompt = request.headers.get(PROMPT_HEADER, '')
--- a/arbutusvale/state/byte_budget.py
+++ b/arbutusvale/state/byte_budget.py
@@ -7,11 +7,15 @@
 class ByteBudget:
     """Bytes in memory at a time, of at most ``limit_bytes``.
 
-    ``on_added`` is called after each addition.
+    ``on_added`` is called after each addition that leaves more than
+    ``calm_bytes``; up to there, nothing needs to be limited.
     """
 
-    def __init__(self, limit_bytes: int = sys.maxsize):
+    def __init__(
+        self, limit_bytes: int = sys.maxsize, calm_bytes: int = sys.maxsize
+    ):
         self.limit_bytes = limit_bytes
+        self.calm_bytes = calm_bytes
         self.held_bytes = 0
         self.peak_bytes = 0
         self.on_added: Callable[[], None] = _ignore_addition
@@ -19,8 +23,9 @@
     def change(self, difference: int) -> None:
         """Count bytes that are added, or released if negative."""
         self.held_bytes += difference
-        if difference > 0:
-            self.peak_bytes = max(self.peak_bytes, self.held_bytes)
+        if self.held_bytes > self.peak_bytes:
+            self.peak_bytes = self.held_bytes
+        if difference > 0 and self.held_bytes > self.calm_bytes:
             self.on_added()
 
     def has_room(self, size: int) -> bool:
--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -26,7 +26,9 @@
 # Precise enough, as the timeouts of callers are seconds.
 CHECK_INTERVAL_S = 0.5
 # Least time between two searches for stalled readers.
-CUT_INTERVAL_S = 0.05
+CUT_INTERVAL_S = 0.02
+# Until then, readers that hold most of the budget were cut or take bytes.
+MAX_CUT_WAIT_S = 0.2
 # A response pauses with more unsent data than this.
 MAX_UNSENT_BYTES = 64 * 1024
 
@@ -72,7 +74,9 @@
         self.on_capacity_freed: Callable[[], None] = _ignore_freed_capacity
         self.serve = serve
         self.limits = limits
-        self.budget = byte_budget.ByteBudget(max_held_bytes)
+        self.budget = byte_budget.ByteBudget(
+            max_held_bytes, slow_reader_policy.calm_bytes(max_held_bytes)
+        )
         self.budget.on_added = self.cut_if_spent
         # Callers' connections with unsent bytes, as far as noticed.
         self.slow_readers: set[CallerConnection] = set()
@@ -104,6 +108,17 @@
             self.budget.limit_bytes, self.budget.held_bytes, maximum
         )
 
+    async def wait_for_cuts(self) -> None:
+        """Wait, for a while, with a nearly spent budget."""
+        budget = self.budget
+        waited_s = 0.0
+        while waited_s < MAX_CUT_WAIT_S and slow_reader_policy.must_wait(
+            budget.limit_bytes, budget.held_bytes
+        ):
+            await asyncio.sleep(CUT_INTERVAL_S)
+            waited_s += CUT_INTERVAL_S
+            self.cut_if_spent()
+
     def cut_if_spent(self) -> None:
         """Cut stalled readers if the budget is nearly spent."""
         budget = self.budget
@@ -458,6 +473,9 @@
 
     async def wait_until_drained(self) -> None:
         """Wait until the caller has read most of what was sent."""
+        budget = self.server.budget
+        if budget.held_bytes > budget.calm_bytes:
+            await self.server.wait_for_cuts()
         if not self.unsent_bytes:
             return
         allowance = self.server.allowance_bytes(MAX_UNSENT_BYTES)
--- a/arbutusvale/transport/http_connection.py
+++ b/arbutusvale/transport/http_connection.py
@@ -166,6 +166,8 @@
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return where to read to: less if much is held already."""
         budget = self.budget
+        if budget.held_bytes <= budget.calm_bytes:
+            return _read_buffer
         return _read_buffer[
             : slow_reader_policy.read_size(
                 budget.limit_bytes, budget.held_bytes, _MAX_BUFFERED_BYTES
