--- a/arbutusvale/coordination/edge_reporter.py
+++ b/arbutusvale/coordination/edge_reporter.py
@@ -265,7 +265,7 @@
         self._record_service_time(server, outcome)
         if isinstance(outcome, edge_requests.Delivered):
             return
-        if outcome.cause not in ('deadline', 'misdirected'):
+        if outcome.cause not in ('deadline', 'misdirected', 'unread'):
             self.context.pacer.record_failure(server)
         self.context.metrics.increment('failed_sendings', self.request.pool)
         self.write(
