--- a/arbutusvale/coordination/edge_placement.py
+++ b/arbutusvale/coordination/edge_placement.py
@@ -7,6 +7,7 @@
 
 from arbutusvale.coordination import edge_context
 from arbutusvale.coordination import edge_placement_policy
+from arbutusvale.coordination import pace_policy
 from arbutusvale.protocol import proxying
 from arbutusvale.state import server_list
 
@@ -84,6 +85,11 @@
             context.peers.interval_s(),
         )
         source = ''
+        returning = context.limits.warmups.list_limited_ids()
+        if choice is not None and returning:
+            choice = pace_policy.restore_ranking(
+                choice, ranking, candidates, holders_by_part[0], returning
+            )
         if choice is not None:
             source = edge_placement_policy.find_cache_source(
                 ranking,
--- a/arbutusvale/coordination/pace_policy.py
+++ b/arbutusvale/coordination/pace_policy.py
@@ -12,12 +12,20 @@
   by half at once, and rises again when its answers are good;
 - *many routers*: each sees loads that are a second old, so a pace ends only
   far above the usual rate, when the server is loaded like the others;
+- *a server returns to a pool with room*: all prompts are cached at others, so
+  it would stay idle; it gets back the prompts that many share and that rank it
+  first, and copies their parts; chats stay where only one engine knows them;
 - *news of other routers are lost*: a pace without answers stays as it is, but
   no longer than ``MAX_PACED_S``.
 """
 
+from collections.abc import Collection
+from collections.abc import Mapping
+from collections.abc import Sequence
 import dataclasses
 
+from arbutusvale.coordination import edge_placement_policy
+
 RISE_FACTOR = 2.0
 FALL_FACTOR = 0.5
 # A single slow answer of many is no reason to lower the pace.
@@ -32,6 +40,11 @@
 SLOW_FACTOR = 2.0
 # Short answers vary by more than their length.
 SLOW_FLOOR_S = 0.1
+# A prompt that fewer engines have cached may be a chat.
+MIN_HOLDERS = 2
+# Where more of a pool has just returned, the surplus of the others fills it,
+# and copies would queue at the few engines that have something cached.
+MAX_RETURNING_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,3 +111,33 @@
     if progress.good and pace >= END_FACTOR * progress.usual:
         return None
     return pace
+
+
+def restore_ranking(
+    choice: edge_placement_policy.Choice,
+    ranking: Sequence[str],
+    candidates: Sequence[edge_placement_policy.Candidate],
+    holders: Mapping[str, float],
+    returning: Collection[str],
+) -> edge_placement_policy.Choice:
+    """Return a returning engine in place of one that has a prompt cached.
+
+    ``returning`` are the ids of engines that are cold or paced.  One of them
+    is chosen if it is ranked above the choice and has less than the mean load;
+    it then has the prompt cached, too.
+    """
+    if choice.reason != 'cached' or len(holders) < MIN_HOLDERS:
+        return choice
+    returned = sum(engine_id in returning for engine_id in ranking)
+    if returned > MAX_RETURNING_SHARE * len(ranking):
+        return choice
+    loads = {each.id: each.load for each in candidates if not each.ejected}
+    mean = sum(loads.values()) / max(1, len(loads))
+    for engine_id in ranking:
+        if engine_id == choice.id:
+            break
+        if engine_id in returning and loads.get(engine_id, mean) < mean:
+            return edge_placement_policy.Choice(
+                engine_id, 'returning', choice.bound
+            )
+    return choice
--- a/arbutusvale/state/server_warmups.py
+++ b/arbutusvale/state/server_warmups.py
@@ -204,6 +204,10 @@
         """List the servers that are cold or paced now."""
         return list(self.cold.values())
 
+    def list_limited_ids(self) -> set[str]:
+        """List the ids of the servers that are cold or paced."""
+        return {server_id for server_id, _ in self.cold}
+
     def is_cold(self, server: proxying.BackendServer) -> bool:
         """Return whether a server is cold now."""
         cold = self._find(server)
--- a/tests/coordination/test_server_pacing.py
+++ b/tests/coordination/test_server_pacing.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from arbutusvale.coordination import edge_placement_policy
 from arbutusvale.coordination import pace_policy
 from arbutusvale.coordination import server_pacing
 from arbutusvale.protocol import limit_message
@@ -213,3 +214,32 @@
     }  # fmt: skip
     assert pace_policy.is_good(pace_policy.Answer(**fields))
     assert not pace_policy.is_good(pace_policy.Answer(**(fields | changes)))
+
+
+RANKING = ['back', 'second', 'third']
+
+
+def restore(holders, loads, returning=('back',), chosen='second'):
+    choice = pace_policy.restore_ranking(
+        edge_placement_policy.Choice(chosen, 'cached', 20.0),
+        RANKING,
+        [
+            edge_placement_policy.Candidate(name, load, 64, False)
+            for name, load in zip(RANKING, loads, strict=True)
+        ],
+        dict.fromkeys(holders, 1.0),
+        returning,
+    )
+    return choice.id, choice.reason
+
+
+# It had no requests for seconds, as all prompts were cached at others.
+def test_returning_engine_gets_back_the_shared_prompts_that_rank_it_first():
+    shared = ['second', 'third']
+    assert restore(shared, [0, 9, 9]) == ('back', 'returning')
+    assert restore(['second'], [0, 9, 9]) == ('second', 'cached')
+    assert restore(shared, [9, 9, 9]) == ('second', 'cached')
+    assert restore(shared, [0, 9, 9], returning=()) == ('second', 'cached')
+    most = ['back', 'third']
+    assert restore(shared, [0, 9, 0], most) == ('second', 'cached')
+    assert restore(shared, [9, 9, 0], ['third']) == ('second', 'cached')
