--- a/arbutusvale/coordination/edge_placement.py
+++ b/arbutusvale/coordination/edge_placement.py
@@ -117,7 +117,7 @@
                 ],
                 choice.id,
             )
-    if choice is None:
+    if choice is None or _should_wait_for_room(context, request, choice):
         return None
     return Placement(
         server=servers[choice.id],
@@ -135,6 +135,29 @@
     )
 
 
+def _should_wait_for_room(
+    context: edge_context.EdgeContext,
+    request: PlaceableRequest,
+    choice: edge_placement_policy.Choice,
+) -> bool:
+    """Return whether to wait for a cold server in place of a loaded one.
+
+    All engines that may be chosen are above the bound, and others have room
+    but have had the requests that they take for now.
+    """
+    if choice.reason != 'least-loaded':
+        return False
+    if not context.limits.has_warmups():
+        return False
+    if context.loads.estimate(choice.id) < choice.bound:
+        return False
+    return any(
+        context.loads.estimate(listed.server.id) < choice.bound
+        and context.limits.time_until_free_s(listed.server)
+        for listed in context.servers.list_ready_servers(request.pool)
+    )
+
+
 def record_prompt(
     context: edge_context.EdgeContext,
     request: PlaceableRequest,
