--- a/arbutusvale/coordination/load_exchange.py
+++ b/arbutusvale/coordination/load_exchange.py
@@ -24,8 +24,9 @@
 # Up to this size all routers tell each other their loads as often.
 MAX_ROUTERS_WITHOUT = 9
 REPORT_INTERVAL_S = 0.25
-# The collectors' summaries arrive by turns, one every quarter of a second.
-SUMMARY_INTERVAL_S = REPORT_INTERVAL_S * COLLECTORS
+# Up to this size each collector sends the sums with each of its reports; in a
+# larger fleet less often, by turns.
+MAX_ROUTERS_AT_FULL_RATE = 30
 # Beyond this size intervals grow, so that a collector's messages don't.
 FULL_RATE_ROUTERS = 80
 # A report counts for this many intervals, as datagrams get lost.
@@ -57,7 +58,9 @@
         # The counts of other routers, and until when they are valid.
         self.reports: dict[str, tuple[float, dict[str, int]]] = {}
         self.is_collector = False
-        self.summarised_at = -1e9
+        self.report_count = 0
+        # Which of the collectors this one is, so that they take turns.
+        self.turn = 0
 
     def interval_factor(self) -> float:
         """Return by how much longer the intervals are in a large fleet."""
@@ -70,8 +73,13 @@
         """
         if not self.loads.has_summary():
             return math.inf
-        longest_s = REPORT_INTERVAL_S + SUMMARY_INTERVAL_S
-        return longest_s * self.interval_factor()
+        intervals = 1 + self.reports_per_summary()
+        return intervals * REPORT_INTERVAL_S * self.interval_factor()
+
+    def reports_per_summary(self) -> int:
+        """Return how many reports a collector sends for one summary."""
+        routers = 1 + len(self.list_live())
+        return min(COLLECTORS, math.ceil(routers / MAX_ROUTERS_AT_FULL_RATE))
 
     def receive(self, message: load_message.LoadMessage) -> None:
         """Store a report, or the sums of a collector."""
@@ -109,6 +117,7 @@
                 self.send(host, data)
         self._set_collector(self.host in collectors)
         if self.is_collector:
+            self.turn = collectors.index(self.host)
             self._summarise(live, report)
 
     def _summarise(
@@ -129,9 +138,9 @@
         self.loads.record_summary(
             sums, VALID_INTERVALS * REPORT_INTERVAL_S * factor
         )
-        if now - self.summarised_at < SUMMARY_INTERVAL_S * factor:
+        self.report_count += 1
+        if (self.report_count + self.turn) % self.reports_per_summary():
             return
-        self.summarised_at = now
         summary = load_message.LoadSummary(self.host, sums)
         for message in load_message.split(summary):
             data = load_message.encode(message)
