--- a/tests/edge_fleet.py
+++ b/tests/edge_fleet.py
@@ -160,6 +160,7 @@
         self.attempt_count = 0
         self.config_version = 0
         self.max_descriptors = 4100
+        self.retry_window_s = 10
 
     async def _make_store(self):
         store = edge_store.StoreStandin()
@@ -267,7 +268,7 @@
 ConfigApplyMs = 2000
 EvacuationMs = 2000
 RetryBudgetRatio = 0.2
-BudgetWindowS = 10
+BudgetWindowS = {self.retry_window_s}
 RetryBudgetSlack = 50
 CapacityFactor = 2
 ReuseWindowS = 10
