--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -478,10 +478,10 @@
             return False
         if self._time_left_s() < MIN_TIME_S:
             return False
-        granted = self.context.retry_budget(self.request.pool).try_spend(
-            self.context.peers.count_live()
-        )
-        self.reporter.record_retry(granted)
+        budget = self.context.retry_budget(self.request.pool)
+        routers = self.context.peers.count_live()
+        granted = budget.try_spend(routers)
+        self.reporter.record_retry(granted, budget, routers)
         return granted
 
     def _end_unanswered(self, cause: str) -> None:
--- a/arbutusvale/coordination/edge_reporter.py
+++ b/arbutusvale/coordination/edge_reporter.py
@@ -5,6 +5,7 @@
 from arbutusvale.coordination import edge_context
 from arbutusvale.coordination import edge_placement
 from arbutusvale.coordination import edge_requests
+from arbutusvale.coordination import retries
 from arbutusvale.coordination import stream_continuity
 from arbutusvale.protocol import edge_ports
 from arbutusvale.protocol import proxying
@@ -244,10 +245,23 @@
             age=self.context.clock() - self.request.caller_request.received_at,
         )
 
-    def record_retry(self, granted: bool) -> None:
-        """Count a retry that the budget granted or denied."""
+    def record_retry(
+        self,
+        granted: bool,
+        budget: retries.WindowedRetryBudget,
+        routers: int,
+    ) -> None:
+        """Count and log a retry that the budget granted or denied."""
         name = 'retries' if granted else 'retries_denied'
         self.context.metrics.increment(name, self.request.pool)
+        self.write(
+            'retry' if granted else 'retry-denied',
+            pool=self.request.pool,
+            spent=len(budget.retries),
+            allowed=budget.allowed(routers),
+            requests=len(budget.requests),
+            routers=routers,
+        )
 
     def record_progress(self) -> None:
         """Record that a server goes on with a stream."""
--- a/arbutusvale/coordination/retries.py
+++ b/arbutusvale/coordination/retries.py
@@ -91,10 +91,13 @@
 
     def can_spend(self, routers: int) -> bool:
         """Check whether one more retry fits into this router's share."""
+        return len(self.retries) + 1 <= self.allowed(routers)
+
+    def allowed(self, routers: int) -> float:
+        """Return how many retries this router may send in a window."""
         self._expire(self.clock())
         share = _BUDGET_SHARE * self.reserve / max(1, routers)
-        allowed = _BUDGET_SHARE * self.ratio * len(self.requests) + share
-        return len(self.retries) + 1 <= allowed
+        return _BUDGET_SHARE * self.ratio * len(self.requests) + share
 
     def _expire(self, now: float) -> None:
         """Drop the times that are older than the window."""
