--- a/arbutusvale/coordination/retries.py
+++ b/arbutusvale/coordination/retries.py
@@ -91,7 +91,8 @@
 
     def can_spend(self, routers: int) -> bool:
         """Check whether one more retry fits into this router's share."""
-        return len(self.retries) + 1 <= self.allowed(routers)
+        allowed = self.allowed(routers)
+        return len(self.retries) + 1 <= allowed
 
     def allowed(self, routers: int) -> float:
         """Return how many retries this router may send in a window."""
