Count a retry when it is sent, not when it is decided

Cause: a retry was charged to the budget when it was granted.

A retry now holds a place from the decision on and takes its time from the moment it is sent. What no longer fits then, as the requests that it was based on have left the window, is not sent. The place is given back if the request ends otherwise.

--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -73,6 +73,8 @@
         self.ticket: int | None = None
         # The time until a server takes a request, if that is too late.
         self.refused_wait_s = 0.0
+        # Whether the next attempt has a place in the retry budget.
+        self.retry_reserved = False
 
     async def run(self) -> None:
         """Send the request until it has a response or no attempt is left."""
@@ -88,6 +90,7 @@
             await self._run_attempts()
         finally:
             self._stop_waiting()
+            self._cancel_retry()
 
     async def _run_attempts(self) -> None:
         """Place and send the request, again as far as that is allowed."""
@@ -127,16 +130,14 @@
                 continue
             if self.context.servers.is_evacuated(placement.server):
                 # It became so while the connection was opened.
-                self._cancel_reservation(placement.server)
-                self.context.connection_pool.release(
-                    placement.server, connection, None
-                )
+                self._give_back(placement.server, connection)
                 continue
+            if not self._spend_retry():
+                self._give_back(placement.server, connection)
+                self._end_unanswered(cause)
+                return
             if not self.context.crashes.start_attempt(self.request.suspects):
-                self._cancel_reservation(placement.server)
-                self.context.connection_pool.release(
-                    placement.server, connection, None
-                )
+                self._give_back(placement.server, connection)
                 self._end_unanswered('quarantined')
                 return
             outcome = await self._send(placement, connection)
@@ -158,7 +159,7 @@
             ):
                 self._end_unanswered('quarantined')
                 return
-            if not self._spend_retry(outcome):
+            if not self._reserve_retry(outcome):
                 self._end_unanswered(cause)
                 return
             if not await self.wait_for_room():
@@ -305,6 +306,15 @@
         self.context.limits.refund(server)
         self.context.loads.record_end(server.id)
 
+    def _give_back(
+        self,
+        server: proxying.BackendServer,
+        connection: edge_ports.ServerConnection,
+    ) -> None:
+        """Release a server and a connection on which nothing was sent."""
+        self._cancel_reservation(server)
+        self.context.connection_pool.release(server, connection, None)
+
     async def _connect(
         self, server: proxying.BackendServer
     ) -> edge_ports.ServerConnection | None:
@@ -444,7 +454,7 @@
         )
         return alternatives_exist and self.context.retry_budget(
             self.request.pool
-        ).can_spend(self.context.peers.count_live())
+        ).can_reserve(self.context.peers.count_live())
 
     def _is_queued_like_others(self) -> bool:
         """Check whether its server is only as busy as all are.
@@ -469,8 +479,8 @@
             if listed.server.id not in self.tried_servers
         ]
 
-    def _spend_retry(self, outcome: edge_requests.Outcome) -> bool:
-        """Spend a retry if the request may be sent to another server."""
+    def _reserve_retry(self, outcome: edge_requests.Outcome) -> bool:
+        """Reserve a retry if the request may be sent to another server."""
         failed = isinstance(outcome, edge_requests.Failed)
         if failed and not self.request.route.retryable:
             return False
@@ -480,10 +490,28 @@
             return False
         budget = self.context.retry_budget(self.request.pool)
         routers = self.context.peers.count_live()
-        granted = budget.try_spend(routers)
-        self.reporter.record_retry(granted, budget, routers)
+        self.retry_reserved = budget.try_reserve(routers)
+        self.reporter.record_retry(self.retry_reserved, budget, routers)
+        return self.retry_reserved
+
+    def _spend_retry(self) -> bool:
+        """Spend the reserved retry, if the next attempt is one."""
+        if not self.retry_reserved:
+            return True
+        self.retry_reserved = False
+        budget = self.context.retry_budget(self.request.pool)
+        routers = self.context.peers.count_live()
+        granted = budget.spend(routers)
+        if not granted:
+            self.reporter.record_retry(False, budget, routers)
         return granted
 
+    def _cancel_retry(self) -> None:
+        """Take back a reserved retry that was not sent."""
+        if self.retry_reserved:
+            self.retry_reserved = False
+            self.context.retry_budget(self.request.pool).cancel()
+
     def _end_unanswered(self, cause: str) -> None:
         """End the request without a response from a server."""
         if self.caller.started:
--- a/arbutusvale/coordination/edge_reporter.py
+++ b/arbutusvale/coordination/edge_reporter.py
@@ -258,6 +258,7 @@
             'retry' if granted else 'retry-denied',
             pool=self.request.pool,
             spent=len(budget.retries),
+            reserved=budget.reserved,
             allowed=budget.allowed(routers),
             requests=len(budget.requests),
             routers=routers,
--- a/arbutusvale/coordination/retries.py
+++ b/arbutusvale/coordination/retries.py
@@ -58,8 +58,12 @@
     plus ``reserve``.  Each router applies the ratio to its own requests and
     uses its share of the reserve, so routers needn't coordinate.
 
-    Load pattern covered: a whole pool fails for many seconds, and every
-    request would be retried.
+    A retry is reserved when it is decided, and spent when it is sent; it may
+    have to wait for a server in between.
+
+    Load patterns covered: a whole pool fails for many seconds, and every
+    request would be retried; retries wait until servers take requests again,
+    and all are sent at once.
     """
 
     def __init__(
@@ -74,25 +78,46 @@
         self.window_s = window_s
         self.clock = clock
         self.requests: collections.deque[float] = collections.deque()
+        # When retries were sent.
         self.retries: collections.deque[float] = collections.deque()
+        # Retries that were decided and not sent yet.
+        self.reserved = 0
         self.denied = 0
 
     def add_request(self) -> None:
         """Count the first attempt of a request."""
         self.requests.append(self.clock())
 
-    def try_spend(self, routers: int) -> bool:
-        """Spend one retry; return False if the router's share is exhausted."""
-        if not self.can_spend(routers):
+    def try_reserve(self, routers: int) -> bool:
+        """Reserve one retry; return False if the share is exhausted."""
+        if not self.can_reserve(routers):
             self.denied += 1
             return False
-        self.retries.append(self.clock())
+        self.reserved += 1
         return True
 
-    def can_spend(self, routers: int) -> bool:
+    def can_reserve(self, routers: int) -> bool:
         """Check whether one more retry fits into this router's share."""
         allowed = self.allowed(routers)
-        return len(self.retries) + 1 <= allowed
+        return self.reserved + len(self.retries) + 1 <= allowed
+
+    def cancel(self) -> None:
+        """Take back a reserved retry that is not sent after all."""
+        self.reserved -= 1
+
+    def spend(self, routers: int) -> bool:
+        """Spend a reserved retry, which is sent now.
+
+        Return False, and take it back, if the share no longer covers it, as
+        the requests that it was based on have left the window.
+        """
+        self.reserved -= 1
+        allowed = self.allowed(routers)
+        if len(self.retries) + 1 > allowed:
+            self.denied += 1
+            return False
+        self.retries.append(self.clock())
+        return True
 
     def allowed(self, routers: int) -> float:
         """Return how many retries this router may send in a window."""
--- a/tests/coordination/test_windowed_retry_budget.py
+++ b/tests/coordination/test_windowed_retry_budget.py
@@ -26,7 +26,7 @@
         budget = generator.choice(budgets)
         budget.add_request()
         request_times.append(clock.now)
-        if budget.try_spend(routers):
+        if budget.try_reserve(routers) and budget.spend(routers):
             retry_times.append(clock.now)
     for start in range(1000, 1040):
         window = (start, start + WINDOW_S)
@@ -39,15 +39,51 @@
 
 def test_single_router_may_spend_the_whole_reserve_at_once():
     budget = make_budget(helpers_edge.Clock())
-    assert sum(budget.try_spend(1) for _ in range(100)) == 50
+    assert sum(budget.try_reserve(1) for _ in range(100)) == 50
     assert budget.denied == 50
 
 
 def test_retries_expire_after_the_window():
     clock = helpers_edge.Clock()
     budget = make_budget(clock)
-    while budget.try_spend(8):
+    while budget.try_reserve(8):
+        assert budget.spend(8)
+    assert not budget.can_reserve(8)
+    clock.now += WINDOW_S
+    assert budget.can_reserve(8)
+
+
+def test_retries_that_wait_hold_their_place():
+    clock = helpers_edge.Clock()
+    budget = make_budget(clock)
+    while budget.try_reserve(8):
+        pass
+    waiting = budget.reserved
+    clock.now += WINDOW_S
+    assert not budget.can_reserve(8)
+    assert all(budget.spend(8) for _ in range(waiting))
+    assert not budget.can_reserve(8)
+    clock.now += WINDOW_S
+    assert budget.can_reserve(8)
+
+
+def test_retry_that_is_not_sent_gives_its_place_back():
+    budget = make_budget(helpers_edge.Clock())
+    while budget.try_reserve(8):
+        pass
+    budget.cancel()
+    assert budget.try_reserve(8)
+    assert not budget.can_reserve(8)
+
+
+def test_retry_is_denied_once_its_requests_have_left_the_window():
+    clock = helpers_edge.Clock()
+    budget = make_budget(clock)
+    for _ in range(100):
+        budget.add_request()
+    while budget.try_reserve(8):
         pass
-    assert not budget.can_spend(8)
     clock.now += WINDOW_S
-    assert budget.can_spend(8)
+    sent = sum(budget.spend(8) for _ in range(budget.reserved))
+    assert 0 < sent <= RESERVE / 8
+    assert not budget.reserved
