Divide the retry reserve by all routers that may be running

Cause: each router takes its share of the reserve by the number of routers that it hears at that moment. One that is cut off or stood still hears none and takes the whole reserve, and so does each other one like it; where routers leave, the rest take over at once what these have just spent.

The share now follows from a census of routers: a silent one counts for ten minutes, as it may be behind a partition, one that says that it leaves counts until the window of the limit is over, and late news of others don't bring it back. So the sum of all shares in a window stays within the reserve, whatever a router hears. What is lost: after routers die without a word the others use less of the reserve for ten minutes; the ratio of their own requests is untouched.

--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -452,9 +452,10 @@
             and not self.context.limits.time_until_free_s(server)
             for server in self._list_untried()
         )
-        return alternatives_exist and self.context.retry_budget(
-            self.request.pool
-        ).can_reserve(self.context.peers.count_live())
+        return (
+            alternatives_exist
+            and self.context.retry_budget(self.request.pool).can_reserve()
+        )
 
     def _is_queued_like_others(self) -> bool:
         """Check whether its server is only as busy as all are.
@@ -489,9 +490,8 @@
         if self._time_left_s() < MIN_TIME_S:
             return False
         budget = self.context.retry_budget(self.request.pool)
-        routers = self.context.peers.count_live()
-        self.retry_reserved = budget.try_reserve(routers)
-        self.reporter.record_retry(self.retry_reserved, budget, routers)
+        self.retry_reserved = budget.try_reserve()
+        self.reporter.record_retry(self.retry_reserved, budget)
         return self.retry_reserved
 
     def _spend_retry(self) -> bool:
@@ -500,10 +500,9 @@
             return True
         self.retry_reserved = False
         budget = self.context.retry_budget(self.request.pool)
-        routers = self.context.peers.count_live()
-        granted = budget.spend(routers)
+        granted = budget.spend()
         if not granted:
-            self.reporter.record_retry(False, budget, routers)
+            self.reporter.record_retry(False, budget)
         return granted
 
     def _cancel_retry(self) -> None:
--- a/arbutusvale/coordination/edge_reporter.py
+++ b/arbutusvale/coordination/edge_reporter.py
@@ -246,10 +246,7 @@
         )
 
     def record_retry(
-        self,
-        granted: bool,
-        budget: retries.WindowedRetryBudget,
-        routers: int,
+        self, granted: bool, budget: retries.WindowedRetryBudget
     ) -> None:
         """Count and log a retry that the budget granted or denied."""
         name = 'retries' if granted else 'retries_denied'
@@ -259,9 +256,9 @@
             pool=self.request.pool,
             spent=len(budget.retries),
             reserved=budget.reserved,
-            allowed=budget.allowed(routers),
+            allowed=budget.allowed(),
             requests=len(budget.requests),
-            routers=routers,
+            part=budget.own_part(budget.window_s),
         )
 
     def record_progress(self) -> None:
--- a/arbutusvale/coordination/peers.py
+++ b/arbutusvale/coordination/peers.py
@@ -27,6 +27,7 @@
 from arbutusvale.state import event_log
 from arbutusvale.state import prompt_cache_index
 from arbutusvale.state import prompt_loads
+from arbutusvale.state import router_census
 from arbutusvale.state import server_loads
 from arbutusvale.state import server_warmups
 
@@ -89,6 +90,7 @@
         self.events = events
         self.clock = clock
         self.peers: dict[str, _Peer] = {}
+        self.census = router_census.RouterCensus(clock)
         self.pending_cache_locations: collections.deque[
             peer_message.CacheLocation
         ] = collections.deque(maxlen=MAX_PENDING_CACHE_LOCATIONS)
@@ -350,6 +352,7 @@
         """Record the sender as live or gone, and the peers it lists."""
         now = self.clock()
         if message.leaving:
+            self.census.record_left(message.host)
             if self.peers.pop(message.host, None) is not None:
                 self.events.write('peer-left', peer=message.name)
             if self.loads is not None:
@@ -357,6 +360,7 @@
             if self.warmups is not None:
                 self.warmups.forget_router(message.host)
             return
+        self.census.record_heard(message.host)
         sender = self.peers.get(message.host)
         if sender is None:
             sender = self.peers[message.host] = _Peer(now)
@@ -374,7 +378,10 @@
         sender.heard_at = now
         sender.renewed_at = now
         for host in message.peers:
-            if host != self.host and host not in self.peers:
+            if host == self.host:
+                continue
+            self.census.record_named(host)
+            if host not in self.peers:
                 self.peers[host] = _Peer(now)
 
     def _expire_peers(self) -> None:
--- a/arbutusvale/coordination/retries.py
+++ b/arbutusvale/coordination/retries.py
@@ -56,7 +56,8 @@
 
     The bound for the fleet is ``ratio`` times the requests in the window
     plus ``reserve``.  Each router applies the ratio to its own requests and
-    uses its share of the reserve, so routers needn't coordinate.
+    uses its part of the reserve, so routers needn't coordinate.  ``own_part``
+    returns that part, from 0 to 1, for a window of the given seconds.
 
     A retry is reserved when it is decided, and spent when it is sent; it may
     have to wait for a server in between.
@@ -72,11 +73,13 @@
         reserve: float,
         window_s: float,
         clock: Callable[[], float],
+        own_part: Callable[[float], float],
     ):
         self.ratio = ratio
         self.reserve = reserve
         self.window_s = window_s
         self.clock = clock
+        self.own_part = own_part
         self.requests: collections.deque[float] = collections.deque()
         # When retries were sent.
         self.retries: collections.deque[float] = collections.deque()
@@ -88,42 +91,47 @@
         """Count the first attempt of a request."""
         self.requests.append(self.clock())
 
-    def try_reserve(self, routers: int) -> bool:
+    def try_reserve(self) -> bool:
         """Reserve one retry; return False if the share is exhausted."""
-        if not self.can_reserve(routers):
+        if not self.can_reserve():
             self.denied += 1
             return False
         self.reserved += 1
         return True
 
-    def can_reserve(self, routers: int) -> bool:
+    def can_reserve(self) -> bool:
         """Check whether one more retry fits into this router's share."""
-        allowed = self.allowed(routers)
-        return self.reserved + len(self.retries) + 1 <= allowed
+        self._expire(self.clock())
+        wanted = self.reserved + len(self.retries) + 1
+        return wanted <= self._allowed_by_ratio() or wanted <= self.allowed()
 
     def cancel(self) -> None:
         """Take back a reserved retry that is not sent after all."""
         self.reserved -= 1
 
-    def spend(self, routers: int) -> bool:
+    def spend(self) -> bool:
         """Spend a reserved retry, which is sent now.
 
         Return False, and take it back, if the share no longer covers it, as
         the requests that it was based on have left the window.
         """
         self.reserved -= 1
-        allowed = self.allowed(routers)
+        allowed = self.allowed()
         if len(self.retries) + 1 > allowed:
             self.denied += 1
             return False
         self.retries.append(self.clock())
         return True
 
-    def allowed(self, routers: int) -> float:
+    def allowed(self) -> float:
         """Return how many retries this router may send in a window."""
         self._expire(self.clock())
-        share = _BUDGET_SHARE * self.reserve / max(1, routers)
-        return _BUDGET_SHARE * self.ratio * len(self.requests) + share
+        part = self.own_part(self.window_s)
+        return self._allowed_by_ratio() + _BUDGET_SHARE * self.reserve * part
+
+    def _allowed_by_ratio(self) -> float:
+        """Return how many retries this router's own requests allow."""
+        return _BUDGET_SHARE * self.ratio * len(self.requests)
 
     def _expire(self, now: float) -> None:
         """Drop the times that are older than the window."""
