Leave the retry reserve alone in the first window after a start

Cause: a router that starts again knows neither the other routers nor what it has spent before. It took a share of the reserve once more, in its first moments the whole of it; where all start again in one window, all do.

A router that starts has no part of the reserve for one window, by when what its last process sent has left the window and the others are known, and none before it has heard another router. Its own requests allow retries at once, by the ratio. At the first start of the whole system nothing has been spent yet: there it divides by the seeds and those it hears. The line start tells which it was.

The stand-in fleet of the tests now says whether a router starts for the first time, as the platform does.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -172,6 +172,7 @@
             tuple(seed.host for seed in self.settings.seeds),
             self.events,
             self.clock,
+            is_first_start=self.settings.is_first_start,
         )
         self.crash_exchange = crash_exchange.CrashExchange(
             self.settings.host,
@@ -372,6 +373,7 @@
             data_centre=self.settings.data_centre,
             callers=self.settings.callers.port,
             store=self.settings.store.host,
+            first=self.settings.is_first_start,
         )
         self.events.flush()
         listening = await self._listen()
--- a/arbutusvale/coordination/peers.py
+++ b/arbutusvale/coordination/peers.py
@@ -82,6 +82,7 @@
         events: event_log.EventLog,
         clock: Callable[[], float] = time.monotonic,
         generator: random.Random | None = None,
+        is_first_start: bool = False,
     ):
         self.generator = generator or random.Random()
         self.name = name
@@ -90,7 +91,9 @@
         self.events = events
         self.clock = clock
         self.peers: dict[str, _Peer] = {}
-        self.census = router_census.RouterCensus(clock)
+        self.census = router_census.RouterCensus(
+            clock, self.seeds, is_first_start
+        )
         self.pending_cache_locations: collections.deque[
             peer_message.CacheLocation
         ] = collections.deque(maxlen=MAX_PENDING_CACHE_LOCATIONS)
--- a/arbutusvale/platform/boot_file.py
+++ b/arbutusvale/platform/boot_file.py
@@ -53,6 +53,7 @@
             max_sockets=self._compute_max_sockets(),
             bounds=self._read_bounds(),
             pace_all_pools=self._get('Pacing.AllPools') is True,
+            is_first_start=self._get('Bootstrap') is True,
         )
         if self.faults:
             raise errors.DocumentError(self.path, self.faults)
--- a/arbutusvale/protocol/edge_settings.py
+++ b/arbutusvale/protocol/edge_settings.py
@@ -48,6 +48,7 @@
     ``peer_port`` is the port for traffic between routers, the same on every
     VM; ``link_mbit_per_s`` is the rate of the VM's network link, 0 if
     unknown.  ``max_sockets`` limits the sockets that the process may open.
+    ``is_first_start`` means that the whole system starts for the first time.
     With ``pace_all_pools`` the servers of pools that declare no warm-up are
     paced after their start, too.
     """
@@ -66,3 +67,4 @@
     max_sockets: int
     bounds: Bounds
     pace_all_pools: bool = False
+    is_first_start: bool = False
--- a/arbutusvale/state/router_census.py
+++ b/arbutusvale/state/router_census.py
@@ -2,14 +2,16 @@
 
 Where all routers share a limit and nobody hands out shares, each divides it by
 the number of routers.  That number must not fall because this router hears
-less: it may be cut off or have stood still, and the others may use their
-shares all the same.
+less: it may have just started, be cut off or have stood still, and the others
+may use their shares all the same.
 
 Load patterns covered:
 
 - *a partition, or a process that stood still*: silent routers count for long;
 - *routers that leave, also all in turn*: what one has used of a limit counts
-  until the time that the limit is for is over.
+  until the time that the limit is for is over;
+- *a router that starts*, alone or with all others: it may have used its share
+  just before, and doesn't know the others yet.
 
 Times are those of a monotonic clock, in seconds.
 """
@@ -23,16 +25,31 @@
 
 
 class RouterCensus:
-    """The other routers by host, and when they left."""
-
-    def __init__(self, clock: Callable[[], float]):
+    """The other routers by host, when they left, and when this one started.
+
+    ``seeds`` are the hosts that this one knows from its settings.
+    ``is_first_start`` means that the whole system starts for the first time,
+    so that no router has used a share before.
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        seeds: tuple[str, ...] = (),
+        is_first_start: bool = False,
+    ):
         self.clock = clock
+        self.seeds = seeds
+        self.is_first_start = is_first_start
+        self.started_at = clock()
+        self.has_heard_any = False
         # When each was last heard, or named by another one.
         self.running: dict[str, float] = {}
         self.left: dict[str, float] = {}
 
     def record_heard(self, host: str) -> None:
         """Record a message of a router."""
+        self.has_heard_any = True
         self.left.pop(host, None)
         self.running[host] = self.clock()
 
@@ -54,12 +71,23 @@
     def own_part(self, window_s: float) -> float:
         """Return this router's part of a limit for all, from 0 to 1.
 
-        The limit is for any time of ``window_s``.
+        The limit is for any time of ``window_s``.  A router that starts has
+        no part for so long, as its last process may have used it, and none
+        before it has heard another one.
         """
         self._expire()
         oldest = self.clock() - window_s
-        left_lately = sum(left_at > oldest for left_at in self.left.values())
-        return 1 / (1 + len(self.running) + left_lately)
+        others = set(self.running)
+        others.update(
+            host for host, left_at in self.left.items() if left_at > oldest
+        )
+        if self.is_first_start:
+            others.update(self.seeds)
+        elif self.started_at > oldest or (
+            self.seeds and not self.has_heard_any
+        ):
+            return 0.0
+        return 1 / (1 + len(others))
 
     def _expire(self) -> None:
         """Drop the routers that can't be running any more."""
--- a/tests/edge_fleet.py
+++ b/tests/edge_fleet.py
@@ -42,7 +42,9 @@
         self.process = None
 
     def start(self):
-        self.settings_path.write_text(self.fleet.format_settings(self.host))
+        self.settings_path.write_text(
+            self.fleet.format_settings(self.host, not self.log_path.exists())
+        )
         environment = os.environ | {
             'ARBUTUSVALE_BOOT': str(self.settings_path),
             'PYTHONPATH': str(ROOT),
@@ -243,7 +245,7 @@
             if request.executed and attempt_id in (None, request.attempt_id)
         ]
 
-    def format_settings(self, host):
+    def format_settings(self, host, is_first_start):
         seeds = ', '.join(
             f'"{self.host_address(number)}:{self.ready_port}"'
             for number in (1, 2, 3)
@@ -254,6 +256,7 @@
 Zone = "north"
 InternalPortRange = [{self.peer_port}, {self.peer_port}]
 Seeds = [{seeds}]
+Bootstrap = {'true' if is_first_start else 'false'}
 [Listen]
 Frontend = "{host}:{self.caller_port}"
 Ready = "{host}:{self.ready_port}"
--- a/tests/platform/test_edge_drain.py
+++ b/tests/platform/test_edge_drain.py
@@ -241,7 +241,7 @@
 
 
 def test_invalid_settings_are_reported_with_their_fields(fleet, tmp_path):
-    fleet.format_settings = lambda host: 'NodeName = "x"\n'
+    fleet.format_settings = lambda host, is_first_start: 'NodeName = "x"\n'
     router = fleet.add_router(wait=False)
     assert router.process.wait(10) == 2
     text = router.read_log()
