Refuse what no double, header or socket can hold, at every reader

Cause: readers check the type of a number and not its size. JSON and headers hold whole numbers of any length; Python raises OverflowError where one meets a float, ValueError where one of thousands of digits is converted. Neither is the readers' own error, so the task that reads fails, starts again and reads the same entry. A port out of range, an address that is no IPv4 address, and an id with line ends or beyond latin-1 are accepted, and fail in each request that is placed there; line ends would add headers to it.

The same class was looked for at all readers of foreign bytes, by replacing each value of a valid example in turn with odd ones.

Numbers are now checked in one place (protocol/numeric). Entries of servers name an IPv4 address with a port in range, an id that fits in a header, and at most 65,536 slots. A stream whose event has an id beyond 64 bits is failed over.

--- a/arbutusvale/coordination/config_copies.py
+++ b/arbutusvale/coordination/config_copies.py
@@ -101,16 +101,17 @@
                 continue
             for record in page.records:
                 if record.key == COPY_KEY and record.value:
-                    self._apply(record.value)
+                    self.apply(record.value)
 
-    def _apply(self, value: bytes) -> None:
+    def apply(self, value: bytes) -> None:
         """Apply a copy, unless it is malformed or not newer."""
         try:
             document = json.loads(_decompress(value))
             data = base64.b64decode(document['config'])
             evacuated = evacuation_view.parse_snapshot(document['evacuated'])
         except (
-            ValueError, KeyError, TypeError, AttributeError, binascii.Error,
+            ValueError, KeyError, TypeError, AttributeError, RecursionError,
+            binascii.Error,
         ):  # fmt: skip
             return
         before = self.config.version
--- a/arbutusvale/coordination/edge_relay.py
+++ b/arbutusvale/coordination/edge_relay.py
@@ -300,7 +300,7 @@
             if not self.caller.started:
                 self.caller.start(head.status, head.headers)
             complete = self.event_buffer.feed(data)
-            if self.event_buffer.is_too_long:
+            if self.event_buffer.is_unusable:
                 return RelayResult(edge_requests.Failed('event too long'))
             passed_on = complete if resumable else data
             if progress_at is None:
--- a/arbutusvale/coordination/evacuation_view.py
+++ b/arbutusvale/coordination/evacuation_view.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from arbutusvale.protocol import keyed_log
+from arbutusvale.protocol import numeric
 from arbutusvale.protocol import peer_message
 from arbutusvale.state import evacuations
 from arbutusvale.state import event_log
@@ -16,7 +17,9 @@
 ) -> dict[str, keyed_log.Position]:
     """Parse a snapshot; raise ValueError, TypeError or AttributeError."""
     return {
-        str(name): keyed_log.Position(int(era), int(offset))
+        str(name): keyed_log.Position(
+            numeric.check_whole(era), numeric.check_whole(offset)
+        )
         for name, (era, offset) in document.items()
     }
 
--- a/arbutusvale/coordination/event_stream.py
+++ b/arbutusvale/coordination/event_stream.py
@@ -2,6 +2,8 @@
 
 import re
 
+from arbutusvale.protocol import numeric
+
 # A line may end with CRLF, LF or CR; an empty line ends an event.
 _EVENT_END = re.compile(rb'(?>\r\n|\n|\r)(?>\r\n|\n|\r)')
 _LF_EVENT_END = b'\n\n'
@@ -19,6 +21,8 @@
     def __init__(self, last_event_id: int | None):
         self.last_event_id = last_event_id
         self.partial = b''
+        # An event had an id at which no stream can resume.
+        self.has_malformed_id = False
         # A server answered a resumption without framing and without events.
         self.has_unconfirmed_end = False
 
@@ -28,9 +32,9 @@
         return bool(self.partial.strip(b'\r\n'))
 
     @property
-    def is_too_long(self) -> bool:
-        """Whether an event exceeds ``MAX_EVENT_BYTES``."""
-        return len(self.partial) > MAX_EVENT_BYTES
+    def is_unusable(self) -> bool:
+        """Whether an event is longer than ``MAX_EVENT_BYTES``, or its id."""
+        return self.has_malformed_id or len(self.partial) > MAX_EVENT_BYTES
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes of the stream and return the events that are complete."""
@@ -45,6 +49,7 @@
     def discard_partial(self) -> None:
         """Drop an incomplete event."""
         self.partial = b''
+        self.has_malformed_id = False
 
     def _update_last_event_id(self, complete: bytes) -> None:
         """Set the last event id from the last id field, if there is one."""
@@ -59,7 +64,11 @@
             return
         line = complete[start + 3 :].split(b'\n', 1)[0].strip()
         if line.isdigit():
-            self.last_event_id = int(line)
+            event_id = numeric.parse_count(line, numeric.EVENT_ID_LIMIT)
+            if event_id is None:
+                self.has_malformed_id = True
+            else:
+                self.last_event_id = event_id
 
 
 def _find_last_event_end(data: bytes) -> int:
--- a/arbutusvale/coordination/peer_snapshot.py
+++ b/arbutusvale/coordination/peer_snapshot.py
@@ -20,6 +20,7 @@
 from arbutusvale.coordination import log_follower
 from arbutusvale.coordination import server_view
 from arbutusvale.protocol import keyed_log
+from arbutusvale.protocol import numeric
 from arbutusvale.state import event_log
 from arbutusvale.state import prompt_cache_index
 
@@ -131,7 +132,7 @@
         try:
             document = json.loads(data)
             config = base64.b64decode(document['config'])
-            config_offset = int(document['config_offset'])
+            config_offset = numeric.check_whole(document['config_offset'])
             config_era = _parse_era(document.get('config_era'))
             evacuated = evacuation_view.parse_snapshot(
                 document.get('evacuated', {})
@@ -140,7 +141,7 @@
                 keyed_log.Record(str(server_id), base64.b64decode(entry))
                 for server_id, entry in document['servers'].items()
             ]
-            server_offset = int(document['server_offset'])
+            server_offset = numeric.check_whole(document['server_offset'])
             server_era = _parse_era(document.get('server_era'))
             cache_locations = [
                 (str(part), str(server_id))
@@ -148,7 +149,8 @@
                 for server_id in holders
             ]
         except (
-            ValueError, KeyError, TypeError, AttributeError, binascii.Error,
+            ValueError, KeyError, TypeError, AttributeError, RecursionError,
+            binascii.Error,
         ) as error:  # fmt: skip
             self.events.write(
                 'peer-copy-failed', host=host, cause=f'malformed: {error!r}'
@@ -185,7 +187,7 @@
 
 def _parse_era(value: object) -> int | None:
     """Return an era, None from a peer that knows none."""
-    return None if value is None else int(value)
+    return None if value is None else numeric.check_whole(value)
 
 
 def _is_ahead(
--- a/arbutusvale/coordination/server_call.py
+++ b/arbutusvale/coordination/server_call.py
@@ -115,7 +115,7 @@
                     case bytes() if event_buffer is not None:
                         if complete := event_buffer.feed(piece):
                             await run.add_piece(complete)
-                        if event_buffer.is_too_long:
+                        if event_buffer.is_unusable:
                             return False
                     case bytes():
                         await run.add_piece(piece)
--- a/arbutusvale/platform/engine_caches.py
+++ b/arbutusvale/platform/engine_caches.py
@@ -6,6 +6,7 @@
 from arbutusvale import errors
 from arbutusvale.protocol import edge_ports
 from arbutusvale.protocol import engine_cache
+from arbutusvale.protocol import numeric
 from arbutusvale.protocol import proxying
 
 LIST_PATH = '/-/kv-list'
@@ -28,7 +29,7 @@
         """Return what an engine has cached; raise ServerFailed."""
         try:
             async with asyncio.timeout(TIMEOUT_S):
-                return _decode_list(await self._fetch(server))
+                return decode_list(await self._fetch(server))
         except TimeoutError as error:
             raise errors.ServerFailed('no list in time', True) from error
 
@@ -61,12 +62,13 @@
         return b''.join(parts)
 
 
-def _decode_list(data: bytes) -> engine_cache.CachedParts:
+def decode_list(data: bytes) -> engine_cache.CachedParts:
     """Decode the list; raise ServerFailed if it is malformed."""
     try:
         return {
             (model, part_id): int(tokens)
             for _, part_id, tokens, model in json.loads(data)['held']
+            if numeric.is_finite(tokens)
         }
     except (
         ValueError, KeyError, TypeError, RecursionError,
--- a/arbutusvale/platform/headers.py
+++ b/arbutusvale/platform/headers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from arbutusvale.protocol import numeric
 from arbutusvale.protocol import proxying
 
 ATTEMPT_ID = b'x-arbutusvale-attempt-id'
@@ -110,7 +111,9 @@
         host=_parse_host(values.get(b'host', b'')),
         api_key=_parse_api_key(values.get(b'authorization', b'')),
         time_left_s=None if deadline is None else deadline / 1000,
-        last_event_id=_parse_integer(values.get(LAST_EVENT_ID)),
+        last_event_id=_parse_integer(
+            values.get(LAST_EVENT_ID), numeric.EVENT_ID_LIMIT
+        ),
         resumes=values.get(RESUMES, b'').strip().decode('latin-1'),
         model=values.get(MODEL_ID, b'').decode('latin-1'),
         prompt=_parse_prompt(values.get(PROMPT_PREFIX, b'')),
@@ -201,10 +204,7 @@
         malformed_pause=malformed_pause,
         rate_limit=rate_limit,
         malformed_limit=malformed_limit,
-        cold_for_s=min(
-            _MAX_COLD_MS, _parse_integer(values.get(WARMUP_MS)) or 0
-        )
-        / 1000,
+        cold_for_s=_parse_cold_ms(values.get(WARMUP_MS, b'')) / 1000,
         malformed_slowdown=malformed_slowdown,
     )
 
@@ -264,11 +264,19 @@
     return key.strip().decode('latin-1')
 
 
-def _parse_integer(value: bytes | None) -> int | None:
-    """Return a non-negative integer, or None if it is malformed."""
-    if value is None or not value.strip().isdigit():
-        return None
-    return int(value)
+def _parse_integer(
+    value: bytes | None, limit: int = numeric.COUNT_LIMIT
+) -> int | None:
+    """Return an integer from 0 on, or None if it is malformed."""
+    return None if value is None else numeric.parse_count(value, limit)
+
+
+def _parse_cold_ms(value: bytes) -> int:
+    """Return for how long a server is cold, 0 if that is malformed."""
+    if not value.strip().isdigit():
+        return 0
+    cold_ms = numeric.parse_count(value)
+    return _MAX_COLD_MS if cold_ms is None else min(_MAX_COLD_MS, cold_ms)
 
 
 def _parse_prompt(value: bytes) -> tuple[proxying.PromptPart, ...]:
@@ -278,9 +286,10 @@
     parts = []
     for entry in value.split(b',')[:_MAX_PROMPT_PARTS]:
         name, _, tokens = entry.strip().partition(b':')
-        if not name or not tokens.isdigit():
+        count = numeric.parse_count(tokens)
+        if not name or count is None:
             return ()
-        parts.append(proxying.PromptPart(name.decode('latin-1'), int(tokens)))
+        parts.append(proxying.PromptPart(name.decode('latin-1'), count))
     return tuple(parts)
 
 
@@ -301,13 +310,17 @@
     if value is None:
         return None, ''
     fields = value.split(b',')
-    counts = fields[:3]
-    if len(counts) < 3 or not all(field.strip().isdigit() for field in counts):
+    counts = [
+        count
+        for count in map(numeric.parse_count, fields[:3])
+        if count is not None
+    ]
+    if len(counts) < 3:
         return None, ''
     slowdown, malformed_slowdown = None, ''
     if len(fields) > 3:
         slowdown, malformed_slowdown = _parse_slowdown(fields[3])
-    load = proxying.ReportedLoad(*(int(field) for field in counts), slowdown)
+    load = proxying.ReportedLoad(*counts, slowdown)
     return load, malformed_slowdown
 
 
@@ -330,6 +343,7 @@
         return None
     for field in value.split(b','):
         name, _, number = field.strip().partition(b'=')
-        if name.lower() == b'timeout' and number.isdigit():
-            return float(number)
+        timeout_s = numeric.parse_count(number)
+        if name.lower() == b'timeout' and timeout_s is not None:
+            return float(timeout_s)
     return None
--- a/arbutusvale/platform/records.py
+++ b/arbutusvale/platform/records.py
@@ -1,9 +1,10 @@
 """Decoders of the platform's records: configuration and backend servers."""
 
 import json
-import math
+import socket
 
 from arbutusvale import errors
+from arbutusvale.protocol import numeric
 from arbutusvale.protocol import proxying
 from arbutusvale.protocol import routing
 
@@ -32,6 +33,11 @@
 DEFAULT_PRIORITY = 5
 # A server that claims to be cold for longer is held to be in error.
 MAX_COLD_S = 60.0
+# A server that claims to take more at once is held to be in error.
+MAX_SLOTS = 65_536
+# The longest text in an entry of a server, in characters.
+MAX_ENTRY_TEXT = 255
+_MAX_PORT = 65_535
 
 
 def read_configuration(data: bytes) -> routing.Configuration:
@@ -68,18 +74,27 @@
     state = _SERVER_STATES.get(_get_text(document, 'State'))
     if state is None:
         raise errors.RecordError('State', 'Write ready or draining.')
-    address = _get_text(document, 'Address')
-    if not address.rpartition(':')[2].isdigit():
+    # The id stands in a header of each request.
+    if not _is_token(server_id):
+        raise errors.RecordError('the key', 'Write printable ASCII only.')
+    address = _get_entry_text(document, 'Address')
+    if not _is_address(address):
         raise errors.RecordError('Address', 'Write IP:PORT.')
+    slots = _get_integer(document, 'Slots')
+    if slots > MAX_SLOTS:
+        raise errors.RecordError('Slots', f'Write {MAX_SLOTS} or less.')
+    started_at_ms = _get_integer(document, 'born', 0)
+    if started_at_ms < 0:
+        raise errors.RecordError('born', 'Write a number from 0 on.')
     return proxying.BackendServer(
         id=server_id,
-        pool=_get_text(document, 'Service'),
+        pool=_get_entry_text(document, 'Service'),
         address=address,
-        data_centre=_get_text(document, 'Zone'),
-        slots=max(1, _get_integer(document, 'Slots')),
+        data_centre=_get_entry_text(document, 'Zone'),
+        slots=max(1, slots),
         state=state,
-        started_at_ms=_get_integer(document, 'born', 0),
-        software_version=_get_text(document, 'Version'),
+        started_at_ms=started_at_ms,
+        software_version=_get_entry_text(document, 'Version'),
         cold_for_s=min(
             MAX_COLD_S, _get_positive(document, 'WarmupLeftMs') / 1000
         ),
@@ -99,6 +114,27 @@
     return document
 
 
+def _is_token(text: str) -> bool:
+    """Return whether a text can stand in a header by itself."""
+    return (
+        0 < len(text) <= MAX_ENTRY_TEXT
+        and text.isascii()
+        and text.isprintable()
+        and ' ' not in text
+    )
+
+
+def _is_address(text: str) -> bool:
+    """Return whether a text is an IPv4 address and a port."""
+    host, _, port = text.rpartition(':')
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except (OSError, ValueError):
+        return False
+    number = numeric.parse_count(port.encode('ascii', 'replace'))
+    return number is not None and 0 < number <= _MAX_PORT
+
+
 def _decode_route(row: object) -> routing.Route:
     """Decode one route."""
     if not isinstance(row, dict):
@@ -165,9 +201,7 @@
     comes from a later build and must not make the rest unreadable.
     """
     value = row.get('KvCapacityTokens') if isinstance(row, dict) else None
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        return 0
-    return int(value) if math.isfinite(value) and value > 0 else 0
+    return int(value) if numeric.is_finite(value) and value > 0 else 0
 
 
 def _decode_limits(row: object) -> routing.CallerLimits:
@@ -223,22 +257,30 @@
     return value
 
 
+def _get_entry_text(row: dict, name: str) -> str:
+    """Return a text of an entry of a server, which is a short one."""
+    value = _get_text(row, name)
+    if len(value) > MAX_ENTRY_TEXT or not value.isprintable():
+        raise errors.RecordError(
+            name, f'Write at most {MAX_ENTRY_TEXT} printable characters.'
+        )
+    return value
+
+
 def _get_integer(row: dict, name: str, default: int | None = None) -> int:
     """Return an integer, a fraction truncated; else raise RecordError."""
     value = row.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise errors.RecordError(name, 'Write a number.')
-    if not math.isfinite(value):
-        raise errors.RecordError(name, 'Write a finite number.')
+    if not -numeric.COUNT_LIMIT < value < numeric.COUNT_LIMIT:
+        raise errors.RecordError(name, 'Write a number below 2^53.')
     return int(value)
 
 
 def _get_positive(row: dict, name: str) -> float:
     """Return a positive number, 0 for any other value."""
     value = row.get(name)
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        return 0.0
-    return float(value) if math.isfinite(value) and value > 0 else 0.0
+    return float(value) if numeric.is_finite(value) and value > 0 else 0.0
 
 
 def _get_list(row: dict, name: str, required: bool = False) -> list:
--- a/arbutusvale/platform/store.py
+++ b/arbutusvale/platform/store.py
@@ -10,6 +10,7 @@
 from arbutusvale import errors
 from arbutusvale.protocol import edge_settings
 from arbutusvale.protocol import keyed_log
+from arbutusvale.protocol import numeric
 from arbutusvale.transport import http_connection
 
 NEWEST_PATH = '/-/log-newest'
@@ -36,6 +37,18 @@
     era: int | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NewestPage:
+    """Some of the newest records, and the key after which the rest comes.
+
+    ``next_after`` is empty on the last page.
+    """
+
+    records: list[keyed_log.Record]
+    end_offset: int
+    next_after: str
+
+
 class StoreTopic:
     """Client of one partition of a keyed topic, with its own connection."""
 
@@ -63,19 +76,15 @@
                 first_page_era = era
             elif era != first_page_era:
                 raise errors.StoreUnavailable('its era changed meanwhile')
-            document = _parse_object(data)
-            rows = document.get('Entries')
-            end = document.get('EndOffset')
-            if not isinstance(rows, list) or not isinstance(end, int):
-                raise errors.StoreUnavailable('its answer is malformed')
-            page = [_decode_newest_record(row) for row in rows]
-            records.extend(record for record in page if record is not None)
+            page = decode_newest_page(data)
+            records.extend(page.records)
             # The pages are no consistent snapshot: the next read must start
             # at the end offset of the first page.
-            first_page_end = end if first_page_end < 0 else first_page_end
-            if not document.get('Truncated') or not rows:
+            if first_page_end < 0:
+                first_page_end = page.end_offset
+            if not page.next_after:
                 return keyed_log.Page(records, first_page_end, era)
-            after = str(rows[-1].get('Key'))
+            after = page.next_after
 
     async def read_from(self, offset: int, wait_s: float) -> keyed_log.Page:
         """Return the records from an offset on; raise StoreHistoryGone."""
@@ -178,15 +187,15 @@
     status: int, reason: bytes, headers: http_connection.Headers
 ) -> _Head:
     """Decode status and era of an answer; header names are lower-case."""
-    era = dict(headers).get(_ERA_HEADER, b'').strip()
-    return _Head(status, int(era) if era.isdigit() else None)
+    era = dict(headers).get(_ERA_HEADER, b'')
+    return _Head(status, numeric.parse_count(era))
 
 
 def _parse_object(data: bytes) -> dict:
     """Parse a JSON object or raise StoreUnavailable."""
     try:
         document = json.loads(data)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise errors.StoreUnavailable(
             f'its answer is no JSON: {error}'
         ) from error
@@ -195,6 +204,24 @@
     return document
 
 
+def decode_newest_page(data: bytes) -> NewestPage:
+    """Decode a page of newest records or raise StoreUnavailable."""
+    document = _parse_object(data)
+    rows = document.get('Entries')
+    end = document.get('EndOffset')
+    if not isinstance(rows, list) or not numeric.is_whole(end):
+        raise errors.StoreUnavailable('its answer is malformed')
+    records = [_decode_newest_record(row) for row in rows]
+    next_after = ''
+    if document.get('Truncated') and rows:
+        if records[-1] is None:
+            raise errors.StoreUnavailable('its answer is malformed')
+        next_after = records[-1].key
+    return NewestPage(
+        [record for record in records if record is not None], end, next_after
+    )
+
+
 def _decode_newest_record(row: object) -> keyed_log.Record | None:
     """Decode a row of the newest records; None if it is malformed."""
     if not isinstance(row, dict) or not isinstance(row.get('Key'), str):
@@ -206,7 +233,7 @@
         value = b'?'
     offset = row.get('Offset')
     return keyed_log.Record(
-        row['Key'], value or None, offset if isinstance(offset, int) else -1
+        row['Key'], value or None, offset if numeric.is_whole(offset) else -1
     )
 
 
--- a/arbutusvale/protocol/limit_message.py
+++ b/arbutusvale/protocol/limit_message.py
@@ -6,9 +6,9 @@
 
 import dataclasses
 import json
-import math
 
 from arbutusvale import errors
+from arbutusvale.protocol import numeric
 
 MAX_LIMITS = 12
 MAX_AGE_MS = 3_600_000
@@ -144,15 +144,13 @@
 
 def _check_integer(value: object) -> int:
     """Return an integer from 0 on, or raise TypeError."""
-    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+    if not numeric.is_whole(value) or value < 0:
         raise TypeError('not a count')
     return value
 
 
 def _check_rate(value: object) -> float:
     """Return a finite number from 0 on, or raise TypeError."""
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise TypeError('not a rate')
-    if not math.isfinite(value) or value < 0:
+    if not numeric.is_finite(value) or value < 0:
         raise TypeError('not a rate')
     return float(value)
--- a/arbutusvale/protocol/list_update.py
+++ b/arbutusvale/protocol/list_update.py
@@ -11,6 +11,7 @@
 
 from arbutusvale import errors
 from arbutusvale.protocol import keyed_log
+from arbutusvale.protocol import numeric
 from arbutusvale.protocol import peer_message
 
 _KIND = 'list'
@@ -145,6 +146,6 @@
 
 def _check_integer(value: object) -> int:
     """Return a non-negative integer, or raise TypeError."""
-    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+    if not numeric.is_whole(value) or value < 0:
         raise TypeError('not a whole number')
     return value
--- a/arbutusvale/protocol/load_message.py
+++ b/arbutusvale/protocol/load_message.py
@@ -8,6 +8,7 @@
 import json
 
 from arbutusvale import errors
+from arbutusvale.protocol import numeric
 
 # An entry takes some 20 bytes; a datagram has 1,400.
 MAX_SERVERS = 60
@@ -77,7 +78,7 @@
         if not isinstance(host, str) or not isinstance(loads, dict):
             raise TypeError('not a load message')
         for count in loads.values():
-            if not isinstance(count, int) or isinstance(count, bool):
+            if not numeric.is_whole(count):
                 raise TypeError('not a count')
         match document['kind']:
             case 'load-report':
--- a/arbutusvale/protocol/peer_message.py
+++ b/arbutusvale/protocol/peer_message.py
@@ -6,9 +6,9 @@
 
 import dataclasses
 import json
-import math
 
 from arbutusvale import errors
+from arbutusvale.protocol import numeric
 
 # Fits in one datagram at an MTU of 1,500 bytes.
 MAX_BYTES = 1400
@@ -290,25 +290,19 @@
     if not isinstance(value, dict):
         raise TypeError('not an object')
     for rate in value.values():
-        if isinstance(rate, bool) or not isinstance(rate, int | float):
-            raise TypeError('not a rate')
-        if not math.isfinite(rate) or rate < 0:
+        if not numeric.is_finite(rate) or rate < 0:
             raise TypeError('not a rate')
     return value
 
 
 def _check_integer(value: object) -> int:
     """Return an integer, or raise TypeError."""
-    if not isinstance(value, int) or isinstance(value, bool):
-        raise TypeError('not a count')
-    return value
+    return numeric.check_whole(value)
 
 
 def _check_number(value: object) -> float:
     """Return a finite number from 0 on, or raise TypeError."""
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise TypeError('not a number')
-    if not math.isfinite(value) or value < 0:
+    if not numeric.is_finite(value) or value < 0:
         raise TypeError('not a number')
     return float(value)
 
--- a/arbutusvale/protocol/stream_origin.py
+++ b/arbutusvale/protocol/stream_origin.py
@@ -7,6 +7,7 @@
 import json
 
 from arbutusvale import errors
+from arbutusvale.protocol import numeric
 
 _NOTICE_KIND = 'origin'
 _QUERY_KIND = 'origin-query'
@@ -111,7 +112,7 @@
         if document['kind'] == _HOLDER_QUERY_KIND:
             return HolderQuery(
                 _check_string(document['host']),
-                int(document['query']),
+                _check_count(document['query']),
                 str(document['model']),
                 _check_string(document['part']),
                 tuple(map(_check_string, document['servers'])),
@@ -119,7 +120,7 @@
         if document['kind'] == _HOLDER_ANSWER_KIND:
             return HolderAnswer(
                 _check_string(document['host']),
-                int(document['query']),
+                _check_count(document['query']),
                 {
                     _check_string(server_id): _check_count(count)
                     for server_id, count in document['counts'].items()
@@ -150,6 +151,4 @@
 
 def _check_count(value: object) -> int:
     """Return an integer, or raise TypeError."""
-    if not isinstance(value, int):
-        raise TypeError('not a number')
-    return value
+    return numeric.check_whole(value)
