Leave part of the retry ratio to processes that start again

Cause: each process may send retries for a ratio of its requests in a window, 0.18 of the 0.2 allowed. One that starts again doesn't know what the process before has sent. Where all start again while a pool fails, what both send on the requests before and after the start falls in one window, of which only one window's requests count: up to twice the ratio.

A process that runs for longer than a window now uses 0.7 of the ratio, one that has started within it 0.27, so that one of the former and any number of the latter stay below the whole. At the first start of the whole system there is no process before. The reserve is as it was: one that starts has none of it.

--- a/arbutusvale/coordination/edge_context.py
+++ b/arbutusvale/coordination/edge_context.py
@@ -126,7 +126,7 @@
                 bounds.retry_reserve,
                 bounds.retry_window_s,
                 self.clock,
-                self.peers.census.own_part,
+                self.peers.census,
             )
         return self.retry_budgets[pool]
 
--- a/arbutusvale/coordination/edge_reporter.py
+++ b/arbutusvale/coordination/edge_reporter.py
@@ -258,7 +258,7 @@
             reserved=budget.reserved,
             allowed=budget.allowed(),
             requests=len(budget.requests),
-            part=budget.own_part(budget.window_s),
+            part=budget.census.own_part(budget.window_s),
         )
 
     def record_progress(self) -> None:
--- a/arbutusvale/coordination/retries.py
+++ b/arbutusvale/coordination/retries.py
@@ -4,13 +4,19 @@
 from collections.abc import Callable
 import typing
 
+from arbutusvale.state import router_census
+
 _RESERVE = 3.0
 _MAX_BALANCE = 10.0
 _BASE_DELAY_S = 0.02
 _MAX_DELAY_S = 0.5
-# A tenth is left for requests counted at the other end of a time window and
-# for routers that aren't known yet.
-_BUDGET_SHARE = 0.9
+# A tenth is left for routers that aren't known yet.
+_RESERVE_SHARE = 0.9
+# A process that starts again doesn't know what the one before has sent in the
+# same window.  Both shares together stay below 1; the rest is left for
+# requests counted at the other end of a window.
+_RATIO_SHARE = 0.7
+_RATIO_SHARE_AFTER_START = 0.27
 
 
 class UniformSource(typing.Protocol):
@@ -56,15 +62,15 @@
 
     The bound for the fleet is ``ratio`` times the requests in the window
     plus ``reserve``.  Each router applies the ratio to its own requests and
-    uses its part of the reserve, so routers needn't coordinate.  ``own_part``
-    returns that part, from 0 to 1, for a window of the given seconds.
+    uses its part of the reserve by the ``census``, so routers needn't
+    coordinate.
 
     A retry is reserved when it is decided, and spent when it is sent; it may
     have to wait for a server in between.
 
     Load patterns covered: a whole pool fails for many seconds, and every
     request would be retried; retries wait until servers take requests again,
-    and all are sent at once.
+    and all are sent at once; all routers start again meanwhile.
     """
 
     def __init__(
@@ -73,13 +79,13 @@
         reserve: float,
         window_s: float,
         clock: Callable[[], float],
-        own_part: Callable[[float], float],
+        census: router_census.RouterCensus,
     ):
         self.ratio = ratio
         self.reserve = reserve
         self.window_s = window_s
         self.clock = clock
-        self.own_part = own_part
+        self.census = census
         self.requests: collections.deque[float] = collections.deque()
         # When retries were sent.
         self.retries: collections.deque[float] = collections.deque()
@@ -126,12 +132,15 @@
     def allowed(self) -> float:
         """Return how many retries this router may send in a window."""
         self._expire(self.clock())
-        part = self.own_part(self.window_s)
-        return self._allowed_by_ratio() + _BUDGET_SHARE * self.reserve * part
+        part = self.census.own_part(self.window_s)
+        reserve = _RESERVE_SHARE * self.reserve * part
+        return self._allowed_by_ratio() + reserve
 
     def _allowed_by_ratio(self) -> float:
         """Return how many retries this router's own requests allow."""
-        return _BUDGET_SHARE * self.ratio * len(self.requests)
+        has_started = self.census.has_started_within(self.window_s)
+        share = _RATIO_SHARE_AFTER_START if has_started else _RATIO_SHARE
+        return share * self.ratio * len(self.requests)
 
     def _expire(self, now: float) -> None:
         """Drop the times that are older than the window."""
--- a/arbutusvale/state/router_census.py
+++ b/arbutusvale/state/router_census.py
@@ -68,6 +68,13 @@
         self._expire()
         return list(self.running)
 
+    def has_started_within(self, window_s: float) -> bool:
+        """Return whether a process before may have run in a window."""
+        return (
+            not self.is_first_start
+            and self.started_at > self.clock() - window_s
+        )
+
     def own_part(self, window_s: float) -> float:
         """Return this router's part of a limit for all, from 0 to 1.
 
@@ -83,7 +90,7 @@
         )
         if self.is_first_start:
             others.update(self.seeds)
-        elif self.started_at > oldest or (
+        elif self.has_started_within(window_s) or (
             self.seeds and not self.has_heard_any
         ):
             return 0.0
