Read the server list anew before the only version is taken for sure

What callers of other systems saw: during a release one router was out of step for seconds while engines of a new version joined.

Cause: it can happen here. A stream that no router knows goes on at the pool's only version if the list was watched for a minute and is at most 2 s old. The age counts a long poll in flight as contact, so a router that is cut off holds its list for current for up to a poll and 2 s more; in any case a version may have been listed since the last read. A full read after a gap didn't end the minute either, so a version that came and left unseen was ruled out.

The list is now read anew, 4 ms, before the only version is taken for sure, and the minute begins anew after a gap of 2 s, an older copy of the store or a lost history. Otherwise the engines' caches tell, or the stream is refused with a Retry-After. The pause between two reads ends when a read is asked for: it held back refreshes after a freeze, too.

A list that is 3 s old was a case of test_stream_search_policy; it is now one that couldn't be read.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -267,7 +267,7 @@
                 self.peers.list_live,
             ),
             store_age_s=self._store_age_s,
-            server_list_age_s=self.server_follower.age_s,
+            confirm_server_list=self.server_follower.confirm,
             link_queue=self.link_queue,
             latency_estimator=service_times.LatencyEstimator(self.clock),
         )
@@ -357,6 +357,7 @@
         self.peers.on_evacuated = self.evacuation_view.apply_told
         self.config_follower.count_readers = self.peers.count_live
         self.server_follower.count_readers = self.relay.count_readers
+        self.server_follower.on_gap = self.servers.restart_watch
         for follower in (self.config_follower, self.server_follower):
             follower.on_new_records = self.peers.announce_offsets
             follower.on_era_risen = self._count_era
--- a/arbutusvale/coordination/edge_context.py
+++ b/arbutusvale/coordination/edge_context.py
@@ -1,5 +1,6 @@
 """Shared state and dependencies of all requests of an edge router."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
 import random
@@ -39,8 +40,9 @@
 class EdgeContext:
     """The state and ports that requests use.
 
-    ``store_age_s`` and ``server_list_age_s`` return the seconds since the
-    configuration and the server list were last confirmed to be current.
+    ``store_age_s`` returns the seconds since the configuration was last
+    confirmed to be current; ``confirm_server_list`` reads the server list anew
+    and returns whether that succeeded in time.
     ``last_received_at`` has the time at which a server last sent anything, by
     its id.  ``announce_limits`` tells peers soon of a server's limit, and
     ``load_age_s`` returns how old the counts of other routers get, in s.
@@ -68,7 +70,7 @@
     origins: origin_exchange.OriginExchange
     holders: holder_exchange.HolderExchange
     store_age_s: Callable[[], float]
-    server_list_age_s: Callable[[], float]
+    confirm_server_list: Callable[[], Awaitable[bool]]
     link_queue: link_queue.LinkQueue
     latency_estimator: service_times.LatencyEstimator
     announce_limits: Callable[[], None]
--- a/arbutusvale/coordination/log_follower.py
+++ b/arbutusvale/coordination/log_follower.py
@@ -35,6 +35,12 @@
 # Bounds how long a refresh blocks its caller; the store answers in 4 ms.
 REFRESH_TIMEOUT_S = 0.5
 REFRESH_CHECK_INTERVAL_S = 0.02
+# How long a caller waits until the records are known to be those of now.
+CONFIRM_TIMEOUT_S = 0.25
+CONFIRM_CHECK_INTERVAL_S = 0.005
+# Records that came and went between two full reads this close together are of
+# no account.
+MAX_GAP_S = 2.0
 NEVER = -1e9
 _RETRY_BASE_S = 0.1
 _MAX_RETRY_S = 0.8
@@ -122,6 +128,10 @@
     """Do nothing; the default callback for new records."""
 
 
+def _ignore_gap() -> None:
+    """Do nothing; the default callback for records that were missed."""
+
+
 def _ignore_era(topic: str) -> None:
     """Do nothing; the default callback for a rise of the era."""
 
@@ -154,6 +164,10 @@
         # The end of the last page that the sink was given.
         self.page_end = keyed_log.Position(0, 0)
         self.on_era_risen: Callable[[str], None] = _ignore_era
+        # Called if records may have come and gone without being read.
+        self.on_gap: Callable[[], None] = _ignore_gap
+        # When the last full read that was answered began.
+        self.newest_read_began_at = NEVER
         self.contact = StoreContact()
         self.failures = 0
         self.count_readers: Callable[[], int] = lambda: 1
@@ -204,6 +218,21 @@
                 return
             await asyncio.sleep(REFRESH_CHECK_INTERVAL_S)
 
+    async def confirm(self) -> bool:
+        """Read all records anew; return whether they came in time.
+
+        A small age doesn't show as much: a call in flight may hang, and its
+        answer may have been under way for long.  Callers share reads.
+        """
+        asked_at = self.clock()
+        while self.newest_read_began_at < asked_at:
+            if self.clock() - asked_at > CONFIRM_TIMEOUT_S:
+                return False
+            if not self.full_read_due:
+                self.restart_read()
+            await asyncio.sleep(CONFIRM_CHECK_INTERVAL_S)
+        return True
+
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         while True:
@@ -273,7 +302,13 @@
     async def _wait_for_batch(self) -> None:
         """Let records accumulate before the next call."""
         self.batching = True
-        await asyncio.sleep(self.batch_delay_s)
+        self.wake.clear()
+        try:
+            async with asyncio.timeout(self.batch_delay_s):
+                if not self.full_read_due:
+                    await self.wake.wait()
+        except TimeoutError:
+            pass
         self.batching = False
 
     def restart_read(self) -> None:
@@ -348,13 +383,16 @@
         """Read the newest record of each key."""
         self.wait_s = 0.0
         self.call_aborted = False
+        began_at = self.clock()
         page = await self.log.read_newest()
         self._note_era(page.era)
+        self._note_gap()
         self.page_end = keyed_log.Position(self.era or 0, page.next_offset)
         if self.era_change is not None:
             self.sink.note_older_copy(page.records)
             self.contact.regained_at = self.clock()
         self.sink.replace(page.records, self._record_answer())
+        self.newest_read_began_at = began_at
         self._advance(None, page, [])
         self._finish_era_change(page)
         return bool(page.records)
@@ -406,6 +444,16 @@
         """Return whether an answer is from before an older copy returned."""
         return era is not None and self.era is not None and era < self.era
 
+    def _note_gap(self) -> None:
+        """Tell of records that a full read may have left out."""
+        missed_s = self.clock() - self.contact.answered_at
+        if (
+            self.offset is None
+            or self.era_change is not None
+            or missed_s > MAX_GAP_S
+        ):
+            self.on_gap()
+
     def _finish_era_change(self, page: keyed_log.Page) -> None:
         """Log a rise of the era, once the log is read anew."""
         change, self.era_change = self.era_change, None
--- a/arbutusvale/coordination/stream_continuity.py
+++ b/arbutusvale/coordination/stream_continuity.py
@@ -51,9 +51,7 @@
                 return NotResumable('stream-of-another-pool')
             source = 'known' if is_known else 'peer'
             return Resumable(origin.software_version, source)
-    only_version = stream_search_policy.find_only_version(
-        _describe_history(context, request.pool), bool(attempt_id)
-    )
+    only_version = await _find_only_version(context, request)
     if only_version is not None:
         return Resumable(only_version, 'only-version')
     result = await _search_caches(context, request)
@@ -67,8 +65,27 @@
     return result
 
 
+async def _find_only_version(
+    context: edge_context.EdgeContext, request: edge_requests.RoutedRequest
+) -> str | None:
+    """Return the version that any stream of now began at, None if unsure.
+
+    Servers of another version may have been listed that this router doesn't
+    know yet, as it is cut off from the store, or was, or between two reads.
+    """
+    names_attempt = bool(request.metadata.resumes)
+    is_current = True
+    if names_attempt and stream_search_policy.find_only_version(
+        _describe_history(context, request.pool, is_current), names_attempt
+    ):
+        is_current = await context.confirm_server_list()
+    return stream_search_policy.find_only_version(
+        _describe_history(context, request.pool, is_current), names_attempt
+    )
+
+
 def _describe_history(
-    context: edge_context.EdgeContext, pool: str
+    context: edge_context.EdgeContext, pool: str, is_current: bool
 ) -> stream_search_policy.PoolHistory:
     """Return what this router has seen of a pool's versions."""
     window_s = stream_origins.RETENTION_S
@@ -78,7 +95,7 @@
         ),
         watched_s=context.servers.watched_s(),
         window_s=window_s,
-        list_age_s=context.server_list_age_s(),
+        is_current=is_current,
     )
 
 
--- a/arbutusvale/coordination/stream_search_policy.py
+++ b/arbutusvale/coordination/stream_search_policy.py
@@ -24,8 +24,6 @@
 ROUND_SIZE = 8
 # Engines cache whole blocks of tokens; vLLM's have 16 or 32 of them.
 MAX_BLOCK_TOKENS = 32
-# With an older server list, a version may serve that this router doesn't know.
-MAX_LIST_AGE_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,14 +31,14 @@
     """What a router has seen of a pool's versions.
 
     ``recent_versions`` are those listed at any time in ``window_s``;
-    ``watched_s`` is for how long it has read the server list, ``list_age_s``
-    the time since that was last confirmed to be current.
+    ``watched_s`` is for how long it has read the server list without a gap;
+    ``is_current`` means that the list has just been read.
     """
 
     recent_versions: frozenset[str]
     watched_s: float
     window_s: float
-    list_age_s: float
+    is_current: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,10 +74,7 @@
     """
     if len(history.recent_versions) != 1:
         return None
-    is_sure = (
-        history.watched_s >= history.window_s
-        and history.list_age_s <= MAX_LIST_AGE_S
-    )
+    is_sure = history.watched_s >= history.window_s and history.is_current
     if names_attempt and not is_sure:
         return None
     return next(iter(history.recent_versions))
--- a/arbutusvale/state/server_list.py
+++ b/arbutusvale/state/server_list.py
@@ -55,7 +55,7 @@
         self.by_id: dict[str, ListedServer] = {}
         self.by_pool: dict[str, list[ListedServer]] = {}
         self.version = 0
-        # When the whole list was first known.
+        # Since when the whole list is known without a gap.
         self.complete_since: float | None = None
         # When the last server of a software version left, by pool.
         self.departed_versions: dict[str, dict[str, float]] = {}
@@ -216,8 +216,12 @@
         self.leaving[_incarnation(server)] = now
         return True
 
+    def restart_watch(self) -> None:
+        """Record that servers may have come and gone unseen until now."""
+        self.complete_since = self.clock()
+
     def watched_s(self) -> float:
-        """Return the seconds since the whole list was first known."""
+        """Return for how many seconds the list is known without a gap."""
         if self.complete_since is None:
             return 0.0
         return self.clock() - self.complete_since
--- a/tests/coordination/test_stream_continuity.py
+++ b/tests/coordination/test_stream_continuity.py
@@ -34,7 +34,7 @@
         return self.by_server.get(server.id, {})
 
 
-def make_router(version_by_engine, watched_s=0.0, list_age_s=0.1, **changes):
+def make_router(version_by_engine, watched_s=0.0, is_current=True, **changes):
     """Return a router's context; it began to read the list just now."""
     context = test_edge_placement.make_context(0)
     for server_id, version in version_by_engine.items():
@@ -45,7 +45,11 @@
         )
     context.servers.keep_only(set(version_by_engine), None)
     context.clock.now += watched_s
-    context.server_list_age_s = lambda: list_age_s
+
+    async def confirm_server_list():
+        return is_current
+
+    context.confirm_server_list = confirm_server_list
     context.holders.survey.caches = Caches()
     return context
 
@@ -87,10 +91,10 @@
 
 def test_stream_goes_on_at_the_version_of_the_engine_that_began_it():
     versions = {f'e{number}': f'v{number % 2}' for number in range(40)}
-    for list_age_s in (0.1, 30.0):
+    for is_current in (True, False):
         context = make_router(
             versions,
-            list_age_s=list_age_s,
+            is_current=is_current,
             state=proxying.ServerState.DRAINING,
         )
         begin(context, 'e17')
--- a/tests/coordination/test_stream_search_policy.py
+++ b/tests/coordination/test_stream_search_policy.py
@@ -10,7 +10,7 @@
         'recent_versions': frozenset(['v1']),
         'watched_s': 60.0,
         'window_s': 60.0,
-        'list_age_s': 0.1,
+        'is_current': True,
     }
     return stream_search_policy.PoolHistory(**(fields | changes))
 
@@ -23,7 +23,7 @@
         ({'recent_versions': frozenset()}, None, None),
         # A fresh router took the only version that was left.
         ({'watched_s': 59.0}, None, 'v1'),
-        ({'list_age_s': 3.0}, None, 'v1'),
+        ({'is_current': False}, None, 'v1'),
     ],
 )
 def test_only_version_is_sure_after_watching_for_long(
