Divide cold servers' rates by the census of routers, too

The parts of cold servers kept a list of their own of routers that may be running, with the same ten minutes of silence as the census. A router that said that it leaves came back into it by late news of others and kept its parts for those ten minutes, so that cold servers got less than they take. One list serves both now.

test_silent_routers_keep_their_parts takes its routers from the census; 60 s of silence change no part, as before.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -183,7 +183,7 @@
         self.warmups = server_warmups.ServerWarmups(
             self.settings.host,
             self.clock,
-            self.peers.list_known_peers,
+            self.peers.census.list_running,
             generator,
         )
         self.warmups.list_warmups = self._list_warmups
--- a/arbutusvale/state/server_warmups.py
+++ b/arbutusvale/state/server_warmups.py
@@ -33,8 +33,6 @@
 # Demand that falls for a shorter time is no reason to lend.
 LOWER_AFTER_S = 3.0
 DEMAND_AVERAGE_S = 5.0
-# A router that isn't heard may still be running behind a partition.
-ROUTER_RETENTION_S = 600.0
 REFRESH_INTERVAL_S = 0.1
 # A pace changes about so often.
 PACE_LIFE_S = 1.0
@@ -137,7 +135,6 @@
         self.announcements: dict[
             str, dict[str, tuple[float, peer_message.PoolAnnouncement]]
         ] = {}
-        self.router_listed_at: dict[str, float] = {}
         self.routers = frozenset([host])
         self.routers_at = -math.inf
 
@@ -316,7 +313,6 @@
 
     def forget_router(self, host: str) -> None:
         """Drop a router that says that it leaves."""
-        self.router_listed_at.pop(host, None)
         self.routers_at = -math.inf
         for by_host in self.announcements.values():
             by_host.pop(host, None)
@@ -429,12 +425,7 @@
         if now - self.routers_at < REFRESH_INTERVAL_S:
             return self.routers
         self.routers_at = now
-        for host in self.list_peers():
-            self.router_listed_at[host] = now
-        for host, at in list(self.router_listed_at.items()):
-            if at < now - ROUTER_RETENTION_S:
-                del self.router_listed_at[host]
-        routers = frozenset([self.host, *self.router_listed_at])
+        routers = frozenset([self.host, *self.list_peers()])
         if routers != self.routers:
             self.routers = routers
         return self.routers
--- a/tests/state/test_server_warmups.py
+++ b/tests/state/test_server_warmups.py
@@ -5,6 +5,7 @@
 import pytest
 
 from arbutusvale.protocol import peer_message
+from arbutusvale.state import router_census
 from arbutusvale.state import server_warmups
 from arbutusvale.state import warmup_shares
 from tests import helpers_edge
@@ -118,12 +119,13 @@
 
 def test_silent_routers_keep_their_parts():
     clock, warmups = make_warmups()
-    hosts = [f'r{number}' for number in range(9)]
-    warmups.list_peers = lambda: hosts
+    census = router_census.RouterCensus(clock)
+    for number in range(9):
+        census.record_heard(f'r{number}')
+    warmups.list_peers = census.list_running
     clock.now += 10.0
     warmups.begin(SERVER, 500.0)
     assert warmups.share(SERVER) == 1.8
-    hosts.clear()
     clock.now += 60.0
     assert warmups.share(SERVER) == 1.8
 
