--- a/arbutusvale/standins/edge_engine.py
+++ b/arbutusvale/standins/edge_engine.py
@@ -220,15 +220,15 @@
         match fault:
             case 'shed':
                 response_headers[NOT_EXECUTED_HEADER] = '1'
-                self._refuse(503, response_headers, writer)
+                self._refuse(503, response_headers, b'full', writer)
                 return True
             case _ if fault.startswith('pause='):
                 response_headers[NOT_EXECUTED_HEADER] = '1'
                 response_headers['Retry-After'] = fault.partition('=')[2]
-                self._refuse(503, response_headers, writer)
+                self._refuse(503, response_headers, b'', writer)
                 return True
             case 'not-mine':
-                self._refuse(421, response_headers, writer)
+                self._refuse(421, response_headers, b'', writer)
                 return True
             case 'shed-again' | 'shed-again-hang' if writer in self.refusals:
                 writer.write(self.refusals[writer])
@@ -303,13 +303,14 @@
         self,
         status: int,
         response_headers: dict[str, str],
+        body: bytes,
         writer: asyncio.StreamWriter,
     ) -> None:
         """Write a refusal."""
         response_headers['Keep-Alive'] = 'timeout=5'
         if self.anonymous_refusals:
             del response_headers[ATTEMPT_HEADER]
-        refusal = raw_server.format_response(status, response_headers, b'')
+        refusal = raw_server.format_response(status, response_headers, body)
         self.refusals[writer] = refusal
         writer.write(refusal)
 
--- a/tests/platform/test_edge_retry_budget.py
+++ b/tests/platform/test_edge_retry_budget.py
@@ -37,8 +37,6 @@
         router.wait_until_ready()
         for name in fleet.engines:
             router.wait_for_log(f'event=server-listed server={name} ')
-    # What a router counts anew at its start is behind it.
-    time.sleep(1.2 * WINDOW_S)
 
 
 def send(fleet, routers, count=REQUESTS):
