Let nothing but events follow the events of a stream

What callers saw: a stream broke off, the engine that was to resume it answered with an error, and its head and text came in the middle of the stream, framed as a part of it; the last chunk made the stream look complete.

Cause: the relay buffers an error and looks only at its end whether the caller's response has begun. A response larger than the buffer is passed on before that look, and a spent byte budget leaves no buffer at all. Each place that writes a head looked, or didn't, for itself.

Why this works: a response is written through an encoder that gives one head, then the body, then its end, and raises for anything else; the connection is then closed in its place. The relay decides by the head of the resumption, before it buffers, and drops an error's body, so that the next engine is tried as before.

--- a/arbutusvale/coordination/edge_relay.py
+++ b/arbutusvale/coordination/edge_relay.py
@@ -25,8 +25,8 @@
 # The server stops at the deadline that it was given; its error response takes
 # a few milliseconds to arrive.
 DEADLINE_SLACK_S = 0.06
-# A refusal is one short response.
-REFUSAL_TIMEOUT_S = 0.25
+# Refusals and errors are short responses.
+DROP_TIMEOUT_S = 0.25
 # A server that has sent events for so long bears the prompt.
 PROGRESS_S = 1.0
 # Reading a shorter prompt takes less time than the rest of a first event.
@@ -192,22 +192,48 @@
                 )
             if self.request.route.is_stream:
                 return await self._relay_events(exchange, head)
+        if self.caller.started:
+            # Only events can follow those that the caller has.
+            return await self._read_error(exchange, head)
         return await self._relay_buffered(exchange, head)
 
     async def _read_refusal(
         self, exchange: edge_ports.ServerExchange, head: proxying.ResponseHead
     ) -> RelayResult:
-        """Read a refusal to the end, so that the connection can be reused."""
+        """Read a refusal, which the caller doesn't get, to its end."""
         cause = 'misdirected' if head.misdirected else f'shed-{head.status}'
         refusal = edge_requests.NotRun(cause)
         try:
-            async with asyncio.timeout(REFUSAL_TIMEOUT_S):
+            if await self._drop_body(exchange):
+                return RelayResult(refusal, head)
+        except errors.ServerFailed:
+            # The refusal remains valid; only the connection is lost.
+            pass
+        return RelayResult(refusal)
+
+    async def _read_error(
+        self, exchange: edge_ports.ServerExchange, head: proxying.ResponseHead
+    ) -> RelayResult:
+        """Read an error, which the caller doesn't get, to its end."""
+        failure = edge_requests.Failed(f'status-{head.status}')
+        if not await self._drop_body(exchange):
+            return RelayResult(failure)
+        if await self._ends_in_crash(exchange):
+            return RelayResult(edge_requests.Failed('connection closed'))
+        return RelayResult(failure, head)
+
+    async def _drop_body(self, exchange: edge_ports.ServerExchange) -> bool:
+        """Drop a body, so that its connection can be used again.
+
+        Return whether it ended in time; raise ServerFailed.
+        """
+        try:
+            async with asyncio.timeout(DROP_TIMEOUT_S):
                 while await self.connection.read(exchange):
                     pass
-        except (TimeoutError, errors.ServerFailed):
-            # The refusal remains valid; only the connection is lost.
-            return RelayResult(refusal)
-        return RelayResult(refusal, head)
+        except TimeoutError:
+            return False
+        return True
 
     async def _relay_buffered(
         self, exchange: edge_ports.ServerExchange, head: proxying.ResponseHead
@@ -227,10 +253,6 @@
             return RelayResult(edge_requests.Failed('connection closed'))
         body = b''.join(buffered)
         failed = head.status >= edge_reporter.MIN_SERVER_ERROR_STATUS
-        if self.caller.started:
-            # The attempt to resume a stream got an error response.
-            cause = f'status-{head.status}'
-            return RelayResult(edge_requests.Failed(cause), head)
         if failed and self.request.route.retryable:
             cause = f'status-{head.status}'
             return RelayResult(edge_requests.Failed(cause, head, body), head)
--- a/arbutusvale/errors.py
+++ b/arbutusvale/errors.py
@@ -143,3 +143,13 @@
         self.cause = cause
         self.sent = sent
         self.refused = refused
+
+
+class ResponseOrderError(ArbutusvaleError):
+    """A part of a response was about to be sent out of its order."""
+
+    def __init__(self, part: str, expected: str):
+        super().__init__(
+            f'A response got its {part} where {expected} may follow.',
+            'Close the connection, so that the response looks incomplete.',
+        )
--- a/arbutusvale/standins/edge_engine.py
+++ b/arbutusvale/standins/edge_engine.py
@@ -270,7 +270,9 @@
                 status = 500 if fault == 'error' else 404
                 writer.write(
                     raw_server.format_response(
-                        status, response_headers, b'broken'
+                        status,
+                        response_headers,
+                        b'broken' + b'p' * self.padding_bytes,
                     )
                 )
                 return True
--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -13,10 +13,12 @@
 
 import httptools
 
+from arbutusvale import errors
 from arbutusvale.coordination import slow_reader_policy
 from arbutusvale.protocol import proxying
 from arbutusvale.protocol import routing
 from arbutusvale.state import byte_budget
+from arbutusvale.transport import response_encoder
 from arbutusvale.transport import socket_options
 
 # Limit of pipelined data that is buffered while a response is pending.
@@ -32,23 +34,7 @@
 # A response pauses with more unsent data than this.
 MAX_UNSENT_BYTES = 64 * 1024
 
-_REASONS = {
-    200: b'OK',
-    400: b'Bad Request',
-    401: b'Unauthorized',
-    404: b'Not Found',
-    408: b'Request Timeout',
-    413: b'Content Too Large',
-    421: b'Misdirected Request',
-    429: b'Too Many Requests',
-    431: b'Request Header Fields Too Large',
-    500: b'Internal Server Error',
-    502: b'Bad Gateway',
-    503: b'Service Unavailable',
-    504: b'Gateway Timeout',
-}
 _SINGLE_HEADERS = frozenset((b'host', b'content-length', b'transfer-encoding'))
-_BODILESS_STATUSES = (204, 304)
 
 Serve = Callable[[proxying.CallerRequest, 'CallerConnection'], Awaitable[None]]
 
@@ -214,8 +200,9 @@
         self.has_small_buffer = False
         # Unlike head_bytes, includes what the parser hasn't reported yet.
         self.raw_head_bytes = 0
+        self.response = response_encoder.ResponseEncoder(False, False)
+        self.was_paused = False
         self._reset_request()
-        self._reset_response()
 
     # Called by asyncio.
 
@@ -422,50 +409,42 @@
 
     # Called by the request handler.
 
+    @property
+    def started(self) -> bool:
+        """Whether the response in flight has a head."""
+        return self.response.started
+
+    @property
+    def finished(self) -> bool:
+        """Whether the response in flight is complete."""
+        return self.response.finished
+
     def send_response(
         self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
     ) -> None:
         """Send a complete response."""
-        self.started = True
-        self.finished = True
-        lines = self._format_head(status, headers)
-        if status not in _BODILESS_STATUSES:
-            lines.append(b'Content-Length: %d\r\n' % len(body))
-        lines.append(b'\r\n')
-        if not self.is_head_request and status not in _BODILESS_STATUSES:
-            lines.append(body)
-        self._write(b''.join(lines))
+        self._send(
+            self.response.encode_whole, status, headers, body, self._closes()
+        )
 
     def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         """Send the head of a response of unknown length."""
-        self.started = True
-        self.chunked = not self.is_http_1_0
-        if self.is_http_1_0:
+        if self.response.is_http_1_0:
             self.close_after_response = True
-        lines = self._format_head(status, headers)
-        if self.chunked:
-            lines.append(b'Transfer-Encoding: chunked\r\n')
-        lines.append(b'\r\n')
-        self._write(b''.join(lines))
+        self._send(self.response.encode_head, status, headers, self._closes())
 
     def write(self, data: bytes) -> None:
-        """Send a chunk of the body."""
-        if not data:
-            return
-        if self.chunked:
-            data = b'%x\r\n%b\r\n' % (len(data), data)
-        self._write(data)
+        """Send a piece of the body."""
+        self._send(self.response.encode_body, data)
 
     def finish(self) -> None:
         """Mark the body as complete."""
-        self.finished = True
-        if self.chunked:
-            self._write(b'0\r\n\r\n')
+        self._send(self.response.encode_end)
 
     def abort(self) -> None:
         """Close the connection, so that no response looks complete."""
         if self.transport is not None and not self.disconnected:
-            if self.started and not self.chunked:
+            if self.started and not self.response.chunked:
                 # Only a reset differs from the end of such a body.
                 raw_socket = self.transport.get_extra_info('socket')
                 socket_options.reset_on_close(raw_socket)
@@ -514,12 +493,14 @@
         self.is_http_1_0 = False
         self.received_at: float | None = None
 
-    def _reset_response(self) -> None:
-        """Reset the state for the next response."""
-        self.started = False
-        self.finished = False
-        self.chunked = False
-        self.is_head_request = False
+    def _begin_response(self, is_head_request: bool = False) -> None:
+        """Begin the next response, if the last one is complete."""
+        if self.started and not self.finished:
+            self.abort()
+            raise errors.ResponseOrderError('successor', 'its end')
+        self.response = response_encoder.ResponseEncoder(
+            is_head_request, self.is_http_1_0
+        )
         self.was_paused = False
 
     def _parse(self, data: bytes) -> None:
@@ -549,8 +530,7 @@
     def _start_next_request(self) -> None:
         """Start serving the first request of the queue."""
         request = self.request_queue.popleft()
-        self._reset_response()
-        self.is_head_request = request.method == b'HEAD'
+        self._begin_response(request.method == b'HEAD')
         self.task = self.loop.create_task(self._serve(request))
 
     async def _serve(self, request: proxying.CallerRequest) -> None:
@@ -614,7 +594,7 @@
         self.server.write_event(
             'unreadable', status=status, bytes=self.head_bytes
         )
-        self._reset_response()
+        self._begin_response()
         self.close_after_response = True
         headers = [(b'retry-after', b'0.5')] if status == 503 else []
         self.send_response(status, headers, b'{"error":"unreadable"}\n')
@@ -637,18 +617,25 @@
 
     # Writing.
 
-    def _format_head(
-        self, status: int, headers: list[tuple[bytes, bytes]]
-    ) -> list[bytes]:
-        """Return the lines of a response head, without the empty last one."""
+    def _closes(self) -> bool:
+        """Return whether the connection ends after this response."""
         if self.server.draining:
             self.close_after_response = True
-        reason = _REASONS.get(status, b'Status')
-        lines = [b'HTTP/1.1 %d %b\r\n' % (status, reason)]
-        lines.extend(b'%b: %b\r\n' % header for header in headers)
-        if self.close_after_response:
-            lines.append(b'Connection: close\r\n')
-        return lines
+        return self.close_after_response
+
+    def _send(self, encode: Callable[..., bytes], *arguments: object) -> None:
+        """Encode a part of the response and write it.
+
+        A part out of order would be taken for a part of the body, so the
+        connection is closed in its place.
+        """
+        try:
+            data = encode(*arguments)
+        except errors.ResponseOrderError:
+            self.abort()
+            raise
+        if data:
+            self._write(data)
 
     def _write(self, data: bytes) -> None:
         """Write unless the caller has disconnected."""
--- /dev/null
+++ b/tests/coordination/test_edge_relay.py
@@ -0,0 +1,177 @@
+"""Responses of servers that break off, on their way to a caller."""
+
+import asyncio
+import types
+
+import pytest
+
+from arbutusvale.coordination import edge_relay
+from arbutusvale.coordination import edge_requests
+from arbutusvale.coordination import event_stream
+from arbutusvale.platform import headers
+from arbutusvale.state import byte_budget
+from arbutusvale.transport import http_connection
+from arbutusvale.transport import response_encoder
+from tests import helpers_edge
+
+SERVER = helpers_edge.make_server('s')
+LIMIT_BYTES = 10_000_000
+IDENTITY = (
+    b'X-Arbutusvale-Attempt-Id: a\r\nX-Arbutusvale-Engine-Signature: s\r\n'
+)
+EVENTS = b'id: 1\ndata: one\n\n'
+
+
+class Transport:
+    """A transport of a connection to a server; written bytes are lost."""
+
+    def get_extra_info(self, name):
+        return None
+
+    def write(self, data):
+        pass
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def pause_reading(self):
+        pass
+
+    def resume_reading(self):
+        pass
+
+    def abort(self):
+        pass
+
+
+class Caller:
+    """A caller's response, as the bytes that were written of it."""
+
+    def __init__(self, method=b'GET'):
+        self.encoder = response_encoder.ResponseEncoder(
+            method == b'HEAD', False
+        )
+        self.received = b''
+        self.aborted = False
+
+    @property
+    def started(self):
+        return self.encoder.started
+
+    def send_response(self, status, fields, body):
+        self.received += self.encoder.encode_whole(status, fields, body, False)
+
+    def start(self, status, fields):
+        self.received += self.encoder.encode_head(status, fields, False)
+
+    def write(self, data):
+        self.received += self.encoder.encode_body(data)
+
+    def finish(self):
+        self.received += self.encoder.encode_end()
+
+    def abort(self):
+        self.aborted = True
+
+    async def wait_until_drained(self):
+        pass
+
+
+class Crashes:
+    """A crash tracker that takes each server for alive."""
+
+    async def has_crashed(self, server):
+        return False
+
+
+def make_relay(caller, connection, method, is_stream, held_bytes=0):
+    """Return a relay to a caller that resumes after the event 3."""
+    held = byte_budget.ByteBudget(LIMIT_BYTES, LIMIT_BYTES // 2)
+    held.change(held_bytes)
+    context = types.SimpleNamespace(
+        clock=asyncio.get_running_loop().time,
+        codec=headers,
+        crashes=Crashes(),
+        held=held,
+        last_received_at={},
+    )
+    request = types.SimpleNamespace(
+        caller_request=types.SimpleNamespace(method=method),
+        deadline=context.clock() + 60,
+        metadata=types.SimpleNamespace(attempt_id='a'),
+        pool='chat',
+        route=types.SimpleNamespace(
+            is_stream=is_stream, resumable=is_stream, retryable=True
+        ),
+    )
+    reporter = types.SimpleNamespace(
+        context=context,
+        request=request,
+        record_mismatched_response=lambda *details: None,
+        record_response_head=lambda *details: None,
+    )
+    return edge_relay.ResponseRelay(
+        reporter,
+        caller,
+        event_stream.EventBuffer(3 if caller.started else None),
+        edge_relay.Alternatives(lambda: False, list),
+        lambda: None,
+        SERVER,
+        connection,
+        0,
+    )
+
+
+async def relay_response(caller, pieces, error, method, is_stream, **changes):
+    """Relay a response that comes in pieces and ends with its connection.
+
+    Return the outcome; it is the second response on its connection.
+    """
+    connection = http_connection.HttpConnection()
+    connection.connection_made(Transport())
+    first = connection.send(b'x', http_connection.decode_status)
+    connection.data_received(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+    assert first.ended
+    assert connection.release()
+    relay = make_relay(caller, connection, method, is_stream, **changes)
+    task = asyncio.create_task(relay.run(b'x'))
+    await asyncio.sleep(0)
+    for piece in pieces:
+        connection.data_received(piece)
+    connection.connection_lost(error)
+    async with asyncio.timeout(5):
+        return (await task).outcome
+
+
+# Its head and text came in the middle of the caller's stream.
+@pytest.mark.parametrize('held_share', [0.0, 1.0])
+@pytest.mark.parametrize('size', [0, 1, 300_000])
+@pytest.mark.parametrize('status', [200, 400, 500, 503])
+def test_error_in_a_resumption_is_not_passed_on(status, size, held_share):
+    fields = (
+        IDENTITY if status != 200 else IDENTITY[: IDENTITY.index(b'\n') + 1]
+    )
+    head = b'HTTP/1.1 %d Status\r\n%bContent-Length: %d\r\n\r\n' % (
+        status, fields, size,
+    )  # fmt: skip
+
+    async def run():
+        caller = Caller()
+        caller.start(200, [])
+        caller.write(EVENTS)
+        before = caller.received
+        outcome = await relay_response(
+            caller,
+            [head]
+            + [b'e' * 10_000] * (size // 10_000)
+            + [b'e' * (size % 10_000)],
+            None,
+            b'GET',
+            True,
+            held_bytes=int(held_share * LIMIT_BYTES),
+        )
+        assert isinstance(outcome, edge_requests.Failed)
+        assert caller.received == before
+        assert not caller.encoder.finished
+
+    asyncio.run(run())
--- a/tests/platform/test_edge_path.py
+++ b/tests/platform/test_edge_path.py
@@ -202,6 +202,34 @@
         edge.router.send_request('/stream/x', 'POST', b'p')
 
 
+# An error larger than the buffers came in the middle of the stream.
+@pytest.mark.parametrize('fault', ['error', 'not-found'])
+@pytest.mark.parametrize('padding_bytes', [0, 300_000])
+def test_stream_never_holds_the_error_of_a_resumption(
+    edge, fault, padding_bytes
+):
+    first_fault = ['stream-cut']
+    for engine in edge.engines.values():
+        engine.stream_prefix = '/stream/'
+        engine.padding_bytes = padding_bytes
+        engine.faults = first_fault
+        engine.default_fault = fault
+    with edge.router.connect() as connection:
+        connection.sendall(
+            b'POST /stream/x HTTP/1.1\r\nHost: fleet.example\r\n'
+            b'X-Arbutusvale-Attempt-Id: a\r\nContent-Length: 0\r\n'
+            b'Authorization: Bearer key-1\r\n\r\n'
+        )
+        received = b''
+        while data := connection.recv(1 << 20):
+            received += data
+    assert received.count(b'HTTP/1.1 ') == 1
+    assert received.endswith(b'piece 2\n\n\r\n')
+    edge.router.wait_for_log(
+        f'cause=status-{500 if fault == "error" else 404}'
+    )
+
+
 # The end of its connection was taken for the end of the stream.
 def test_unframed_stream_that_ends_inside_an_event_never_looks_complete(edge):
     for engine in edge.engines.values():
