Send no body where a response has none

What callers saw: after a HEAD request to a route of streams the next response on the connection began with bytes of a chunk.

Cause: the head of a response of unknown length announced chunks, and its body was sent, whatever the method and status; only whole responses looked at the method. They said Content-Length: 0 to HEAD.

Evidence: test_connection_is_of_use_after_a_head_request fails on (BadStatusLine: 15).

Why this works: the encoder of a response knows from method and status whether a body may follow, and gives no byte of one; it is the only source of what is sent.

--- a/arbutusvale/transport/response_encoder.py
+++ b/arbutusvale/transport/response_encoder.py
@@ -65,7 +65,10 @@
         """Return a complete response; ``closes`` ends the connection."""
         lines = self._begin(status, headers, closes)
         self.next_part = ResponsePart.NOTHING
-        if status not in _BODILESS_STATUSES:
+        # The length of what isn't sent is known to the server alone.
+        if status not in _BODILESS_STATUSES and (
+            body or not self.is_head_request
+        ):
             lines.append(b'Content-Length: %d\r\n' % len(body))
         lines.append(b'\r\n')
         if not self.bodiless:
@@ -81,7 +84,7 @@
         """
         lines = self._begin(status, headers, closes or self.is_http_1_0)
         self.next_part = ResponsePart.BODY
-        self.chunked = not self.is_http_1_0
+        self.chunked = not self.is_http_1_0 and not self.bodiless
         if self.chunked:
             lines.append(b'Transfer-Encoding: chunked\r\n')
         lines.append(b'\r\n')
@@ -90,7 +93,7 @@
     def encode_body(self, data: bytes) -> bytes:
         """Return a piece of the body, as a chunk if it has chunks."""
         self._require(ResponsePart.BODY)
-        if not data:
+        if self.bodiless or not data:
             return b''
         if self.chunked:
             return b'%x\r\n%b\r\n' % (len(data), data)
--- a/tests/platform/test_edge_path.py
+++ b/tests/platform/test_edge_path.py
@@ -313,6 +313,29 @@
     assert (status, body) == (200, b'')
 
 
+# What followed the head was read as the next response.
+@pytest.mark.parametrize('path', ['/talk/x', '/chat/x'])
+def test_connection_is_of_use_after_a_head_request(edge, path):
+    for engine in edge.engines.values():
+        engine.stream_prefix = '/talk/'
+    connection = http.client.HTTPConnection(
+        edge.router.host, edge.caller_port, timeout=5
+    )
+    for number, method in enumerate(('HEAD', 'POST')):
+        connection.request(
+            method,
+            path,
+            headers={
+                'Host': 'fleet.example',
+                'X-Arbutusvale-Attempt-Id': f'a{number}',
+                'Authorization': 'Bearer key-1',
+            },
+        )
+        answer = connection.getresponse()
+        assert answer.status == 200
+        assert bool(answer.read()) == (method == 'POST')
+
+
 def test_reset_within_an_unframed_body_is_not_answered(edge):
     set_engine_faults(edge, 'unframed-reset')
     assert edge.router.send_request('/once/x', 'POST', b'b')[0] == 502
--- a/tests/transport/test_response_encoder.py
+++ b/tests/transport/test_response_encoder.py
@@ -2,13 +2,67 @@
 
 import asyncio
 
+import httptools
+from hypothesis import given
+from hypothesis import strategies
 import pytest
 
 from arbutusvale import errors
 from arbutusvale.protocol import routing
 from arbutusvale.transport import edge_server
+from arbutusvale.transport import response_encoder
 from tests import helpers_edge
 
+CALLS = {
+    'head': lambda encoder: encoder.encode_head(200, [], False),
+    'empty-head': lambda encoder: encoder.encode_head(204, [], False),
+    'body': lambda encoder: encoder.encode_body(b'HTTP/1.1 200 OK\r\n\r\n'),
+    'end': lambda encoder: encoder.encode_end(),
+    'whole': lambda encoder: encoder.encode_whole(502, [], b'error', False),
+}
+
+
+class Parser:
+    """A caller's parser, which counts heads and complete responses."""
+
+    def __init__(self):
+        self.heads = 0
+        self.ends = 0
+        self.parser = httptools.HttpResponseParser(self)
+
+    def on_headers_complete(self):
+        self.heads += 1
+
+    def on_message_complete(self):
+        self.ends += 1
+
+
+# The end of a chunked body was sent to HEAD, and began the next response.
+@given(
+    strategies.lists(strategies.sampled_from(sorted(CALLS)), max_size=8),
+    strategies.booleans(),
+    strategies.booleans(),
+)
+def test_caller_reads_one_response_whatever_is_called(names, is_head, is_old):
+    encoder = response_encoder.ResponseEncoder(is_head, is_old)
+    sent = b''
+    for name in names:
+        try:
+            sent += CALLS[name](encoder)
+        except errors.ResponseOrderError:
+            assert encoder.started or name in ('body', 'end')
+    head, _, body = sent.partition(b'\r\n\r\n')
+    assert bool(head) == encoder.started
+    if is_head or head.startswith(b'HTTP/1.1 204'):
+        assert body == b''
+    elif not encoder.chunked and encoder.started and is_old:
+        assert head.startswith(b'HTTP/1.1 502') or b'close' in head
+    else:
+        parser = Parser()
+        parser.parser.feed_data(sent)
+        assert parser.heads == encoder.started
+        assert parser.ends == encoder.finished
+
 
 class Transport(asyncio.Transport):
     """A transport that keeps what is written until it is closed."""
