Prove that no head that breaks off is a response

Operators of a like system saw an empty 200 where an engine had stopped inside its head.

Nothing is answered before a head is whole, and nothing that is framed looks complete before its end.

--- a/tests/coordination/test_edge_relay.py
+++ b/tests/coordination/test_edge_relay.py
@@ -1,6 +1,7 @@
 """Responses of servers that break off, on their way to a caller."""
 
 import asyncio
+import itertools
 import types
 
 import pytest
@@ -20,6 +21,34 @@
     b'X-Arbutusvale-Attempt-Id: a\r\nX-Arbutusvale-Engine-Signature: s\r\n'
 )
 EVENTS = b'id: 1\ndata: one\n\n'
+CHUNKED = b'Transfer-Encoding: chunked\r\n'
+# Status and method, what precedes the head, its framing, and the body.
+RESPONSES = {
+    'length': (200, b'GET', b'', b'Content-Length: 17\r\n', EVENTS),
+    'chunks': (
+        200, b'GET', b'', CHUNKED, b'11\r\n' + EVENTS + b'\r\n0\r\n\r\n',
+    ),
+    'trailers': (
+        200, b'GET', b'', CHUNKED + b'Trailer: X-End\r\n',
+        b'11\r\n' + EVENTS + b'\r\n0\r\nX-End: 1\r\n\r\n',
+    ),
+    'close': (200, b'GET', b'', b'', EVENTS),
+    'interim': (
+        200, b'GET', b'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n',
+        b'Content-Length: 17\r\n', EVENTS,
+    ),
+    'interim-like': (
+        200, b'GET', b'HTTP/1.1 103 Early Hints\r\n' + IDENTITY + b'\r\n',
+        CHUNKED, b'11\r\n' + EVENTS + b'\r\n0\r\n\r\n',
+    ),
+    'head': (200, b'HEAD', b'', b'Content-Length: 17\r\n', b''),
+    'head-chunks': (200, b'HEAD', b'', CHUNKED, b''),
+    'head-close': (200, b'HEAD', b'', b'', b''),
+    'no-content': (204, b'GET', b'', b'', b''),
+    'no-content-interim': (
+        204, b'GET', b'HTTP/1.1 100 Continue\r\n\r\n', b'', b'',
+    ),
+}  # fmt: skip
 
 
 class Transport:
@@ -143,6 +172,39 @@
         return (await task).outcome
 
 
+# A server that stopped inside its head was answered as an empty 200.
+@pytest.mark.parametrize('is_stream', [False, True])
+@pytest.mark.parametrize('kind', RESPONSES)
+def test_head_that_breaks_off_is_no_response(kind, is_stream):
+    status, method, before, framing, body = RESPONSES[kind]
+    head = before + b'HTTP/1.1 %d OK\r\n' % status
+    head += IDENTITY + framing + b'\r\n'
+    data = head + body
+
+    async def run():
+        for size, error in itertools.product(
+            range(len(data) + 1), (None, ConnectionResetError())
+        ):
+            caller = Caller(method)
+            # The last byte comes alone if the connection is closed.
+            split = size if error else max(0, size - 1)
+            pieces = (data[:split], data[split:size])
+            outcome = await relay_response(
+                caller, filter(None, pieces), error, method, is_stream
+            )
+            is_delivered = isinstance(outcome, edge_requests.Delivered)
+            if size < len(head):
+                assert not is_delivered, data[:size]
+                assert caller.received == b''
+            elif size == len(data) and not (error and kind == 'close'):
+                assert is_delivered
+            elif kind != 'close' or error:
+                assert not is_delivered, data[:size]
+                assert not caller.encoder.finished
+
+    asyncio.run(run())
+
+
 # Its head and text came in the middle of the caller's stream.
 @pytest.mark.parametrize('held_share', [0.0, 1.0])
 @pytest.mark.parametrize('size', [0, 1, 300_000])
