Begin nothing that a stop would cut, and answer what runs at its end

What callers saw: in a planned stop of one router requests that waited for engines (a pause, a turn at engines with limits) were sent late in the grace time or never, and their connections closed at its end without an answer, orders that must not repeat among them; so were requests that ran by then, new ones that couldn't end in time, and uploads.

Cause: the shutdown knew phases of the process; a request knew its own deadline alone. Each wait and each sending compared with that, and at the end of the grace time the program returned with whatever was left.

Why this works: a stop gives all requests the time by which what waits has to be sent and by which what runs ends. Each wait and each sending adds the expected run time and refuses what doesn't fit, at once, as not run. All requests in flight run under a timer that is set to the end; it ends an attempt like a caller that leaves, and its response says whether a server may have run it.

The expected run time is smoothed as RFC 6298 does with round trips; what must not repeat is held to an upper bound of it.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -112,6 +112,9 @@
             self.clock,
         )
         self.stopping_since: float | None = None
+        self.shutdown_schedule = edge_shutdown.ShutdownSchedule(
+            settings.bounds.grace_s
+        )
         self.stopped = asyncio.Event()
         self.warmups_by_pool: dict[str, warmup_shares.Warmup] = {}
         self.warmups_version = 0
@@ -413,7 +416,10 @@
             server.close()
         for task in tasks:
             task.cancel()
-        self.events.write('stop', cut=self.router.active_requests)
+        self.events.write(
+            'stop',
+            cut=self.router.cut_requests + self.router.active_requests,
+        )
         self.events.flush()
         return 0
 
@@ -449,7 +455,6 @@
 
     async def _run_periodic_checks(self) -> None:
         """Drop expired servers and advance the shutdown, until cancelled."""
-        schedule = edge_shutdown.ShutdownSchedule(self.settings.bounds.grace_s)
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             self.server_view.expire()
@@ -458,7 +463,7 @@
             if self.stopping_since is None:
                 continue
             elapsed_s = self.clock() - self.stopping_since
-            phase = schedule.phase_at(
+            phase = self.shutdown_schedule.phase_at(
                 elapsed_s,
                 self.router.active_requests,
                 len(self.caller_server.connections),
@@ -466,6 +471,7 @@
             match phase:
                 case edge_shutdown.ShutdownPhase.REFUSING:
                     self.router.refuse_new = True
+                    self.caller_server.refuse_unread()
                 case edge_shutdown.ShutdownPhase.CLOSING:
                     self.caller_server.close_idle()
                 case edge_shutdown.ShutdownPhase.ENDED:
@@ -476,6 +482,9 @@
         if self.stopping_since is not None:
             return
         self.stopping_since = self.clock()
+        self.router.shut_down(
+            self.shutdown_schedule.limit_work(self.stopping_since)
+        )
         self.caller_server.draining = True
         self.peers.leaving = True
         self.events.write('stopping', active=self.router.active_requests)
--- a/arbutusvale/coordination/edge_admission.py
+++ b/arbutusvale/coordination/edge_admission.py
@@ -75,6 +75,46 @@
         )
 
 
+def may_run(
+    context: edge_context.EdgeContext, request: edge_requests.RoutedRequest
+) -> bool:
+    """Return whether a request that is sent now ends before this router."""
+    limits = context.work_limits
+    return limits is None or limits.permits_run(
+        context.clock(), _expected_run_time_s(context, request)
+    )
+
+
+def may_wait(
+    context: edge_context.EdgeContext,
+    request: edge_requests.RoutedRequest,
+    wait_s: float,
+) -> bool:
+    """Return whether a request may wait for a server at this router."""
+    limits = context.work_limits
+    return limits is None or limits.permits_wait(
+        context.clock(), wait_s, _expected_run_time_s(context, request)
+    )
+
+
+def _expected_run_time_s(
+    context: edge_context.EdgeContext, request: edge_requests.RoutedRequest
+) -> float:
+    """Return how long a request may take at a server, in seconds.
+
+    It is an upper bound for one that must not run twice: the caller could do
+    nothing with an unknown outcome.
+    """
+    route = request.route
+    times = context.run_times
+    run_time_s = (
+        times.average_s(route.name)
+        if route.retryable
+        else times.upper_bound_s(route.name)
+    )
+    return route.target_latency_s if run_time_s is None else run_time_s
+
+
 def take_room(
     context: edge_context.EdgeContext, request: edge_requests.RoutedRequest
 ) -> None:
--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -75,6 +75,8 @@
         self.refused_wait_s = 0.0
         # Whether the next attempt has a place in the retry budget.
         self.retry_reserved = False
+        # Whether it can't be served before this router ends.
+        self.is_stopped = False
 
     async def run(self) -> None:
         """Send the request until it has a response or no attempt is left."""
@@ -114,6 +116,8 @@
                     continue
                 self._end_unanswered(cause or self._no_server_cause())
                 return
+            if not self._may_run():
+                break
             self._stop_waiting()
             self._reserve(placement.server)
             self.tried_servers.append(placement.server.id)
@@ -166,6 +170,11 @@
                 break
         self._end_unanswered('deadline')
 
+    def end_at_shutdown(self) -> None:
+        """End the request, as this router ends."""
+        self.is_stopped = True
+        self._end_unanswered('deadline')
+
     def _time_left_s(self) -> float:
         """Return the seconds until the deadline."""
         return self.request.deadline - self.context.clock()
@@ -219,6 +228,8 @@
         )
         if wait_s is None or self.attempts >= self.request.route.max_attempts:
             return False
+        if not self._may_wait(wait_s):
+            return False
         service_time_s = self.context.typical_service_times.average_s(
             self.request.route.name
         )
@@ -246,6 +257,8 @@
         while self.context.clock() < wait_until:
             if not edge_placement.is_being_read(self.context, self.request):
                 break
+            if not self._may_wait():
+                break
             await asyncio.sleep(READ_CHECK_INTERVAL_S)
         waited_s = self.context.clock() - started_at
         if waited_s >= READ_CHECK_INTERVAL_S:
@@ -268,7 +281,7 @@
         edge_admission.release_room(self.context, self.request)
         while not edge_admission.has_room(self.context, self.request):
             self.request.late |= self.context.clock() > late_at
-            if self._time_left_s() < MIN_TIME_S:
+            if self._time_left_s() < MIN_TIME_S or not self._may_wait():
                 return False
             await asyncio.sleep(ROOM_CHECK_INTERVAL_S)
         edge_admission.take_room(self.context, self.request)
@@ -277,6 +290,23 @@
             self.reporter.record_room_wait(waited_s)
         return True
 
+    def _may_run(self) -> bool:
+        """Return whether to send the request before this router ends.
+
+        A stream that has begun goes on as long as it can.
+        """
+        self.is_stopped = not self.caller.started and (
+            not edge_admission.may_run(self.context, self.request)
+        )
+        return not self.is_stopped
+
+    def _may_wait(self, wait_s: float = 0.0) -> bool:
+        """Return whether to wait for a server before this router ends."""
+        self.is_stopped = not self.caller.started and (
+            not edge_admission.may_wait(self.context, self.request, wait_s)
+        )
+        return not self.is_stopped
+
     def _stop_waiting(self) -> None:
         """Leave the line of requests that wait for a server."""
         if self.ticket is not None:
@@ -342,6 +372,7 @@
     ) -> edge_requests.Outcome:
         """Make one attempt: send the request and relay the response."""
         server = placement.server
+        sent_at = self.context.clock()
         self.attempts += 1
         self.reporter.log_placement(
             placement, self.attempts, self.event_buffer.last_event_id
@@ -366,7 +397,8 @@
             if isinstance(relay_result.outcome, edge_requests.Delivered):
                 self._finish_reading(placement)
         except asyncio.CancelledError:
-            self.reporter.record_caller_gone(server)
+            self.possibly_executed = True
+            self.reporter.record_cancelled(server)
             raise
         finally:
             self._abandon_reading(placement)
@@ -380,8 +412,22 @@
             self.event_buffer.last_event_id,
         )
         self.event_buffer.discard_partial()
+        if self.attempts == 1 and not self.request.resumes_stream:
+            self._record_run_time(relay_result.outcome, sent_at)
         return relay_result.outcome
 
+    def _record_run_time(
+        self, outcome: edge_requests.Outcome, sent_at: float
+    ) -> None:
+        """Record how long a request took that succeeded."""
+        match outcome:
+            case edge_requests.Delivered('answered', status) if (
+                status in edge_reporter.SUCCESSES
+            ):
+                self.context.run_times.record(
+                    self.request.route.name, self.context.clock() - sent_at
+                )
+
     def _encode_request(self, placement: edge_placement.Placement) -> bytes:
         """Return the request as bytes for the chosen server."""
         parameters = proxying.AttemptParameters(
@@ -513,6 +559,8 @@
 
     def _end_unanswered(self, cause: str) -> None:
         """End the request without a response from a server."""
+        if self.is_stopped:
+            cause = 'stopping'
         if self.caller.started:
             self.caller.abort()
             self._end(f'cut-{cause}', 0)
--- a/arbutusvale/coordination/edge_context.py
+++ b/arbutusvale/coordination/edge_context.py
@@ -8,6 +8,7 @@
 
 from arbutusvale.coordination import config_view
 from arbutusvale.coordination import crash_tracker
+from arbutusvale.coordination import edge_shutdown
 from arbutusvale.coordination import holder_exchange
 from arbutusvale.coordination import origin_exchange
 from arbutusvale.coordination import outlier_detection
@@ -93,6 +94,10 @@
     typical_service_times: service_times.ServiceTimes = dataclasses.field(
         default_factory=service_times.ServiceTimes
     )
+    # Seconds from sending a request until its whole response, by route.
+    run_times: service_times.RunTimes = dataclasses.field(
+        default_factory=service_times.RunTimes
+    )
     # Seconds for one token of a prompt until the first byte, by pool.
     reading_times: service_times.ServiceTimes = dataclasses.field(
         default_factory=service_times.ServiceTimes
@@ -113,6 +118,8 @@
     demand: pool_demand.PoolDemand = dataclasses.field(
         default_factory=pool_demand.PoolDemand
     )
+    # Until when this router works; None unless it was told to stop.
+    work_limits: edge_shutdown.WorkLimits | None = None
 
     # What is in memory for callers and servers.
     held: byte_budget.ByteBudget = dataclasses.field(
--- a/arbutusvale/coordination/edge_reporter.py
+++ b/arbutusvale/coordination/edge_reporter.py
@@ -213,8 +213,11 @@
             'foreign-answer', answered=response_attempt_id, status=status
         )
 
-    def record_caller_gone(self, server: proxying.BackendServer) -> None:
-        """Record that the caller left before its response was complete."""
+    def record_cancelled(self, server: proxying.BackendServer) -> None:
+        """Record that this router ends, or that the caller has left."""
+        limits = self.context.work_limits
+        if limits is not None and self.context.clock() >= limits.ends_at:
+            return
         self.context.crashes.record_abandoned(
             server, self.request.suspects, self.sent_at
         )
--- a/arbutusvale/coordination/edge_router.py
+++ b/arbutusvale/coordination/edge_router.py
@@ -11,6 +11,7 @@
 from arbutusvale.coordination import edge_call
 from arbutusvale.coordination import edge_context
 from arbutusvale.coordination import edge_requests
+from arbutusvale.coordination import edge_shutdown
 from arbutusvale.coordination import supervisor
 from arbutusvale.protocol import edge_ports
 from arbutusvale.protocol import proxying
@@ -50,6 +51,10 @@
         self.before_request = before_request
         self.active_requests = 0
         self.refuse_new = False
+        # How many requests were ended because this router ended.
+        self.cut_requests = 0
+        # The time limits of the requests in flight.
+        self.timers: set[asyncio.Timeout] = set()
 
     async def serve(
         self,
@@ -66,6 +71,20 @@
             case edge_requests.RoutedRequest():
                 await self._track(decision, caller)
 
+    def shut_down(self, limits: edge_shutdown.WorkLimits) -> None:
+        """End all requests in time, as this router was told to stop."""
+        self.context.work_limits = limits
+        for timer in self.timers:
+            timer.reschedule(self._find_end())
+
+    def _find_end(self) -> float | None:
+        """Return when requests have to end, on the event loop's clock."""
+        limits = self.context.work_limits
+        if limits is None:
+            return None
+        time_left_s = limits.ends_at - self.context.clock()
+        return asyncio.get_running_loop().time() + time_left_s
+
     async def _track(
         self,
         routed_request: edge_requests.RoutedRequest,
@@ -93,11 +112,18 @@
     ) -> None:
         """Forward a request; abort the connection after an internal error."""
         call = edge_call.EdgeCall(self.context, routed_request, caller)
+        timer = asyncio.timeout_at(self._find_end())
+        self.timers.add(timer)
         try:
-            await call.run()
+            async with timer:
+                await call.run()
         except asyncio.CancelledError:
             raise
         except Exception as error:
+            if timer.expired():
+                self.cut_requests += 1
+                call.end_at_shutdown()
+                return
             self.context.metrics.increment('internal_errors')
             self.context.events.write(
                 'internal-error',
@@ -107,6 +133,8 @@
             )
             # No error response, as a server may have run the request.
             caller.abort()
+        finally:
+            self.timers.discard(timer)
 
     def _admit(
         self,
@@ -130,6 +158,8 @@
         routed_request = self._make_routed_request(
             request, metadata, route, key_owner
         )
+        if not edge_admission.may_run(self.context, routed_request):
+            return Refusal(503, 'stopping', 0.0)
         if not self.context.crashes.admits(routed_request.suspects):
             return Refusal(503, 'quarantined', _QUARANTINE_RETRY_S)
         if self.context.servers.is_pool_evacuated(routed_request.pool):
--- a/arbutusvale/state/service_times.py
+++ b/arbutusvale/state/service_times.py
@@ -13,6 +13,10 @@
 # A few dozen requests determine an average, so that it follows a change of
 # load within seconds.
 _SMOOTHING = 0.1
+# The gains and the factor of RFC 6298.
+_AVERAGE_GAIN = 1 / 8
+_DEVIATION_GAIN = 1 / 4
+_BOUND_DEVIATIONS = 4
 # Covers a few dozen completions at a router's usual traffic.
 _WINDOW_S = 1.0
 # An engine with all slots in use takes three times as long for a token as
@@ -43,6 +47,43 @@
         return self.averages.get(key, 0.0)
 
 
+class RunTimes:
+    """Smoothed run times and their mean deviations, in seconds.
+
+    Both are computed like the round-trip times of RFC 6298.  A key is a route.
+    """
+
+    def __init__(self) -> None:
+        self.estimates: bounded_map.BoundedMap[tuple[float, float]] = (
+            bounded_map.BoundedMap(MAX_KEYS)
+        )
+
+    def record(self, key: str, seconds: float) -> None:
+        """Add the run time of one request."""
+        average, deviation = self.estimates.get(key, (seconds, seconds / 2))
+        error = seconds - average
+        self.estimates.put(
+            key,
+            (
+                average + _AVERAGE_GAIN * error,
+                deviation + _DEVIATION_GAIN * (abs(error) - deviation),
+            ),
+        )
+
+    def average_s(self, key: str) -> float | None:
+        """Return the average, None if none is recorded."""
+        estimate = self.estimates.get(key, None)
+        return None if estimate is None else estimate[0]
+
+    def upper_bound_s(self, key: str) -> float | None:
+        """Return what few run times exceed, None if none is recorded."""
+        estimate = self.estimates.get(key, None)
+        if estimate is None:
+            return None
+        average, deviation = estimate
+        return average + _BOUND_DEVIATIONS * deviation
+
+
 class LatencyEstimator:
     """Current latency of a pool, by Little's law.
 
--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -167,6 +167,11 @@
             connection.is_idle() for connection in self.connections
         )
 
+    def refuse_unread(self) -> None:
+        """Refuse the requests that haven't been received in full."""
+        for connection in list(self.connections):
+            connection.refuse_unread()
+
     def close_idle(self) -> None:
         """Close the connections without a request."""
         for connection in list(self.connections):
@@ -289,6 +294,15 @@
         if self.is_idle():
             self._close_gracefully()
 
+    def refuse_unread(self) -> None:
+        """Refuse a request that is being received, as this router stops."""
+        if self.task is not None or self.received_at is None or self.closing:
+            return
+        self.server.write_event(
+            'refused', status=503, cause='stopping', bytes=self.body_size
+        )
+        self._end_unread(503, b'stopping')
+
     def close_now(self) -> None:
         """Close at once, to free capacity for a new connection."""
         self.closing = True
@@ -586,18 +600,22 @@
 
     def _reject(self, status: int) -> None:
         """Respond with an error to an invalid request, and close."""
+        self.server.write_event(
+            'unreadable', status=status, bytes=self.head_bytes
+        )
+        self._end_unread(status, b'unreadable')
+
+    def _end_unread(self, status: int, cause: bytes) -> None:
+        """Respond with an error to a request that isn't served, and close."""
         self.error_status = status
         if self.received_at is not None:
             self.server.budget.change(-self.body_size)
             self.body_size = 0
             self.body = []
-        self.server.write_event(
-            'unreadable', status=status, bytes=self.head_bytes
-        )
         self._begin_response()
         self.close_after_response = True
         headers = [(b'retry-after', b'0.5')] if status == 503 else []
-        self.send_response(status, headers, b'{"error":"unreadable"}\n')
+        self.send_response(status, headers, b'{"error":"%b"}\n' % cause)
         self._close_gracefully()
 
     def _expects_continue(self) -> bool:
--- /dev/null
+++ b/tests/platform/test_edge_stop.py
@@ -0,0 +1,195 @@
+"""Requests that wait, run or arrive while an edge router is stopped."""
+
+import concurrent.futures
+import http.client
+import signal
+import time
+
+import pytest
+
+from tests import edge_fleet
+from tests import helpers_edge
+
+pytestmark = pytest.mark.process
+
+GRACE_S = 8.0
+# The grace time, and a process that ends.
+END_S = GRACE_S + 1.0
+# The router looks at waiting requests ten times a second.
+AT_ONCE_S = 0.5
+LIMITS = {'TimeoutMs': 30_000, 'TargetLatencyMs': 1000, 'MaxAttempts': 2}
+ROUTES = [
+    helpers_edge.make_route(**LIMITS),
+    helpers_edge.make_route(
+        'once', '/once/', RouteType='non_idempotent', **LIMITS
+    ),
+    helpers_edge.make_route('talk', '/talk/', RouteType='streaming', **LIMITS),
+    helpers_edge.make_route(
+        'long',
+        '/long/',
+        RouteType='non_idempotent',
+        **(LIMITS | {'TargetLatencyMs': 9000}),
+    ),
+]
+
+
+@pytest.fixture
+def edge(fleet):
+    """A configured fleet of one router and two engines."""
+    fleet.publish_config(
+        routes=ROUTES,
+        Limits={
+            'MaxHeaderBytes': 4096,
+            'MaxBodyBytes': 65536,
+            'HeaderTimeoutMs': 15_000,
+            'IdleTimeoutMs': 15_000,
+        },
+    )
+    for name in ('e1', 'e2'):
+        fleet.add_engine(name).stream_prefix = '/talk/'
+    fleet.router = fleet.add_router()
+    for name in fleet.engines:
+        fleet.router.wait_for_log(f'event=server-listed server={name} ')
+    return fleet
+
+
+def send_timed(fleet, path):
+    """Send a request; return status, headers and body, and when it ended."""
+    try:
+        answer = fleet.router.send_request(
+            path,
+            'POST',
+            b'b',
+            timeout=20,
+            X_Arbutusvale_Deadline_Ms='20000',
+        )
+    except (OSError, http.client.HTTPException) as error:
+        answer = (0, {}, repr(error).encode())
+    return *answer, time.monotonic()
+
+
+def pause_engines(fleet, seconds):
+    """Let each engine ask the router for a pause."""
+    for engine in fleet.engines.values():
+        engine.faults = [f'pause={seconds}']
+    fleet.router.send_request('/chat/x')
+    assert not any(engine.faults for engine in fleet.engines.values())
+    for engine in fleet.engines.values():
+        engine.received.clear()
+
+
+# They were sent late in the grace time, or never, and cut without an answer.
+@pytest.mark.parametrize('pause_s', [5.0, 7.0, 12.0])
+def test_request_that_waits_too_long_is_refused_at_once(edge, pause_s):
+    pause_engines(edge, pause_s)
+    with concurrent.futures.ThreadPoolExecutor(6) as pool:
+        sent = [
+            pool.submit(send_timed, edge, path)
+            for path in ('/chat/x', '/once/x', '/talk/x') * 2
+        ]
+        edge_fleet.wait_for(
+            lambda: edge.router.read_log().count('event=pause-wait') == 6,
+            'six requests that wait',
+        )
+        stopped_at = time.monotonic()
+        edge.router.send_signal(signal.SIGTERM)
+        answers = [future.result() for future in sent]
+    for status, headers, body, ended_at in answers:
+        assert (status, body) == (503, b'{"error":"stopping"}\n')
+        assert 0 < float(headers['retry-after']) < 1
+        assert ended_at - stopped_at < AT_ONCE_S
+    assert not any(engine.received for engine in edge.engines.values())
+
+
+# Their turn at a server with a limit came late in the grace time, or never.
+def test_request_without_a_turn_is_refused_in_time(edge):
+    for engine in edge.engines.values():
+        engine.limit = '0.4'
+    edge.router.send_request('/chat/x')
+    edge.router.send_request('/chat/x')
+    with concurrent.futures.ThreadPoolExecutor(16) as pool:
+        sent = [
+            pool.submit(send_timed, edge, path)
+            for path in ('/chat/x', '/once/x') * 8
+        ]
+        edge.router.wait_for_log('event=pause-wait')
+        stopped_at = time.monotonic()
+        edge.router.send_signal(signal.SIGTERM)
+        answers = [future.result() for future in sent]
+    statuses = {answer[0] for answer in answers}
+    assert statuses == {200, 503}
+    assert max(answer[-1] for answer in answers) - stopped_at < GRACE_S / 2
+    refused = sum(answer[0] == 503 for answer in answers)
+    assert len(edge.executed_requests()) == 2 + len(answers) - refused
+
+
+def test_request_whose_turn_comes_in_time_is_served(edge):
+    pause_engines(edge, 1.5)
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        sent = pool.submit(send_timed, edge, '/once/x')
+        edge.router.wait_for_log('event=pause-wait')
+        edge.router.send_signal(signal.SIGTERM)
+        assert sent.result()[0] == 200
+
+
+# Its connection was closed at the end of the grace time, without an answer.
+def test_request_that_runs_at_the_end_is_told_what_is_known(edge):
+    edge.engines['e1'].default_fault = 'hang'
+    edge.engines['e2'].default_fault = 'stream-hang'
+    edge.deregister_engine('e2')
+    edge.router.wait_for_log('event=server-gone server=e2')
+    with concurrent.futures.ThreadPoolExecutor(3) as pool:
+        waiting = [
+            pool.submit(send_timed, edge, path)
+            for path in ('/chat/x', '/once/x')
+        ]
+        edge_fleet.wait_for(
+            lambda: len(edge.executed_requests()) == 2, 'two that hang'
+        )
+        edge.deregister_engine('e1')
+        edge.register_engine('e2')
+        edge.router.wait_for_log('event=server-gone server=e1')
+        begun = pool.submit(send_timed, edge, '/talk/x')
+        edge_fleet.wait_for(
+            lambda: len(edge.executed_requests()) == 3, 'a stream'
+        )
+        stopped_at = time.monotonic()
+        edge.router.send_signal(signal.SIGTERM)
+        for future in waiting:
+            status, _, body, ended_at = future.result()
+            assert (status, body) == (502, b'{"error":"stopping"}\n')
+            assert GRACE_S - 1 < ended_at - stopped_at < GRACE_S
+        status, _, error, _ = begun.result()
+        assert (status, error[:14]) == (0, b'IncompleteRead')
+    edge.router.process.wait(END_S)
+    assert edge.router.process.returncode == 0
+    assert 'event=stop cut=3' in edge.router.read_log()
+
+
+# It was sent to an engine, and cut at the end of the grace time.
+def test_request_that_can_not_end_in_time_is_not_begun(edge):
+    edge.router.send_signal(signal.SIGTERM)
+    edge.router.wait_for_log('event=stopping')
+    status, headers, body, _ = send_timed(edge, '/long/x')
+    assert (status, body) == (503, b'{"error":"stopping"}\n')
+    assert 'retry-after' in headers
+    assert edge.executed_requests() == []
+    assert send_timed(edge, '/once/x')[0] == 200
+
+
+# It was read until the end of the grace time, and closed without an answer.
+@pytest.mark.parametrize('head_end', ['', 'Content-Length: 9\r\n\r\nbody'])
+def test_request_that_arrives_slowly_is_refused(edge, head_end):
+    with edge.router.connect() as connection:
+        edge.router.send_signal(signal.SIGTERM)
+        stopped_at = time.monotonic()
+        time.sleep(GRACE_S / 4)
+        connection.sendall(
+            b'POST /once/x HTTP/1.1\r\nHost: fleet.example\r\n'
+            b'X-Arbutusvale-Attempt-Id: slow\r\n' + head_end.encode()
+        )
+        answer = connection.recv(4096)
+        assert answer.startswith(b'HTTP/1.1 503 ')
+        assert b'retry-after: ' in answer
+    edge.router.process.wait(END_S)
+    assert time.monotonic() - stopped_at < GRACE_S / 2
--- a/tests/state/test_service_times.py
+++ b/tests/state/test_service_times.py
@@ -1,5 +1,7 @@
 """Average service times, and latency from the rate of completions."""
 
+import random
+
 from arbutusvale.state import service_times
 from tests import helpers_edge
 
@@ -40,3 +42,16 @@
         clock.now += 0.5
         estimator.record_completion('plain')
     assert estimator.estimate('plain', 2, 0.1) == 0.1
+
+
+def test_few_run_times_exceed_their_upper_bound():
+    generator = random.Random(7)
+    times = service_times.RunTimes()
+    assert times.upper_bound_s('r') is None
+    exceeded = 0
+    for number in range(2000):
+        seconds = generator.lognormvariate(0.0, 0.5)
+        exceeded += number > 20 and seconds > times.upper_bound_s('r')
+        times.record('r', seconds)
+    assert exceeded < 100
+    assert times.upper_bound_s('r') > times.average_s('r') > 0.8
