Refuse a record for any error in decoding it

Why this works: the decoders of entries and configurations raise their own error for whatever they can't decode, which their readers log and pass over.

--- a/arbutusvale/platform/records.py
+++ b/arbutusvale/platform/records.py
@@ -1,7 +1,10 @@
 """Decoders of the platform's records: configuration and backend servers."""
 
+from collections.abc import Callable
+import functools
 import json
 import socket
+import typing
 
 from arbutusvale import errors
 from arbutusvale.protocol import numeric
@@ -40,6 +43,32 @@
 _MAX_PORT = 65_535
 
 
+_Decoded = typing.TypeVar('_Decoded')
+
+
+def _refuses_any_record(
+    decode: Callable[..., _Decoded],
+) -> Callable[..., _Decoded]:
+    """Let a decoder raise RecordError for whatever it can't decode.
+
+    Any other error would end its reader, which begins again at that record.
+    """
+
+    @functools.wraps(decode)
+    def decode_or_refuse(*arguments: typing.Any) -> _Decoded:
+        try:
+            return decode(*arguments)
+        except errors.RecordError:
+            raise
+        except Exception as error:
+            raise errors.RecordError(
+                'the record', f'Write what can be decoded: {error!r}.'
+            ) from error
+
+    return decode_or_refuse
+
+
+@_refuses_any_record
 def read_configuration(data: bytes) -> routing.Configuration:
     """Decode a configuration; raise RecordError naming a bad field."""
     document = _parse_object(data)
@@ -68,6 +97,7 @@
     return key.removeprefix(_EVACUATION_PREFIX) or None
 
 
+@_refuses_any_record
 def read_server(server_id: str, data: bytes) -> proxying.BackendServer:
     """Decode a server's entry; raise RecordError naming a bad field."""
     document = _parse_object(data)
--- a/tests/platform/test_edge_odd_entries.py
+++ b/tests/platform/test_edge_odd_entries.py
@@ -35,6 +35,8 @@
     return fleet
 
 
+# No change of the list was read after such an entry, and a server that left
+# went on getting requests.
 def test_list_is_followed_beyond_odd_entries(edge):
     for name, data in ODD_ENTRIES.items():
         edge.append(edge_fleet.SERVERS_TOPIC, name, data)
@@ -44,9 +46,13 @@
         f'address=127.0.0.1:{edge.engines["e1"].server.port} '
         'state=draining'
     )
+    edge.engines['e1'].received.clear()
+    assert [edge.router.send_request()[0] for _ in range(20)] == [200] * 20
+    assert edge.engines['e1'].received == []
     assert 'task-failed' not in edge.router.read_log()
 
 
+# The whole list is read at a start: no router became ready beside the entry.
 def test_router_starts_beside_odd_entries(edge):
     for name, data in ODD_ENTRIES.items():
         edge.append(edge_fleet.SERVERS_TOPIC, name, data)
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -408,3 +408,21 @@
     server = records.read_server('e1', data)
     assert server.state is proxying.ServerState.READY
     assert server.started_at_ms == 2**53 - 1
+
+
+# An error that no decoder foresaw ended the reader, each time at that record.
+@pytest.mark.parametrize('error', [OverflowError, ZeroDivisionError, OSError])
+@pytest.mark.parametrize(
+    'read',
+    [
+        lambda: records.read_configuration(b'{}'),
+        lambda: records.read_server('s', b'{}'),
+    ],
+)
+def test_record_that_can_not_be_decoded_is_refused(monkeypatch, read, error):
+    def fail(data):
+        raise error('unforeseen')
+
+    monkeypatch.setattr(records.json, 'loads', fail)
+    with pytest.raises(errors.RecordError, match='unforeseen'):
+        read()
