Close a connection that its caller has reset meanwhile

Where the check of timeouts or a stop closes idle connections, the error also ended that round for all others.

Cause: closing gracefully ends the sending side first, which fails if the caller's reset has arrived and the event loop hasn't read it yet.

Evidence: the new test fails without the change, with the error in close_idle.

Why this works: such a connection has no one to wait for, so it is ended at once.

--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -682,8 +682,13 @@
         if self.closing or self.disconnected:
             return
         self.closing = True
-        if self.transport.can_write_eof():
-            self.transport.write_eof()
+        try:
+            if self.transport.can_write_eof():
+                self.transport.write_eof()
+        except OSError:
+            # The caller has reset it, and the event loop doesn't know yet.
+            self.transport.abort()
+            return
         self.transport.resume_reading()
         self.loop.call_later(LINGER_S, self._close)
 
--- a/tests/transport/test_edge_server.py
+++ b/tests/transport/test_edge_server.py
@@ -1,6 +1,7 @@
 """Slow readers on both sides of a router, with real sockets."""
 
 import asyncio
+import errno
 import socket
 
 import pytest
@@ -167,6 +168,25 @@
     assert b'retry-after: ' in answer
 
 
+# The error ended the check of all connections' timeouts.
+def test_connection_that_its_caller_has_reset_is_closed(monkeypatch):
+    def fail(transport):
+        raise OSError(errno.ENOTCONN, 'not connected')
+
+    async def run():
+        async with Router(LIMIT) as router:
+            client = await router.connect(b'')
+            await asyncio.sleep(0.05)
+            [connection] = router.server.connections
+            monkeypatch.setattr(type(connection.transport), 'write_eof', fail)
+            router.server.close_idle()
+            await asyncio.sleep(0.05)
+            assert not router.server.connections
+            client.close()
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize('reads', [False, True])
 def test_request_that_server_reads_slowly_counts_until_taken(reads):
     size = 12_000_000
