Send what must not repeat again only if it has not run

What callers could get: a stream that may not be resumed, asked for with a Last-Event-Id and answered without framing and without an event, was run by a second engine.

Cause: a retry was refused for one outcome that may have run, and not for the other one, which came later.

Evidence: the new test fails on the code before, answered 200 by two runs.

Why this works: on such routes only the outcome that says "not run" allows a retry.

--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -528,8 +528,8 @@
 
     def _reserve_retry(self, outcome: edge_requests.Outcome) -> bool:
         """Reserve a retry if the request may be sent to another server."""
-        failed = isinstance(outcome, edge_requests.Failed)
-        if failed and not self.request.route.retryable:
+        not_run = isinstance(outcome, edge_requests.NotRun)
+        if not not_run and not self.request.route.retryable:
             return False
         if self.attempts >= self.request.route.max_attempts:
             return False
--- a/tests/platform/test_edge_path.py
+++ b/tests/platform/test_edge_path.py
@@ -286,6 +286,20 @@
     assert edge.engines['e1'].received
 
 
+# A second engine was asked whether it had an event left, and ran it again.
+def test_stream_that_must_not_repeat_runs_once_without_an_event(edge):
+    edge.publish_config(routes=[TALK | {'MaxAttempts': 2}])
+    edge.router.wait_for_log('event=config-applied version=2')
+    for engine in edge.engines.values():
+        engine.stream_prefix = '/talk/'
+        engine.default_fault = 'unframed-empty'
+    status, _, _ = edge.router.send_request(
+        '/talk/x', 'POST', b'p', Last_Event_Id='3'
+    )
+    assert status == 502
+    assert len(edge.executed_requests()) == 1
+
+
 @pytest.mark.parametrize('path', ['/stream/x', '/talk/x'])
 def test_unframed_stream_is_forwarded_whole(edge, path):
     for engine in edge.engines.values():
