Tell callers what is known when a router with sidecars stops

What callers saw: at the end of a router's grace time the connections of requests in flight were closed without an answer.

Cause: the drain counted what was left and closed all connections; nothing told the handlers.

Evidence: two of the three cases of the new test fail without the change: no byte of an answer, and a stream without its last event.

Why this works: the server knows the handlers in flight. Shortly before the end of the grace time each stops its relay and answers 502 with the outcome unknown, if it has sent no head, or ends its stream with an error event and a closed connection.

--- a/arbutusvale/transport/caller_api_server.py
+++ b/arbutusvale/transport/caller_api_server.py
@@ -26,6 +26,9 @@
 _FLUSH_THRESHOLD_BYTES = 64 * 1024
 _EVENT_STREAM = 'text/event-stream'
 _NOT_RUN = messages.Outcome.NOT_RUN.value
+_UNKNOWN = messages.Outcome.UNKNOWN.value
+# The last responses leave the router within this time before it exits.
+_LAST_RESPONSES_S = 0.2
 # Headers of the connection to the backend server, or set by tornado.
 _CONNECTION_HEADERS = frozenset(
     {
@@ -42,7 +45,17 @@
 
 @web.stream_request_body
 class _CallHandler(caller_handlers.BaseHandler):
-    """Proxy one request to a backend server and stream its response."""
+    """Proxy one request to a backend server and stream its response.
+
+    ``running`` holds the handlers whose requests are in flight.
+    """
+
+    def initialize(
+        self, dispatcher: dispatch.Dispatcher, running: set['_CallHandler']
+    ) -> None:
+        """Set this router's dispatcher, and generate the request id."""
+        super().initialize(dispatcher)
+        self.running = running
 
     def prepare(self) -> None:
         """Set the limits of the body before it is received."""
@@ -77,15 +90,33 @@
         self.call = self.dispatcher.start_call(self._make_request())
         self.task = asyncio.current_task()
         events = self.dispatcher.events(self.call)
+        self.running.add(self)
         try:
             async with contextlib.aclosing(events):
                 async for event in events:
                     await self._forward(event)
         except asyncio.CancelledError:
             logging.info('event=caller-left request=%s', self.request_id)
+        finally:
+            self.running.discard(self)
 
     get = head = post = put = patch = delete = options = relay
 
+    async def end_at_shutdown(self) -> None:
+        """Tell the caller that the outcome is unknown, and stop the relay."""
+        self.running.discard(self)
+        # Nothing of the answer may follow.
+        self.caller_disconnected = True
+        self.task.cancel()
+        await self._abort_response(
+            caller_api.ErrorResponse(
+                502,
+                'router_stopped',
+                'The router stops. Send the request again with its key.',
+                _UNKNOWN,
+            )
+        )
+
     def on_connection_close(self) -> None:
         """Cancel the request if it may be cancelled."""
         self.caller_disconnected = True
@@ -198,10 +229,12 @@
         self.address = settings.split_address(listen)
         self.port = self.address.port
         self.dispatcher = dispatcher
+        self.running: set[_CallHandler] = set()
         options = {'dispatcher': dispatcher}
+        call_options = options | {'running': self.running}
         application = web.Application(
             [
-                (caller_api.CHAT_PATH, _CallHandler, options),
+                (caller_api.CHAT_PATH, _CallHandler, call_options),
                 (
                     caller_api.MODELS_PATH,
                     caller_handlers.ModelsHandler,
@@ -210,7 +243,7 @@
                 (
                     f'{caller_api.SERVICES_PREFIX}([^/]+)(/.*)?',
                     _CallHandler,
-                    options,
+                    call_options,
                 ),
             ],
             default_handler_class=caller_handlers.UnknownPathHandler,
@@ -230,11 +263,20 @@
     async def drain(self, grace_s: float) -> int:
         """Stop listening and wait for the requests in flight.
 
-        Returns how many were still running after ``grace_s`` seconds; their
-        connections are closed.
+        Returns how many were still running at the end of ``grace_s`` seconds;
+        their callers are told so, and their connections are closed.
         """
         self.server.stop()
-        cut = await self.dispatcher.drain(grace_s)
+        cut = await self.dispatcher.drain(max(0, grace_s - _LAST_RESPONSES_S))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_LAST_RESPONSES_S):
+                await asyncio.gather(
+                    *(
+                        handler.end_at_shutdown()
+                        for handler in list(self.running)
+                    ),
+                    return_exceptions=True,
+                )
         await self.server.close_all_connections()
         return cut
 
--- a/tests/transport/test_caller_api_server.py
+++ b/tests/transport/test_caller_api_server.py
@@ -266,6 +266,48 @@
     asyncio.run(scenario())
 
 
+# Their connections were closed without an answer.
+@pytest.mark.parametrize('kind', [None, 'text/event-stream', 'text/plain'])
+def test_requests_at_the_end_of_a_drain_are_told_so(kind):
+    async def scenario():
+        links = helpers_router.FakeLinks()
+
+        def answer_in_part(link, submit):
+            accepted = [messages.Accepted(submit.attempt, 1, 1.0)]
+            if kind is None:
+                return accepted
+            response = helpers_router.answer(submit.attempt, bytes(1 << 19))
+            response[1] = messages.Head(
+                submit.attempt, 200, [['Content-Type', kind]]
+            )
+            return response[:-1]
+
+        script_all_vms(links, answer_in_part)
+        async with serve(links) as server:
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', server.port
+            )
+            writer.write(
+                f'POST /services/booking/x HTTP/1.1\r\nHost: x\r\n'
+                f'Authorization: {AUTH["Authorization"]}\r\n'
+                f'Content-Length: 0\r\n\r\n'.encode()
+            )
+            await asyncio.sleep(0.1)
+            drain_task = asyncio.create_task(server.drain(0.5))
+            received = await reader.read(-1)
+            assert await drain_task == 1
+            writer.close()
+        assert received.count(b'HTTP/1.1 ') == 1
+        assert b'\r\n0\r\n\r\n' not in received
+        if kind is None:
+            assert received.startswith(b'HTTP/1.1 502 ')
+        if kind != 'text/plain':
+            assert b'router_stopped' in received
+            assert b'"unknown"' in received
+
+    asyncio.run(scenario())
+
+
 def test_admin_server_serves_health_status_and_metrics():
     async def scenario():
         links = helpers_router.FakeLinks()
