Share one recording transport among tests

Three test modules had a fake of asyncio's transport each; the one of the fuzz tests serves all. It keeps nothing that is written after its end, as asyncio's doesn't.

--- a/tests/coordination/test_edge_relay.py
+++ b/tests/coordination/test_edge_relay.py
@@ -51,28 +51,6 @@
 }  # fmt: skip
 
 
-class Transport:
-    """A transport of a connection to a server; written bytes are lost."""
-
-    def get_extra_info(self, name):
-        return None
-
-    def write(self, data):
-        pass
-
-    def get_write_buffer_size(self):
-        return 0
-
-    def pause_reading(self):
-        pass
-
-    def resume_reading(self):
-        pass
-
-    def abort(self):
-        pass
-
-
 class Caller:
     """A caller's response, as the bytes that were written of it."""
 
@@ -157,7 +135,7 @@
     Return the outcome; it is the second response on its connection.
     """
     connection = http_connection.HttpConnection()
-    connection.connection_made(Transport())
+    connection.connection_made(helpers_edge.RecordingTransport())
     first = connection.send(b'x', http_connection.decode_status)
     connection.data_received(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
     assert first.ended
--- a/tests/fuzz/test_edge_untrusted_input.py
+++ b/tests/fuzz/test_edge_untrusted_input.py
@@ -255,36 +255,6 @@
     """Ignore the server's callbacks."""
 
 
-class RecordingTransport:
-    """An asyncio transport that records written bytes."""
-
-    def __init__(self):
-        self.written = b''
-        self.aborted = False
-
-    def get_extra_info(self, name):
-        return None
-
-    def write(self, data):
-        self.written += data
-
-    def abort(self):
-        self.aborted = True
-
-    close = abort
-
-    def can_write_eof(self):
-        return False
-
-    def pause_reading(self):
-        pass
-
-    resume_reading = pause_reading
-
-    def get_write_buffer_size(self):
-        return 0
-
-
 REQUEST = (
     b'POST /chat/x HTTP/1.1\r\nHost: a\r\nX: y\r\n'
     b'Content-Length: 5\r\n\r\nhello'
@@ -334,7 +304,7 @@
             100,
         )
         connection = server.make_connection()
-        transport = RecordingTransport()
+        transport = helpers_edge.RecordingTransport()
         connection.connection_made(transport)
         data = corrupt(REQUEST, edits)
         for start in range(0, len(data), size):
@@ -361,7 +331,7 @@
 def test_corrupt_response_is_complete_or_fails(edits, size, reset):
     async def run():
         connection = http_connection.HttpConnection()
-        connection.connection_made(RecordingTransport())
+        connection.connection_made(helpers_edge.RecordingTransport())
         exchange = connection.send(
             b'x', lambda *head: headers.parse_response_head(*head)
         )
--- a/tests/helpers_edge.py
+++ b/tests/helpers_edge.py
@@ -29,6 +29,37 @@
         return [fields for name, fields in self.lines if name == event]
 
 
+class RecordingTransport:
+    """An asyncio transport that records the bytes written until its end."""
+
+    def __init__(self):
+        self.written = b''
+        self.aborted = False
+
+    def get_extra_info(self, name):
+        return None
+
+    def write(self, data):
+        if not self.aborted:
+            self.written += data
+
+    def abort(self):
+        self.aborted = True
+
+    close = abort
+
+    def can_write_eof(self):
+        return False
+
+    def pause_reading(self):
+        pass
+
+    resume_reading = pause_reading
+
+    def get_write_buffer_size(self):
+        return 0
+
+
 def make_server(server_id, pool='chat', **changes):
     fields = {
         'id': server_id,
--- a/tests/transport/test_response_encoder.py
+++ b/tests/transport/test_response_encoder.py
@@ -64,25 +64,6 @@
         assert parser.ends == encoder.finished
 
 
-class Transport(asyncio.Transport):
-    """A transport that keeps what is written until it is closed."""
-
-    def __init__(self):
-        super().__init__()
-        self.written = b''
-        self.aborted = False
-
-    def write(self, data):
-        if not self.aborted:
-            self.written += data
-
-    def abort(self):
-        self.aborted = True
-
-    def get_write_buffer_size(self):
-        return 0
-
-
 # An error's head came in the middle of a stream, framed as a part of it.
 @pytest.mark.parametrize('second', ['start', 'send_response', 'next'])
 def test_second_head_closes_the_connection_in_its_place(second):
@@ -108,7 +89,7 @@
             100,
         )
         connection = server.make_connection()
-        transport = Transport()
+        transport = helpers_edge.RecordingTransport()
         connection.connection_made(transport)
         connection.data_received(b'GET /x HTTP/1.1\r\nHost: a\r\n\r\n')
         async with asyncio.timeout(5):
