Read nothing more from a caller whose connection is aborted

By reading, not seen: until the event loop reports the end of an aborted connection, the check of timeouts could reject a pipelined request that it had begun to receive. The response in flight has a head, so that would be a part out of order and end the check of all connections. An aborted connection counts as closing now.

--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -327,7 +327,6 @@
             stalled=self.loop.time() - self.taken_at,
             held=self.server.budget.held_bytes,
         )
-        self.closing = True
         self._set_unsent(0)
         self.abort()
         self.server.on_cut()
@@ -457,6 +456,7 @@
 
     def abort(self) -> None:
         """Close the connection, so that no response looks complete."""
+        self.closing = True
         if self.transport is not None and not self.disconnected:
             if self.started and not self.response.chunked:
                 # Only a reset differs from the end of such a body.
