--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -471,10 +471,10 @@
             match phase:
                 case edge_shutdown.ShutdownPhase.REFUSING:
                     self.router.refuse_new = True
-                    self.caller_server.refuse_unread()
+                    self.caller_server.refuse_incomplete()
                 case edge_shutdown.ShutdownPhase.CLOSING:
                     # Some arrive just before their connection counts as idle.
-                    self.caller_server.refuse_unread()
+                    self.caller_server.refuse_incomplete()
                     self.caller_server.close_idle()
                 case edge_shutdown.ShutdownPhase.ENDED:
                     self.stopped.set()
--- a/arbutusvale/platform/records.py
+++ b/arbutusvale/platform/records.py
@@ -46,16 +46,16 @@
 _Decoded = typing.TypeVar('_Decoded')
 
 
-def _refuses_any_record(
+def _wrap_decode_errors(
     decode: Callable[..., _Decoded],
 ) -> Callable[..., _Decoded]:
-    """Let a decoder raise RecordError for whatever it can't decode.
+    """Raise RecordError for any error of a decoder.
 
     Any other error would end its reader, which begins again at that record.
     """
 
     @functools.wraps(decode)
-    def decode_or_refuse(*arguments: typing.Any) -> _Decoded:
+    def decode_or_raise(*arguments: typing.Any) -> _Decoded:
         try:
             return decode(*arguments)
         except errors.RecordError:
@@ -65,10 +65,10 @@
                 'the record', f'Write what can be decoded: {error!r}.'
             ) from error
 
-    return decode_or_refuse
+    return decode_or_raise
 
 
-@_refuses_any_record
+@_wrap_decode_errors
 def read_configuration(data: bytes) -> routing.Configuration:
     """Decode a configuration; raise RecordError naming a bad field."""
     document = _parse_object(data)
@@ -97,7 +97,7 @@
     return key.removeprefix(_EVACUATION_PREFIX) or None
 
 
-@_refuses_any_record
+@_wrap_decode_errors
 def read_server(server_id: str, data: bytes) -> proxying.BackendServer:
     """Decode a server's entry; raise RecordError naming a bad field."""
     document = _parse_object(data)
--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -167,10 +167,10 @@
             connection.is_idle() for connection in self.connections
         )
 
-    def refuse_unread(self) -> None:
+    def refuse_incomplete(self) -> None:
         """Refuse the requests that haven't been received in full."""
         for connection in list(self.connections):
-            connection.refuse_unread()
+            connection.refuse_incomplete()
 
     def close_idle(self) -> None:
         """Close the connections without a request."""
@@ -294,14 +294,14 @@
         if self.is_idle():
             self._close_gracefully()
 
-    def refuse_unread(self) -> None:
+    def refuse_incomplete(self) -> None:
         """Refuse a request that is being received, as this router stops."""
         if self.task is not None or self.received_at is None or self.closing:
             return
         self.server.write_event(
             'refused', status=503, cause='stopping', bytes=self.body_size
         )
-        self._end_unread(503, b'stopping')
+        self._refuse_and_close(503, b'stopping')
 
     def close_now(self) -> None:
         """Close at once, to free capacity for a new connection."""
@@ -603,10 +603,10 @@
         self.server.write_event(
             'unreadable', status=status, bytes=self.head_bytes
         )
-        self._end_unread(status, b'unreadable')
+        self._refuse_and_close(status, b'unreadable')
 
-    def _end_unread(self, status: int, cause: bytes) -> None:
-        """Respond with an error to a request that isn't served, and close."""
+    def _refuse_and_close(self, status: int, cause: bytes) -> None:
+        """Refuse a request that was not received in full, and close."""
         self.error_status = status
         if self.received_at is not None:
             self.server.budget.change(-self.body_size)
