Log every way to end a request, up to the end of the process

A request whose caller left, or whose process ended, before it was sent to an engine left no line; nor did requests that were read behind another one on a connection that then closed, and lines written after the last flush of a stop were lost, with the count of those left out.

Every admitted request has an end line now (cancelled), a connection that closes with requests behind it writes requests-dropped, and what is left at the end of a stop is ended before the log is written for the last time.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -416,11 +416,10 @@
             server.close()
         for task in tasks:
             task.cancel()
-        self.events.write(
-            'stop',
-            cut=self.router.cut_requests + self.router.active_requests,
-        )
-        self.events.flush()
+        cut = self.router.cut_requests + self.router.active_requests
+        await self.caller_server.cancel_requests()
+        self.events.write('stop', cut=cut)
+        self.events.flush_all()
         return 0
 
     async def _listen(self) -> list[asyncio.Server | acceptor.Acceptor]:
--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -170,6 +170,10 @@
                 break
         self._end_unanswered('deadline')
 
+    def record_cancelled(self) -> None:
+        """Record that the caller has left, or that this process ends."""
+        self._end('cancelled', 0)
+
     def end_at_shutdown(self) -> None:
         """End the request, as this router ends."""
         self.is_stopped = True
--- a/arbutusvale/coordination/edge_router.py
+++ b/arbutusvale/coordination/edge_router.py
@@ -118,6 +118,7 @@
             async with timer:
                 await call.run()
         except asyncio.CancelledError:
+            call.record_cancelled()
             raise
         except Exception as error:
             if timer.expired():
--- a/arbutusvale/state/event_log.py
+++ b/arbutusvale/state/event_log.py
@@ -52,10 +52,14 @@
         """Flush until cancelled."""
         while True:
             await asyncio.sleep(FLUSH_INTERVAL_S)
-            if self.dropped_lines:
-                count, self.dropped_lines = self.dropped_lines, 0
-                self._add(self.clock(), 'lines-left-out', {'count': count})
-            self.flush()
+            self.flush_all()
+
+    def flush_all(self) -> None:
+        """Flush, and tell how many lines were dropped."""
+        if self.dropped_lines:
+            count, self.dropped_lines = self.dropped_lines, 0
+            self._add(self.clock(), 'lines-left-out', {'count': count})
+        self.flush()
 
     def flush(self) -> None:
         """Write what the descriptor accepts at once; keep the rest."""
--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -172,6 +172,19 @@
         for connection in list(self.connections):
             connection.refuse_incomplete()
 
+    async def cancel_requests(self) -> None:
+        """End what is left of all requests, as the process ends."""
+        tasks = [
+            connection.task
+            for connection in self.connections
+            if connection.task is not None
+        ]
+        for connection in list(self.connections):
+            connection.discard_requests()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     def close_idle(self) -> None:
         """Close the connections without a request."""
         for connection in list(self.connections):
@@ -239,10 +252,8 @@
         """Cancel the request in flight."""
         self.disconnected = True
         self.server.connections.discard(self)
-        self._release_body_bytes()
+        self.discard_requests()
         self._set_unsent(0)
-        self.server.budget.change(-len(self.unparsed_data))
-        self.unparsed_data = b''
         self.server.on_capacity_freed()
         if self.write_resumed is not None and not self.write_resumed.done():
             self.write_resumed.set_result(None)
@@ -331,6 +342,19 @@
         self.abort()
         self.server.on_cut()
 
+    def discard_requests(self) -> None:
+        """Drop the requests that wait for their turn or are incomplete."""
+        if self.request_queue or self.unparsed_data:
+            self.server.write_event(
+                'requests-dropped',
+                count=len(self.request_queue),
+                unparsed=len(self.unparsed_data),
+                closed_here=self.closing,
+            )
+        self._release_body_bytes()
+        self.server.budget.change(-len(self.unparsed_data))
+        self.unparsed_data = b''
+
     # Called by the parser.
 
     def on_message_begin(self) -> None:
@@ -629,6 +653,7 @@
         """Stop counting the bodies of requests that won't be served."""
         if self.received_at is not None:
             self.server.budget.change(-self.body_size)
+            self.received_at = None
         for request in self.request_queue:
             self.server.budget.change(-len(request.body))
         self.request_queue.clear()
