Show requests that a connection has read and drops

At a stop, requests that arrive behind a running stream are read whole and their connection closes when the stream ends, as its head didn't announce that. Two cases of the same class were found by reading: the Connection: close of a later pipelined request ends the response before it, and a router that stands still while it should begin to refuse closes the connection of a request that it hasn't read.

--- a/tests/platform/test_edge_stop.py
+++ b/tests/platform/test_edge_stop.py
@@ -193,3 +193,90 @@
         assert b'retry-after: ' in answer
     edge.router.process.wait(END_S)
     assert time.monotonic() - stopped_at < GRACE_S / 2, edge.router.read_log()
+
+
+def encode_request(path, attempt_id, *headers):
+    """Return a request without a body."""
+    lines = [
+        f'POST {path} HTTP/1.1',
+        'Host: fleet.example',
+        f'X-Arbutusvale-Attempt-Id: {attempt_id}',
+        'X-Arbutusvale-Deadline-Ms: 20000',
+        'Authorization: Bearer key-1',
+        'Content-Length: 0',
+        *headers,
+    ]
+    return ('\r\n'.join(lines) + '\r\n\r\n').encode()
+
+
+def read_responses(connection):
+    """Return the responses until the end of a connection, without it."""
+    connection.settimeout(END_S)
+    received = b''
+    while data := connection.recv(65536):
+        received += data
+    return [b'HTTP/1.1 ' + each for each in received.split(b'HTTP/1.1 ')[1:]]
+
+
+# It was read whole and dropped when the stream had ended.
+@pytest.mark.parametrize('stop_first', [False, True])
+@pytest.mark.parametrize('count', [1, 3])
+def test_requests_behind_a_stream_are_answered_at_a_stop(
+    edge, count, stop_first
+):
+    for engine in edge.engines.values():
+        engine.event_count = 40
+    with edge.router.connect() as connection:
+        connection.sendall(encode_request('/talk/x', 'stream'))
+        edge.router.wait_for_log('event=place id=stream')
+        behind = b''.join(
+            encode_request('/once/x', f'behind-{number}')
+            for number in range(count)
+        )
+        if stop_first:
+            edge.router.send_signal(signal.SIGTERM)
+            edge.router.wait_for_log('event=stopping')
+        connection.sendall(behind)
+        if not stop_first:
+            time.sleep(0.1)
+            edge.router.send_signal(signal.SIGTERM)
+        stream, *answers = read_responses(connection)
+    assert stream.count(b'piece') == 40
+    assert stream.endswith(b'\r\n0\r\n\r\n')
+    assert [answer[:12] for answer in answers] == [b'HTTP/1.1 200'] * count
+    assert b'connection: close' in answers[-1].lower()
+    executed = [one.attempt_id for one in edge.executed_requests()]
+    assert sorted(executed)[:-1] == [f'behind-{n}' for n in range(count)]
+
+
+# The first answer ended the connection, as the last request asked.
+def test_only_the_last_pipelined_request_closes_its_connection(edge):
+    with edge.router.connect() as connection:
+        connection.sendall(
+            encode_request('/once/x', 'first')
+            + encode_request('/once/x', 'last', 'Connection: close')
+        )
+        answers = read_responses(connection)
+    assert [answer[:12] for answer in answers] == [b'HTTP/1.1 200'] * 2
+    assert b'connection: close' not in answers[0].lower()
+    assert b'connection: close' in answers[1].lower()
+
+
+# The time in which new requests are refused passed unnoticed.
+def test_stop_that_was_suspended_takes_no_new_requests(edge):
+    with edge.router.connect() as connection:
+        connection.sendall(encode_request('/once/x', 'before'))
+        assert connection.recv(4096).startswith(b'HTTP/1.1 200 ')
+        edge.router.send_signal(signal.SIGTERM)
+        stopped_at = time.monotonic()
+        edge.router.wait_for_log('event=stopping')
+        time.sleep(GRACE_S / 4)
+        edge.router.send_signal(signal.SIGSTOP)
+        time.sleep(max(0.0, stopped_at + 3.1 - time.monotonic()))
+        connection.sendall(encode_request('/once/x', 'after'))
+        edge.router.send_signal(signal.SIGCONT)
+        answers = read_responses(connection)
+    assert len(answers) == 1, edge.router.read_log()
+    (answer,) = answers
+    assert answer.startswith(b'HTTP/1.1 503 ')
+    assert [one.attempt_id for one in edge.executed_requests()] == ['before']
