Read what has arrived before a stopping router closes idle connections

A router that stood still from the time at which it begins to refuse requests until it closes idle connections never refused any: the phase in between passed unnoticed. The event loop runs its timers first after such a pause, so the check took a connection for idle whose request waited in its socket, and closed it without an answer. Shown by a router that is suspended from 2.0 to 3.1 s after its SIGTERM, while a request comes on an open connection: closed before, 503 now.

The check lets the event loop read once before it acts, and refuses new requests also in the phase in which it closes connections.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -461,6 +461,8 @@
             self.pacer.step()
             if self.stopping_since is None:
                 continue
+            # After a stall, sockets hold requests that weren't read yet.
+            await asyncio.sleep(0)
             elapsed_s = self.clock() - self.stopping_since
             phase = self.shutdown_schedule.phase_at(
                 elapsed_s,
@@ -472,6 +474,7 @@
                     self.router.refuse_new = True
                     self.caller_server.refuse_incomplete()
                 case edge_shutdown.ShutdownPhase.CLOSING:
+                    self.router.refuse_new = True
                     # Some arrive just before their connection counts as idle.
                     self.caller_server.refuse_incomplete()
                     self.caller_server.close_idle()
