Keep whether a connection closes with the request that says so

Several requests may be read at once. Connection: close, HTTP/1.0 and an Upgrade were kept for the connection, so those of the last one applied to the response before it: the first answer closed the connection, and the requests behind it got none. They are kept with each queued request now.

tests/platform/test_edge_stop.py: two requests in one packet, the second with Connection: close, got one answer before and get two now.

--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -9,6 +9,7 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 import typing
 
 import httptools
@@ -39,6 +40,15 @@
 Serve = Callable[[proxying.CallerRequest, 'CallerConnection'], Awaitable[None]]
 
 
+@dataclasses.dataclass(slots=True)
+class _QueuedRequest:
+    """A complete request and how its response has to end."""
+
+    request: proxying.CallerRequest
+    is_http_1_0: bool
+    closes: bool
+
+
 class EdgeServer:
     """The callers' open connections and their common limits.
 
@@ -200,7 +210,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.transport: asyncio.Transport | None = None
         self.task: asyncio.Task | None = None
-        self.request_queue: collections.deque[proxying.CallerRequest] = (
+        self.request_queue: collections.deque[_QueuedRequest] = (
             collections.deque()
         )
         self.unparsed_data = b''
@@ -429,16 +439,19 @@
         """Queue the complete request."""
         if self.error_status:
             return
-        self.close_after_response = not self.parser.should_keep_alive()
-        self.is_http_1_0 = self.parser.get_http_version() == '1.0'
+        request = proxying.CallerRequest(
+            method=self.parser.get_method(),
+            target=self.target,
+            headers=self.headers,
+            body=b''.join(self.body),
+            received_at=self.received_at,
+            has_body=self.has_body,
+        )
         self.request_queue.append(
-            proxying.CallerRequest(
-                method=self.parser.get_method(),
-                target=self.target,
-                headers=self.headers,
-                body=b''.join(self.body),
-                received_at=self.received_at,
-                has_body=self.has_body,
+            _QueuedRequest(
+                request,
+                is_http_1_0=self.parser.get_http_version() == '1.0',
+                closes=not self.parser.should_keep_alive(),
             )
         )
         self.body = []
@@ -528,16 +541,17 @@
         self.head_bytes = 0
         self.head_complete = False
         self.has_body = False
-        self.is_http_1_0 = False
         self.received_at: float | None = None
 
-    def _begin_response(self, is_head_request: bool = False) -> None:
+    def _begin_response(
+        self, is_head_request: bool = False, is_http_1_0: bool = False
+    ) -> None:
         """Begin the next response, if the last one is complete."""
         if self.started and not self.finished:
             self.abort()
             raise errors.ResponseOrderError('successor', 'its end')
         self.response = response_encoder.ResponseEncoder(
-            is_head_request, self.is_http_1_0
+            is_head_request, is_http_1_0
         )
         self.was_paused = False
 
@@ -549,7 +563,8 @@
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             # A server may ignore an Upgrade header (RFC 9110, 7.8).
-            self.close_after_response = True
+            if self.request_queue and not self.error_status:
+                self.request_queue[-1].closes = True
         except httptools.HttpParserError:
             self.error_status = self.error_status or 400
         if self.closing:
@@ -567,8 +582,10 @@
 
     def _start_next_request(self) -> None:
         """Start serving the first request of the queue."""
-        request = self.request_queue.popleft()
-        self._begin_response(request.method == b'HEAD')
+        queued = self.request_queue.popleft()
+        request = queued.request
+        self._begin_response(request.method == b'HEAD', queued.is_http_1_0)
+        self.close_after_response = queued.closes
         self.task = self.loop.create_task(self._serve(request))
 
     async def _serve(self, request: proxying.CallerRequest) -> None:
@@ -654,8 +671,8 @@
         if self.received_at is not None:
             self.server.budget.change(-self.body_size)
             self.received_at = None
-        for request in self.request_queue:
-            self.server.budget.change(-len(request.body))
+        for queued in self.request_queue:
+            self.server.budget.change(-len(queued.request.body))
         self.request_queue.clear()
 
     # Writing.
