Answer what a connection has read before a stop closes it

What callers saw: a request sent on a connection behind a running stream, before or after the SIGTERM of its router, was read whole and got no answer; its connection closed when the stream had ended. The head of the stream couldn't announce that, as it was sent before the signal.

Cause: the end of a response closed the connection as soon as the router was stopping, whatever was queued or not parsed yet. Class: a connection's end that doesn't look at what was accepted on it.

A response of a stopping router ends its connection only if its head has said so, and its head says so only if nothing else has been read; the last answer always does. What comes late is refused as before (503, not run), and a connection with nothing left to answer is closed at once.

--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -617,7 +617,7 @@
         if not self.finished:
             self.abort()
             return
-        if self.close_after_response or self.server.draining:
+        if self.close_after_response:
             self._close_gracefully()
             return
         if self.request_queue:
@@ -633,6 +633,8 @@
             self.server.budget.change(-len(data))
             self.transport.resume_reading()
             self._parse(data)
+        if self.server.draining:
+            self.close_if_idle()
         self.server.on_capacity_freed()
 
     def _record_error(self, status: int) -> None:
@@ -678,8 +680,13 @@
     # Writing.
 
     def _closes(self) -> bool:
-        """Return whether the connection ends after this response."""
-        if self.server.draining:
+        """Return whether the connection ends after this response.
+
+        At a stop it does, unless the caller has sent more that was read.
+        """
+        if self.server.draining and not (
+            self.request_queue or self.unparsed_data
+        ):
             self.close_after_response = True
         return self.close_after_response
 
