--- a/tests/platform/test_edge_stop.py
+++ b/tests/platform/test_edge_stop.py
@@ -280,3 +280,87 @@
     (answer,) = answers
     assert answer.startswith(b'HTTP/1.1 503 ')
     assert [one.attempt_id for one in edge.executed_requests()] == ['before']
+
+
+# The head of the response before it announced that the connection closes.
+def test_request_half_read_behind_a_stream_is_answered_at_a_stop(edge):
+    for engine in edge.engines.values():
+        engine.event_count = 40
+    behind = encode_request('/once/x', 'behind')
+    with edge.router.connect() as connection:
+        edge.router.send_signal(signal.SIGTERM)
+        edge.router.wait_for_log('event=stopping')
+        connection.sendall(encode_request('/talk/x', 'stream') + behind[:40])
+        edge.router.wait_for_log('event=place id=stream')
+        time.sleep(0.1)
+        connection.sendall(behind[40:])
+        stream, *answers = read_responses(connection)
+    assert stream.endswith(b'\r\n0\r\n\r\n')
+    assert len(answers) == 1, edge.router.read_log()
+    assert answers[0][:12] in (b'HTTP/1.1 200', b'HTTP/1.1 503')
+
+
+# The end of the process closed its connection like a whole body's.
+def test_body_without_length_cut_by_the_end_does_not_look_whole(edge):
+    for engine in edge.engines.values():
+        engine.default_fault = 'unread-cut'
+        engine.padding_bytes = 20_000
+    request = encode_request('/talk/x', 'stream')
+    request = request.replace(b'HTTP/1.1', b'HTTP/1.0')
+    # Some fill what the system buffers, and a little remains in the router.
+    counts = range(180, 220)
+    connections = []
+    for count in counts:
+        for engine in edge.engines.values():
+            engine.event_count = count
+        placed = edge.router.read_log().count('event=place')
+        connections.append(edge.router.connect())
+        connections[-1].sendall(request)
+        edge_fleet.wait_for(
+            lambda placed=placed: len(edge.executed_requests()) > placed,
+            'a stream',
+        )
+        time.sleep(0.05)
+    time.sleep(1)
+    edge.router.send_signal(signal.SIGTERM)
+    edge.router.process.wait(END_S)
+    truncated = []
+    for count, connection in zip(counts, connections, strict=True):
+        received = b''
+        with connection:
+            try:
+                while data := connection.recv(65536):
+                    received += data
+            except ConnectionResetError:
+                continue
+        events = received.count(b'data: piece')
+        whole = received.endswith(b'\n\n') and events == count
+        if not whole:
+            truncated.append((count, len(received)))
+    assert truncated == [], edge.router.read_log()
+
+
+# After a stall, the idle timeout ran before the socket was read.
+def test_request_in_the_socket_of_a_suspended_router_is_answered(edge):
+    edge.publish_config(
+        routes=ROUTES,
+        Limits={
+            'MaxHeaderBytes': 4096,
+            'MaxBodyBytes': 65536,
+            'HeaderTimeoutMs': 2000,
+            'IdleTimeoutMs': 2000,
+        },
+    )
+    edge.router.wait_for_log('event=config-applied version=2')
+    with edge.router.connect() as connection:
+        connection.sendall(encode_request('/once/x', 'before'))
+        assert connection.recv(4096).startswith(b'HTTP/1.1 200 ')
+        time.sleep(0.7)
+        edge.router.send_signal(signal.SIGSTOP)
+        time.sleep(0.3)
+        connection.sendall(encode_request('/once/x', 'after'))
+        time.sleep(1.4)
+        edge.router.send_signal(signal.SIGCONT)
+        connection.settimeout(END_S)
+        answer = connection.recv(4096)
+    assert answer.startswith(b'HTTP/1.1 '), edge.router.read_log()
--- a/tests/transport/test_caller_api_server.py
+++ b/tests/transport/test_caller_api_server.py
@@ -308,6 +308,46 @@
     asyncio.run(scenario())
 
 
+# It was sent to a sidecar, and its connection closed without an answer.
+def test_request_behind_a_stream_is_answered_at_a_drain():
+    async def scenario():
+        links = helpers_router.FakeLinks()
+        begun = asyncio.Queue()
+
+        def begin(link, submit):
+            response = helpers_router.answer(submit.attempt, bytes(1 << 19))
+            begun.put_nowait((link, response[-1]))
+            return response[:-1]
+
+        script_all_vms(links, begin)
+        async with serve(links) as server:
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', server.port
+            )
+            request = (
+                f'POST /services/booking/x HTTP/1.1\r\nHost: x\r\n'
+                f'Authorization: {AUTH["Authorization"]}\r\n'
+                f'Content-Length: 0\r\n\r\n'.encode()
+            )
+            writer.write(request)
+            stream = await reader.read(4096)
+            assert b'Connection: close' not in stream
+            writer.write(request)
+            await asyncio.sleep(0.1)
+            drain_task = asyncio.create_task(server.drain(5))
+            await asyncio.sleep(0.1)
+            links.scripts.clear()
+            link, end = await begun.get()
+            links.deliver(link, [end])
+            rest = await reader.read(-1)
+            await drain_task
+            writer.close()
+        assert b'\r\n0\r\n\r\n' in rest
+        assert rest.count(b'HTTP/1.1 ') == 1
+
+    asyncio.run(scenario())
+
+
 def test_admin_server_serves_health_status_and_metrics():
     async def scenario():
         links = helpers_router.FakeLinks()
