Announce no end of a connection on which a request has begun to arrive

The head of a response of a stopping router said Connection: close though the first bytes of the next request had been read; the rest was read and dropped when the response ended, and an error due to an invalid request behind it was never sent. What the parser holds now counts like what waits to be parsed.

test_request_half_read_behind_a_stream_is_answered_at_a_stop, found by a review, failed before.

--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -685,7 +685,10 @@
         At a stop it does, unless the caller has sent more that was read.
         """
         if self.server.draining and not (
-            self.request_queue or self.unparsed_data
+            self.request_queue
+            or self.unparsed_data
+            or self.error_status
+            or self.received_at is not None
         ):
             self.close_after_response = True
         return self.close_after_response
