Read what has arrived before connections are closed as idle

After a stall the event loop runs its timers before it reads, so the idle timeout closed connections whose next request was in the socket already. The check lets the event loop read first, as that of a stop does.

test_request_in_the_socket_of_a_suspended_router_is_answered, found by a review, failed before.

--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -92,6 +92,8 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
+            # After a stall, sockets hold requests that weren't read yet.
+            await asyncio.sleep(0)
             now = loop.time()
             self._count_unsent()
             for connection in list(self.connections):
