Reset connections whose last bytes can't leave before the process ends

A response that is complete for the router may wait for a caller that reads slowly.

What hasn't left the process is cut like a stalled reader, with a line, and counts as cut in the last line.

It depends on the socket buffers of the system (4 MB).

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -417,7 +417,7 @@
         for task in tasks:
             task.cancel()
         cut = self.router.cut_requests + self.router.active_requests
-        await self.caller_server.cancel_requests()
+        cut += await self.caller_server.cancel_requests()
         self.events.write('stop', cut=cut)
         self.events.flush_all()
         return 0
--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -32,6 +32,8 @@
 CUT_INTERVAL_S = 0.02
 # Until then, readers that hold most of the budget were cut or take bytes.
 MAX_CUT_WAIT_S = 0.2
+# Cancelled requests end within this time.
+_CANCEL_TIMEOUT_S = 0.1
 # A response pauses with more unsent data than this.
 MAX_UNSENT_BYTES = 64 * 1024
 
@@ -184,8 +186,11 @@
         for connection in list(self.connections):
             connection.refuse_incomplete()
 
-    async def cancel_requests(self) -> None:
-        """End what is left of all requests, as the process ends."""
+    async def cancel_requests(self) -> int:
+        """End what is left of all requests, as the process ends.
+
+        Return how many complete responses their callers haven't taken.
+        """
         tasks = [
             connection.task
             for connection in self.connections
@@ -195,7 +200,11 @@
             connection.discard_requests()
         for task in tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        if tasks:
+            await asyncio.wait(tasks, timeout=_CANCEL_TIMEOUT_S)
+        return sum(
+            connection.cut_unsent() for connection in list(self.connections)
+        )
 
     def close_idle(self) -> None:
         """Close the connections without a request."""
@@ -354,6 +363,18 @@
         self.abort()
         self.server.on_cut()
 
+    def cut_unsent(self) -> bool:
+        """Close if a response hasn't left this process, as the process ends.
+
+        The system would end a body without a length as if it were whole.
+        Return whether it was closed.
+        """
+        self.count_unsent(0)
+        if not self.unsent_bytes:
+            return False
+        self.cut('stop')
+        return True
+
     def discard_requests(self) -> None:
         """Drop the requests that wait for their turn or are incomplete."""
         if self.request_queue or self.unparsed_data:
