Refuse what is read at the very end of a stop

A router that stood still up to the end of its grace time read the requests in its sockets, began them, and ended them with the process: closed, without an answer or a line. It refuses them now, at once and without looking at the store first, and leaves them two hundredths of a second.

test_request_read_at_the_very_end_of_a_stop_is_refused failed before.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -77,6 +77,9 @@
 HELD_MEMORY_SHARE = 0.25
 LISTEN_BACKLOG = 512
 CHECK_INTERVAL_S = 0.1
+# At the end of a stop: for requests that have just been read, and the log.
+LAST_REFUSALS_S = 0.02
+LOG_DRAIN_S = 0.1
 # A server that leaves must get no request sent later than the drain time; the
 # rest of that is for requests that wait on the way.
 LEAVING_USE_SHARE = 0.5
@@ -479,6 +482,10 @@
                     self.caller_server.refuse_incomplete()
                     self.caller_server.close_idle()
                 case edge_shutdown.ShutdownPhase.ENDED:
+                    self.router.refuse_new = True
+                    self.caller_server.refuse_incomplete()
+                    # After a stall, new requests are refused meanwhile.
+                    await asyncio.sleep(LAST_REFUSALS_S)
                     self.stopped.set()
 
     def _start_shutdown(self) -> None:
--- a/arbutusvale/coordination/edge_router.py
+++ b/arbutusvale/coordination/edge_router.py
@@ -62,7 +62,8 @@
         caller: edge_ports.CallerStream,
     ) -> None:
         """Serve one request."""
-        await self.before_request()
+        if not self.refuse_new:
+            await self.before_request()
         metadata = self.context.codec.parse_request(request.headers)
         decision = self._admit(request, metadata)
         match decision:
--- a/tests/platform/test_edge_stop.py
+++ b/tests/platform/test_edge_stop.py
@@ -364,3 +364,19 @@
         connection.settimeout(END_S)
         answer = connection.recv(4096)
     assert answer.startswith(b'HTTP/1.1 '), edge.router.read_log()
+
+
+# The time in which requests are refused passed unnoticed, up to the end.
+def test_request_read_at_the_very_end_of_a_stop_is_refused(edge):
+    with edge.router.connect() as connection:
+        connection.sendall(encode_request('/once/x', 'before'))
+        assert connection.recv(4096).startswith(b'HTTP/1.1 200 ')
+        edge.router.send_signal(signal.SIGTERM)
+        edge.router.wait_for_log('event=stopping')
+        edge.router.send_signal(signal.SIGSTOP)
+        time.sleep(GRACE_S)
+        connection.sendall(encode_request('/once/x', 'after'))
+        edge.router.send_signal(signal.SIGCONT)
+        answers = read_responses(connection)
+    assert [answer[:12] for answer in answers] == [b'HTTP/1.1 503']
+    assert [one.attempt_id for one in edge.executed_requests()] == ['before']
