Write the last lines of a stop to a reader that lags

test_lines_at_the_end_wait_for_a_reader_that_lags fails without the wait: it writes 200 kB through a pipe of 64 kB.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -422,7 +422,7 @@
         cut = self.router.cut_requests + self.router.active_requests
         cut += await self.caller_server.cancel_requests()
         self.events.write('stop', cut=cut)
-        self.events.flush_all()
+        await self.events.drain(LOG_DRAIN_S)
         return 0
 
     async def _listen(self) -> list[asyncio.Server | acceptor.Acceptor]:
--- a/arbutusvale/state/event_log.py
+++ b/arbutusvale/state/event_log.py
@@ -16,6 +16,7 @@
 # Beyond this, lines are dropped until the reader catches up.
 MAX_PENDING_BYTES = 256 * 1024
 FLUSH_INTERVAL_S = 0.2
+DRAIN_INTERVAL_S = 0.005
 
 
 class EventLog:
@@ -54,6 +55,14 @@
             await asyncio.sleep(FLUSH_INTERVAL_S)
             self.flush_all()
 
+    async def drain(self, timeout_s: float) -> None:
+        """Write all lines, or what the reader takes in ``timeout_s``."""
+        ends_at = time.monotonic() + timeout_s
+        self.flush_all()
+        while self.pending and time.monotonic() < ends_at:
+            await asyncio.sleep(DRAIN_INTERVAL_S)
+            self.flush()
+
     def flush_all(self) -> None:
         """Flush, and tell how many lines were dropped."""
         if self.dropped_lines:
--- a/tests/state/test_event_log.py
+++ b/tests/state/test_event_log.py
@@ -1,5 +1,7 @@
 """The log never blocks, and its buffer is bounded."""
 
+import asyncio
+import contextlib
 import os
 
 from arbutusvale.state import event_log
@@ -48,3 +50,25 @@
     log.write('x')
     log.flush()
     assert log.pending == []
+
+
+def test_lines_at_the_end_wait_for_a_reader_that_lags():
+    async def run():
+        reader, writer = os.pipe()
+        os.set_blocking(reader, False)
+        log = event_log.EventLog(writer)
+        for _ in range(200):
+            log.write('filler', text='x' * 1000)
+        log.write('stop')
+        drained = asyncio.create_task(log.drain(5.0))
+        await asyncio.sleep(0.02)
+        received = b''
+        while b'event=stop\n' not in received:
+            with contextlib.suppress(BlockingIOError):
+                received += os.read(reader, 1 << 20)
+            await asyncio.sleep(0)
+        await drained
+        os.close(reader)
+        os.close(writer)
+
+    asyncio.run(asyncio.wait_for(run(), 10))
