Give up a silent server only with a retry reserved

What callers saw: when a server fell silent for 1.2 s, most of its resumable streams were broken off at one moment, though the server went on 0.8 s later.

Cause: whether a stream could fail over was asked when a wait for an event began. When it ended, all streams of that server gave up their attempt, and asked the retry budget after that; those beyond the budget had neither attempt nor retry. The class: a check whose result is used after it may have changed.

Why this works: a silent server is given up only once the retry is reserved, in the same step as the check. Without one the router waits on. The same holds while it waits for a response head.

--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -389,7 +389,11 @@
             self.reporter,
             self.caller,
             self.event_buffer,
-            edge_relay.Alternatives(self._can_fail_over, self._list_untried),
+            edge_relay.Alternatives(
+                self._can_fail_over,
+                lambda: self._can_fail_over() and self._reserve_in_budget(),
+                self._list_untried,
+            ),
             lambda: self._record_events(placement),
             server,
             connection,
@@ -539,6 +543,10 @@
             return False
         if self._time_left_s() < MIN_TIME_S:
             return False
+        return self.retry_reserved or self._reserve_in_budget()
+
+    def _reserve_in_budget(self) -> bool:
+        """Reserve a retry if the budget allows one more."""
         budget = self.context.retry_budget(self.request.pool)
         self.retry_reserved = budget.try_reserve()
         self.reporter.record_retry(self.retry_reserved, budget)
--- a/arbutusvale/coordination/edge_relay.py
+++ b/arbutusvale/coordination/edge_relay.py
@@ -48,10 +48,12 @@
     """Where else a request could be sent.
 
     ``can_fail_over`` checks whether it could be sent to another server now;
-    ``list_untried`` lists other servers, whether they take requests or not.
+    ``reserve_retry`` checks the same and reserves the retry; ``list_untried``
+    lists other servers, whether they take requests or not.
     """
 
     can_fail_over: Callable[[], bool]
+    reserve_retry: Callable[[], bool]
     list_untried: Callable[[], list[proxying.BackendServer]]
 
 
@@ -142,7 +144,7 @@
                     wait_until,
                     sent_at + self._first_byte_timeout_s(now - sent_at),
                 )
-            if wait_until <= now:
+            if wait_until <= now and self._may_give_up():
                 self._record_reading_time(sent_at)
                 raise TimeoutError
             done, _ = await asyncio.wait(
@@ -312,8 +314,7 @@
         resumable = self.request.route.resumable
         progress_at: float | None = None
         while True:
-            async with asyncio.timeout(self._event_gap_timeout_s()):
-                data = await self.connection.read(exchange)
+            data = await self._read_events(exchange)
             if not data:
                 break
             self.context.last_received_at[self.server.id] = (
@@ -351,6 +352,27 @@
             edge_requests.Delivered('answered', head.status), head
         )
 
+    async def _read_events(self, exchange: edge_ports.ServerExchange) -> bytes:
+        """Return what comes next; raise TimeoutError if that is too late."""
+        while True:
+            try:
+                async with asyncio.timeout(self._event_gap_timeout_s()):
+                    return await self.connection.read(exchange)
+            except TimeoutError:
+                if self._may_give_up():
+                    raise
+
+    def _may_give_up(self) -> bool:
+        """Return whether to end the attempt at a server that is silent.
+
+        Its streams end at once, and the first of them may use up the retry
+        budget: those without a retry would end in the middle.
+        """
+        return (
+            self._time_left_s() + DEADLINE_SLACK_S <= 0
+            or self.alternatives.reserve_retry()
+        )
+
     async def _wait_until_drained(self) -> None:
         """Wait for the caller; note if that takes long.
 
--- a/arbutusvale/standins/edge_engine.py
+++ b/arbutusvale/standins/edge_engine.py
@@ -82,7 +82,7 @@
 
     Paths that start with ``stream_prefix`` are answered with
     ``event_count`` server-sent events, which name ``software_version``
-    unless it is empty.
+    unless it is empty; none is sent before ``silent_until``.
 
     ``GET /-/kv-list`` returns the prompt parts of all requests that it ran
     since its start, or follows ``cache_list_fault``: 'refuse' or 'hang'.
@@ -125,6 +125,8 @@
         self.event_count = 5
         self.stream_prefix = ''
         self.service_time_s = 0.0
+        # On the monotonic clock, in seconds.
+        self.silent_until = 0.0
         self.padding_bytes = 0
         self.active_requests = 0
         self.connections = 0
@@ -420,6 +422,7 @@
             if fault == 'unread-cut':
                 data += ' ' + 'p' * self.padding_bytes
             event = f'id: {number}\ndata: {data}\n\n'.encode()
+            await asyncio.sleep(max(0.0, self.silent_until - time.monotonic()))
             if number == first_number + 2:
                 match fault:
                     case 'stream-cut':
--- a/tests/coordination/test_edge_relay.py
+++ b/tests/coordination/test_edge_relay.py
@@ -121,7 +121,7 @@
         reporter,
         caller,
         event_stream.EventBuffer(3 if caller.started else None),
-        edge_relay.Alternatives(lambda: False, list),
+        edge_relay.Alternatives(lambda: False, lambda: False, list),
         lambda: None,
         SERVER,
         connection,
--- a/tests/platform/test_edge_stop.py
+++ b/tests/platform/test_edge_stop.py
@@ -17,6 +17,9 @@
 END_S = GRACE_S + 1.0
 # The router looks at waiting requests ten times a second.
 AT_ONCE_S = 0.5
+# More than may be sent again, and longer than a router waits for an event.
+SILENT_STREAMS = 60
+SILENCE_S = 2.0
 LIMITS = {'TimeoutMs': 30_000, 'TargetLatencyMs': 1000, 'MaxAttempts': 2}
 ROUTES = [
     helpers_edge.make_route(**LIMITS),
@@ -380,3 +383,43 @@
         answers = read_responses(connection)
     assert [answer[:12] for answer in answers] == [b'HTTP/1.1 503']
     assert [one.attempt_id for one in edge.executed_requests()] == ['before']
+# They were given up for a retry that the budget didn't allow.
+@pytest.mark.parametrize('stops', [False, True])
+def test_streams_of_a_silent_engine_are_not_cut(fleet, stops):
+    route = helpers_edge.make_route(
+        'talk', '/talk/', RouteType='streaming', StreamResume=True, **LIMITS
+    )
+    service = {
+        'Name': 'chat',
+        'HealthCheckPath': '/h',
+        'MaxConnections': 2 * SILENT_STREAMS,
+    }
+    fleet.publish_config(routes=[route], Services=[service])
+    silent = fleet.add_engine('e1', Slots=SILENT_STREAMS)
+    router = fleet.router = fleet.add_router()
+    router.wait_for_log('event=server-listed server=e1 ')
+    silent.stream_prefix = '/talk/'
+    silent.event_count = 100
+    with concurrent.futures.ThreadPoolExecutor(SILENT_STREAMS) as pool:
+        sent = [
+            pool.submit(send_timed, fleet, '/talk/x')
+            for _ in range(SILENT_STREAMS)
+        ]
+        edge_fleet.wait_for(
+            lambda: len(fleet.executed_requests()) == SILENT_STREAMS, 'streams'
+        )
+        other = fleet.add_engine('e2', Slots=SILENT_STREAMS)
+        other.stream_prefix = '/talk/'
+        other.event_count = 100
+        router.wait_for_log('event=server-listed server=e2 ')
+        if stops:
+            router.send_signal(signal.SIGTERM)
+        time.sleep(0.2)
+        silent.silent_until = time.monotonic() + SILENCE_S
+        answers = [future.result() for future in sent]
+    log = router.read_log()
+    assert 'cause=silent' in log
+    statuses = [answer[0] for answer in answers]
+    assert statuses == [200] * SILENT_STREAMS, log
+    for answer in answers:
+        assert answer[2].count(b'data: piece') == 100
