Show that a slow reader loses the rest of its answer when it sends more

What callers saw: in a rolling stop, a stream whose server had ended after 0.1 s was reset 1.45 s after it was sent, in the middle (LOST).

Cause: a connection that ends with a response is half-closed, read for LINGER_S more, and closed. Then the kernel still has bytes for a slow reader; what the caller sends now arrives at a closed socket, which answers with a reset, and the reset discards those bytes. The class: a fixed time in place of the event that is waited for.

--- a/tests/platform/test_edge_stop.py
+++ b/tests/platform/test_edge_stop.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import http.client
 import signal
+import socket
 import time
 
 import pytest
@@ -423,3 +424,30 @@
     assert statuses == [200] * SILENT_STREAMS, log
     for answer in answers:
         assert answer[2].count(b'data: piece') == 100
+
+
+# The rest of its answer was discarded when it sent more behind it.
+def test_slow_reader_that_sends_more_gets_its_whole_answer(edge):
+    for engine in edge.engines.values():
+        engine.padding_bytes = 60_000
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    with connection:
+        connection.connect((edge.router.host, edge.caller_port))
+        edge.router.send_signal(signal.SIGTERM)
+        edge.router.wait_for_log('event=stopping')
+        connection.sendall(encode_request('/chat/x', 'slow'))
+        edge.router.wait_for_log('event=end id=slow ')
+        time.sleep(1.5)
+        connection.sendall(encode_request('/chat/x', 'behind'))
+        time.sleep(0.2)
+        connection.settimeout(END_S)
+        received = b''
+        try:
+            while data := connection.recv(65536):
+                received += data
+        except ConnectionResetError:
+            pass
+    head, _, body = received.partition(b'\r\n\r\n')
+    length = int(head.lower().partition(b'content-length: ')[2].split()[0])
+    assert len(body) == length
