Add rolling stops under callers that keep connections to the soak

Callers use their connections until these end, send requests behind running ones, upload over seconds and read slowly. A request counts as lost if it was sent whole and its connection ends without a whole answer, though its server ended, or was left, before the last sixth of the grace time, or 0.2 s after it was sent without a run; also behind a stream. Not counted, from traces: what was sent behind an answer that ends its connection or was cut (which counts by itself), and while the announced end was on its way.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tests.soak import fault_schedule
+from tests.soak import rolling_stops
 from tests.soak import run
 
 pytestmark = pytest.mark.process
@@ -11,6 +12,9 @@
 # Together these seeds draw a terminated router, an engine crash, store faults
 # and frozen connections.
 SEEDS = (2, 7)
+# All routers stop within a second; some stand still or are told so again.
+STOPS_SEED = 1
+STOPS_DURATION_S = 14.0
 
 
 @pytest.mark.parametrize('seed', SEEDS)
@@ -26,6 +30,19 @@
         soak_run.close()
 
 
+# Requests that were read behind a stream were dropped at its end.
+def test_no_request_is_lost_at_rolling_stops(tmp_path):
+    play = rolling_stops.RollingStops(
+        tmp_path, STOPS_SEED, STOPS_DURATION_S, callers=30
+    )
+    try:
+        assert play.run_and_check() == []
+        assert len(play.exchanges) > 200
+        assert play.stops
+    finally:
+        play.close()
+
+
 def test_seed_determines_faults():
     assert fault_schedule.draw_faults(5, 8.0) == fault_schedule.draw_faults(
         5, 8.0
