--- a/tests/platform/test_edge_stop.py
+++ b/tests/platform/test_edge_stop.py
@@ -384,6 +384,8 @@
         answers = read_responses(connection)
     assert [answer[:12] for answer in answers] == [b'HTTP/1.1 503']
     assert [one.attempt_id for one in edge.executed_requests()] == ['before']
+
+
 # They were given up for a retry that the budget didn't allow.
 @pytest.mark.parametrize('stops', [False, True])
 def test_streams_of_a_silent_engine_are_not_cut(fleet, stops):
