Close a connection once its caller has taken the last response

A connection that ends with a response is half-closed, read for a second, and was closed then, whatever the caller had taken: what a slow reader sends to a closed socket is answered by a reset, and the system discards the rest of the response.

The socket is closed when the system has no byte left for the caller (TIOCOUTQ), or after the idle timeout.

--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -24,7 +24,7 @@
 
 # Limit of pipelined data that is buffered while a response is pending.
 MAX_UNPARSED_BYTES = 64 * 1024
-# Time for a caller to read the last response before the socket is closed.
+# The socket is closed so long after the last response at the earliest.
 LINGER_S = 1.0
 # Precise enough, as the timeouts of callers are seconds.
 CHECK_INTERVAL_S = 0.5
@@ -230,6 +230,8 @@
         self.close_after_response = False
         self.disconnected = False
         self.closing = False
+        # When the socket is closed, whatever the caller has taken.
+        self.closes_by = 0.0
         self.idle_since = self.loop.time()
         self.idle_limit_s = server.limits().idle_timeout_s
         self.write_resumed: asyncio.Future | None = None
@@ -765,12 +767,24 @@
             self.transport.abort()
             return
         self.transport.resume_reading()
+        self.closes_by = self.loop.time() + self.idle_limit_s
         self.loop.call_later(LINGER_S, self._close)
 
     def _close(self) -> None:
-        """Close the transport after the linger time."""
-        if not self.disconnected:
-            self.transport.close()
+        """Close the socket once the caller has taken the response.
+
+        What a caller sends to a closed socket makes the system discard the
+        bytes that are on their way.
+        """
+        if self.disconnected:
+            return
+        raw_socket = self.transport.get_extra_info('socket')
+        if self.loop.time() < self.closes_by and (
+            self.unsent_bytes or socket_options.count_untaken(raw_socket)
+        ):
+            self.loop.call_later(LINGER_S, self._close)
+            return
+        self.transport.close()
 
 
 def _ignore_cut() -> None:
--- a/arbutusvale/transport/socket_options.py
+++ b/arbutusvale/transport/socket_options.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import dataclasses
+import fcntl
 import socket
 import struct
+import termios
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,6 +45,18 @@
     )
 
 
+def count_untaken(raw_socket: socket.socket) -> int:
+    """Return how many sent bytes the peer hasn't acknowledged.
+
+    It is 0 where the system doesn't tell.
+    """
+    try:
+        data = fcntl.ioctl(raw_socket.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return 0
+    return struct.unpack('i', data)[0]
+
+
 def apply(
     transport: asyncio.BaseTransport, keepalive: KeepaliveOptions
 ) -> None:
