--- a/tests/edge_fleet.py
+++ b/tests/edge_fleet.py
@@ -162,6 +162,7 @@
         self.attempt_count = 0
         self.config_version = 0
         self.max_descriptors = 4100
+        self.memory_mb = 200
         self.retry_window_s = 10
 
     async def _make_store(self):
@@ -262,7 +263,7 @@
 Ready = "{host}:{self.ready_port}"
 [Limits]
 CpuShare = 1.0
-MemoryMb = 200
+MemoryMb = {self.memory_mb}
 MaxFds = {self.max_descriptors}
 [Bounds]
 ContactMs = 3000
