Count what a caller's requests take in memory, not their payload

What callers saw: a crowd that sends bodies in tiny chunks, heads of tiny lines or many tiny requests at once, each inside its limits, ends a router; before that all callers wait.

Cause: the budget of held bytes counted the payload of bodies. Each chunk was an object of its own, 20 times its two bytes; headers, requests that wait behind another one and the rest of a head counted nothing, and all requests of one read of 256 KiB were made at once.

A parser of its own (transport/request_parser.py) knows what a connection's requests take: a body is one buffer, headers and requests count with their objects, and the next request is parsed when the one before has its response. Sockets are read by 16 KiB, less under pressure. One incomplete request may take half of what the others leave, so that a crowd of large ones leaves room for small ones; beyond that it is refused with 503 before anything has run.

--- a/arbutusvale/coordination/slow_reader_policy.py
+++ b/arbutusvale/coordination/slow_reader_policy.py
@@ -1,4 +1,4 @@
-"""Decisions on connections whose other side reads slowly.
+"""Decisions on connections whose other side reads or sends slowly.
 
 Load patterns:
 
@@ -6,6 +6,8 @@
   the more is held in total, so that what is free remains for good readers.
 - Callers that read nothing for long: the one that holds most bytes for the
   longest is cut first, a reader that takes bytes never.
+- Callers that stop within their requests: each may take a share of what the
+  others leave, so that small requests find room.
 """
 
 from collections.abc import Iterable
@@ -23,6 +25,8 @@
 MIN_READ_BYTES = 4096
 # The same while responses wait: all connections together stay within the rest.
 MIN_READ_SPENT_BYTES = 256
+# A request that is being received may take this share of what others leave.
+REQUEST_SHARE = 0.5
 # A reader without progress for so long is stalled: longer than a lost packet
 # or two take to be sent again.  With a spent budget a shorter time has to do,
 # still longer than the round trip of a reader that takes bytes.
@@ -33,10 +37,11 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Reader:
-    """A connection with unsent bytes, and since when it has taken none.
+class Holder:
+    """A connection with unsent bytes or an incomplete request.
 
-    ``number`` identifies it; ``stalled_s`` is in seconds.
+    ``number`` identifies it; ``stalled_s`` is for how many seconds it has
+    taken none, or since when the request arrives.
     """
 
     number: int
@@ -57,8 +62,13 @@
     return min(maximum, int(free_bytes * ALLOWANCE_SHARE))
 
 
+def may_hold(limit_bytes: int, others_bytes: int, own_bytes: int) -> bool:
+    """Return whether a request may take ``own_bytes`` beside the others."""
+    return own_bytes <= REQUEST_SHARE * (limit_bytes - others_bytes)
+
+
 def read_size(limit_bytes: int, held_bytes: int, maximum: int) -> int:
-    """Return how many bytes to read at once from a server."""
+    """Return how many bytes to read at once from a socket."""
     if must_wait(limit_bytes, held_bytes):
         return MIN_READ_SPENT_BYTES
     return max(
@@ -67,7 +77,7 @@
 
 
 def must_cut(limit_bytes: int, held_bytes: int) -> bool:
-    """Return whether stalled readers have to be cut."""
+    """Return whether stalled connections have to be cut."""
     return held_bytes > limit_bytes * CUT_SHARE
 
 
@@ -77,7 +87,7 @@
 
 
 def min_stall_s(limit_bytes: int, held_bytes: int) -> float:
-    """Return after how many seconds without progress a reader is cut."""
+    """Return after how many seconds without progress one is cut."""
     free_share = max(0.0, 1 - held_bytes / limit_bytes) / (1 - CUT_SHARE)
     return MIN_STALL_SPENT_S + min(1.0, free_share) * (
         MIN_STALL_S - MIN_STALL_SPENT_S
@@ -85,23 +95,23 @@
 
 
 def choose_cuts(
-    readers: Iterable[Reader], limit_bytes: int, held_bytes: int
+    holders: Iterable[Holder], limit_bytes: int, held_bytes: int
 ) -> list[int]:
-    """Return the numbers of the readers to cut, the first one first."""
+    """Return the numbers of the connections to cut, the first one first."""
     stall_s = min_stall_s(limit_bytes, held_bytes)
     stalled = sorted(
         (
-            reader
-            for reader in readers
-            if reader.held_bytes and reader.stalled_s >= stall_s
+            holder
+            for holder in holders
+            if holder.held_bytes and holder.stalled_s >= stall_s
         ),
-        key=lambda reader: reader.held_bytes * reader.stalled_s,
+        key=lambda holder: holder.held_bytes * holder.stalled_s,
         reverse=True,
     )
     cuts = []
-    for reader in stalled:
+    for holder in stalled:
         if not must_cut(limit_bytes, held_bytes):
             break
-        cuts.append(reader.number)
-        held_bytes -= reader.held_bytes
+        cuts.append(holder.number)
+        held_bytes -= holder.held_bytes
     return cuts
--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -1,24 +1,20 @@
 """HTTP/1.1 server of the edge router; responses are in request order.
 
-A request is forwarded when it is complete.  A request whose end is ambiguous
-(two lengths, a length with chunked encoding, folded header lines, bare line
-feeds) is rejected and the connection closed, to prevent request smuggling.
+A request is forwarded when it is complete.  The next one is parsed when the
+response before it has ended.
 """
 
 import asyncio
-import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
-import dataclasses
 import typing
 
-import httptools
-
 from arbutusvale import errors
 from arbutusvale.coordination import slow_reader_policy
 from arbutusvale.protocol import proxying
 from arbutusvale.protocol import routing
 from arbutusvale.state import byte_budget
+from arbutusvale.transport import request_parser
 from arbutusvale.transport import response_encoder
 from arbutusvale.transport import socket_options
 
@@ -36,21 +32,15 @@
 _CANCEL_TIMEOUT_S = 0.1
 # A response pauses with more unsent data than this.
 MAX_UNSENT_BYTES = 64 * 1024
+# Read from a socket at once.
+_MAX_READ_BYTES = 16 * 1024
 
-_SINGLE_HEADERS = frozenset((b'host', b'content-length', b'transfer-encoding'))
+# Shared, as the data is parsed or copied before the next read.
+_read_buffer = memoryview(bytearray(_MAX_READ_BYTES))
 
 Serve = Callable[[proxying.CallerRequest, 'CallerConnection'], Awaitable[None]]
 
 
-@dataclasses.dataclass(slots=True)
-class _QueuedRequest:
-    """A complete request and how its response has to end."""
-
-    request: proxying.CallerRequest
-    is_http_1_0: bool
-    closes: bool
-
-
 class EdgeServer:
     """The callers' open connections and their common limits.
 
@@ -134,7 +124,7 @@
         readers = list(self.slow_readers)
         cuts = slow_reader_policy.choose_cuts(
             (
-                slow_reader_policy.Reader(
+                slow_reader_policy.Holder(
                     number, reader.unsent_bytes, now - reader.taken_at
                 )
                 for number, reader in enumerate(readers)
@@ -184,7 +174,7 @@
     def refuse_incomplete(self) -> None:
         """Refuse the requests that haven't been received in full."""
         for connection in list(self.connections):
-            connection.refuse_incomplete()
+            connection.refuse_incomplete('stopping')
 
     async def cancel_requests(self) -> int:
         """End what is left of all requests, as the process ends.
@@ -212,21 +202,22 @@
             connection.close_if_idle()
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.BufferedProtocol):
     """One caller's connection: parses requests and writes responses."""
 
     def __init__(self, server: EdgeServer):
         self.server = server
         self.loop = asyncio.get_running_loop()
-        self.parser = httptools.HttpRequestParser(self)
+        self.parser = request_parser.RequestParser(
+            server.limits, self._may_hold, self._send_continue, self.loop.time
+        )
         self.transport: asyncio.Transport | None = None
         self.task: asyncio.Task | None = None
-        self.request_queue: collections.deque[_QueuedRequest] = (
-            collections.deque()
-        )
-        self.unparsed_data = b''
-        # Status of the response to an invalid request; 0 if there is none.
-        self.error_status = 0
+        # The memory that the request that is served takes.
+        self.served_cost_bytes = 0
+        self.unparsed_data = bytearray()
+        # What counts in the budget for requests, served or not.
+        self.request_cost_bytes = 0
         self.close_after_response = False
         self.disconnected = False
         self.closing = False
@@ -239,11 +230,8 @@
         # When the caller last took bytes of those that were sent.
         self.taken_at = self.loop.time()
         self.has_small_buffer = False
-        # Unlike head_bytes, includes what the parser hasn't reported yet.
-        self.raw_head_bytes = 0
         self.response = response_encoder.ResponseEncoder(False, False)
         self.was_paused = False
-        self._reset_request()
 
     # Called by asyncio.
 
@@ -254,19 +242,35 @@
         self.server.evict_idle_connection()
         self.server.connections.add(self)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where to read to: less if much is held already."""
+        budget = self.server.budget
+        if budget.held_bytes <= budget.calm_bytes:
+            return _read_buffer
+        return _read_buffer[
+            : slow_reader_policy.read_size(
+                budget.limit_bytes, budget.held_bytes, _MAX_READ_BYTES
+            )
+        ]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse or keep what was read."""
+        self.data_received(_read_buffer[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
         """Parse a caller's data, or buffer it while a response is pending."""
-        if self.closing or self.error_status:
+        if self.closing or self.parser.error_status:
             return
-        if self.task is not None:
+        if (
+            self.task is None
+            and not self.unparsed_data
+            and len(data) <= self.parser.step_bytes
+        ):
+            self._parse(data)
+        else:
             self.unparsed_data += data
-            self.server.budget.change(len(data))
-            if len(self.unparsed_data) > self.server.allowance_bytes(
-                MAX_UNPARSED_BYTES
-            ):
-                self.transport.pause_reading()
-            return
-        self._parse(data)
+            self._parse_unparsed()
+        self._count_requests()
 
     def eof_received(self) -> None:
         """Treat a half-closed connection as a disconnect."""
@@ -298,6 +302,7 @@
 
     def check_timeouts(self, now: float) -> None:
         """Close if idle, or receiving or sending for too long."""
+        received_at = self.parser.received_at
         if (
             self.unsent_bytes
             and (self.finished or self.closing)
@@ -307,20 +312,29 @@
             return
         if self.task is not None or self.closing:
             return
-        if self.received_at is not None:
+        if received_at is not None:
             limits = self.server.limits()
             limit_s = limits.header_timeout_s
-            if self.head_complete:
+            if self.parser.head_complete:
                 limit_s += limits.idle_timeout_s
-            if now - self.received_at > limit_s:
+            if now - received_at > limit_s:
                 self._reject(408)
-        elif now - self.idle_since > self.idle_limit_s:
+        elif self.is_idle() and now - self.idle_since > self.idle_limit_s:
             self._close_gracefully()
 
     def is_idle(self) -> bool:
         """Return whether no request is being received or served."""
+        return not (
+            self.task is not None
+            or self.parser.is_receiving
+            or self.unparsed_data
+            or self.closing
+        )
+
+    def is_receiving(self) -> bool:
+        """Return whether a request is being received and none is served."""
         return (
-            self.task is None and self.received_at is None and not self.closing
+            self.task is None and self.parser.is_receiving and not self.closing
         )
 
     def close_if_idle(self) -> None:
@@ -328,14 +342,14 @@
         if self.is_idle():
             self._close_gracefully()
 
-    def refuse_incomplete(self) -> None:
-        """Refuse a request that is being received, as this router stops."""
-        if self.task is not None or self.received_at is None or self.closing:
+    def refuse_incomplete(self, cause: str) -> None:
+        """Refuse a request that is being received; it won't run."""
+        if not self.is_receiving():
             return
         self.server.write_event(
-            'refused', status=503, cause='stopping', bytes=self.body_size
+            'refused', status=503, cause=cause, bytes=self.parser.body_size
         )
-        self._refuse_and_close(503, b'stopping')
+        self._refuse_and_close(503, cause.encode())
 
     def close_now(self) -> None:
         """Close at once, to free capacity for a new connection."""
@@ -379,108 +393,16 @@
 
     def discard_requests(self) -> None:
         """Drop the requests that wait for their turn or are incomplete."""
-        if self.request_queue or self.unparsed_data:
+        if self.parser.queue or self.unparsed_data:
             self.server.write_event(
                 'requests-dropped',
-                count=len(self.request_queue),
+                count=len(self.parser.queue),
                 unparsed=len(self.unparsed_data),
                 closed_here=self.closing,
             )
-        self._release_body_bytes()
-        self.server.budget.change(-len(self.unparsed_data))
-        self.unparsed_data = b''
-
-    # Called by the parser.
-
-    def on_message_begin(self) -> None:
-        """Start parsing a request."""
-        self._reset_request()
-        self.received_at = self.loop.time()
-
-    def on_url(self, data: bytes) -> None:
-        """Collect the request target."""
-        self.target += data
-        self.head_bytes += len(data)
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header; ignore trailers."""
-        if self.head_complete:
-            return
-        name = name.lower()
-        self.head_bytes += len(name) + len(value) + 4
-        if name in _SINGLE_HEADERS:
-            if name in self.single_headers:
-                self.error_status = 400
-            self.single_headers[name] = value
-        self.headers.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        """Validate the headers and their size."""
-        self.head_complete = True
-        limits = self.server.limits()
-        content_length = self.single_headers.get(b'content-length')
-        transfer_encoding = self.single_headers.get(b'transfer-encoding')
-        self.has_body = (
-            content_length is not None or transfer_encoding is not None
-        )
-        if self.head_bytes > limits.max_header_bytes:
-            self._record_error(431)
-        elif (
-            transfer_encoding is not None
-            and transfer_encoding.strip().lower() != b'chunked'
-        ):
-            self._record_error(400)
-        elif transfer_encoding is not None and content_length is not None:
-            self._record_error(400)
-        elif (
-            content_length is not None and not content_length.strip().isdigit()
-        ):
-            self._record_error(400)
-        elif (
-            content_length is not None
-            and int(content_length) > limits.max_body_bytes
-        ):
-            self._record_error(413)
-        elif content_length is not None and not self.server.budget.has_room(
-            int(content_length)
-        ):
-            self._record_error(503)
-        elif self._expects_continue() and not self.error_status:
-            self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
-
-    def on_body(self, data: bytes) -> None:
-        """Collect the body, within the limits."""
-        if self.error_status:
-            return
-        self.body.append(data)
-        self.body_size += len(data)
-        self.server.budget.change(len(data))
-        if self.body_size > self.server.limits().max_body_bytes:
-            self._record_error(413)
-        elif not self.server.budget.has_room(0):
-            self._record_error(503)
-
-    def on_message_complete(self) -> None:
-        """Queue the complete request."""
-        if self.error_status:
-            return
-        request = proxying.CallerRequest(
-            method=self.parser.get_method(),
-            target=self.target,
-            headers=self.headers,
-            body=b''.join(self.body),
-            received_at=self.received_at,
-            has_body=self.has_body,
-        )
-        self.request_queue.append(
-            _QueuedRequest(
-                request,
-                is_http_1_0=self.parser.get_http_version() == '1.0',
-                closes=not self.parser.should_keep_alive(),
-            )
-        )
-        self.body = []
-        self.received_at = None
+        self.parser.discard()
+        self.unparsed_data = bytearray()
+        self._count_requests()
 
     # Called by the request handler.
 
@@ -556,18 +478,6 @@
 
     # Parsing and request order.
 
-    def _reset_request(self) -> None:
-        """Reset the parser state for the next request."""
-        self.target = b''
-        self.headers: list[tuple[bytes, bytes]] = []
-        self.single_headers: dict[bytes, bytes] = {}
-        self.body: list[bytes] = []
-        self.body_size = 0
-        self.head_bytes = 0
-        self.head_complete = False
-        self.has_body = False
-        self.received_at: float | None = None
-
     def _begin_response(
         self, is_head_request: bool = False, is_http_1_0: bool = False
     ) -> None:
@@ -580,37 +490,46 @@
         )
         self.was_paused = False
 
-    def _parse(self, data: bytes) -> None:
-        """Parse data, then start a request or reject it."""
-        if not self.head_complete:
-            self.raw_head_bytes += len(data)
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # A server may ignore an Upgrade header (RFC 9110, 7.8).
-            if self.request_queue and not self.error_status:
-                self.request_queue[-1].closes = True
-        except httptools.HttpParserError:
-            self.error_status = self.error_status or 400
+    def _parse_unparsed(self) -> None:
+        """Parse what was received before, until a request begins."""
+        while self.unparsed_data and self._may_parse():
+            size = self.parser.step_bytes
+            data = self.unparsed_data[:size]
+            del self.unparsed_data[:size]
+            self._parse(data)
+        if self.parser.error_status:
+            self.unparsed_data = bytearray()
+        if len(self.unparsed_data) > self.server.allowance_bytes(
+            MAX_UNPARSED_BYTES
+        ):
+            self.transport.pause_reading()
+        elif not self.closing:
+            self.transport.resume_reading()
+
+    def _may_parse(self) -> bool:
+        """Return whether the next request may begin."""
+        return not (
+            self.task is not None or self.parser.error_status or self.closing
+        )
+
+    def _parse(self, data: bytes | memoryview) -> None:
+        """Parse a step of data, then start a request or reject it."""
+        self.parser.feed(data)
         if self.closing:
             # It was cut meanwhile, so that its requests would be in vain.
             return
-        if self.request_queue:
-            self.raw_head_bytes = 0
+        if self.parser.queue:
             self._start_next_request()
-        elif self.error_status:
-            self._reject(self.error_status)
-        elif self.head_complete:
-            self.raw_head_bytes = 0
-        elif self.raw_head_bytes > self.server.limits().max_header_bytes:
-            self._reject(431)
+        elif self.parser.error_status:
+            self._reject(self.parser.error_status)
 
     def _start_next_request(self) -> None:
         """Start serving the first request of the queue."""
-        queued = self.request_queue.popleft()
+        queued = self.parser.queue.popleft()
         request = queued.request
         self._begin_response(request.method == b'HEAD', queued.is_http_1_0)
         self.close_after_response = queued.closes
+        self.served_cost_bytes = queued.cost_bytes
         self.task = self.loop.create_task(self._serve(request))
 
     async def _serve(self, request: proxying.CallerRequest) -> None:
@@ -623,9 +542,10 @@
                 await self.wait_until_drained()
         finally:
             self.task = None
-            self.server.budget.change(-len(request.body))
+            self.served_cost_bytes = 0
             if not self.disconnected:
                 self._on_response_end()
+            self._count_requests()
 
     async def _detect_disconnect(self) -> None:
         """Let the event loop report a disconnect before serving a request.
@@ -645,62 +565,71 @@
         if self.close_after_response:
             self._close_gracefully()
             return
-        if self.request_queue:
+        if self.parser.queue:
             self._start_next_request()
             return
-        if self.error_status:
-            self._reject(self.error_status)
+        if self.parser.error_status:
+            self._reject(self.parser.error_status)
             return
         self.idle_since = self.loop.time()
         self.idle_limit_s = self.server.limits().idle_timeout_s
         if self.unparsed_data:
-            data, self.unparsed_data = self.unparsed_data, b''
-            self.server.budget.change(-len(data))
-            self.transport.resume_reading()
-            self._parse(data)
+            self._parse_unparsed()
         if self.server.draining:
             self.close_if_idle()
         self.server.on_capacity_freed()
 
-    def _record_error(self, status: int) -> None:
-        """Record an error status, unless there is one already."""
-        self.error_status = self.error_status or status
-
     def _reject(self, status: int) -> None:
         """Respond with an error to an invalid request, and close."""
         self.server.write_event(
-            'unreadable', status=status, bytes=self.head_bytes
+            'unreadable', status=status, bytes=self.parser.head_bytes
         )
         self._refuse_and_close(status, b'unreadable')
 
     def _refuse_and_close(self, status: int, cause: bytes) -> None:
         """Refuse a request that was not received in full, and close."""
-        self.error_status = status
-        if self.received_at is not None:
-            self.server.budget.change(-self.body_size)
-            self.body_size = 0
-            self.body = []
+        self.parser.error_status = status
+        self.parser.discard()
+        self.unparsed_data = bytearray()
+        self._count_requests()
         self._begin_response()
         self.close_after_response = True
         headers = [(b'retry-after', b'0.5')] if status == 503 else []
         self.send_response(status, headers, b'{"error":"%b"}\n' % cause)
         self._close_gracefully()
 
-    def _expects_continue(self) -> bool:
-        """Return whether the caller waits for 100 Continue."""
-        return self.has_body and any(
-            name == b'expect' and value.lower() == b'100-continue'
-            for name, value in self.headers
+    def _may_hold(self, size: int) -> bool:
+        """Return whether there is memory for an incomplete request."""
+        budget = self.server.budget
+        own_bytes = (
+            size + len(self.unparsed_data) + self._complete_cost_bytes()
+        )
+        return slow_reader_policy.may_hold(
+            budget.limit_bytes,
+            budget.held_bytes - self.request_cost_bytes,
+            own_bytes,
+        )
+
+    def _complete_cost_bytes(self) -> int:
+        """Return the memory of the requests that are served or queued."""
+        return self.served_cost_bytes + sum(
+            queued.cost_bytes for queued in self.parser.queue
         )
 
-    def _release_body_bytes(self) -> None:
-        """Stop counting the bodies of requests that won't be served."""
-        if self.received_at is not None:
-            self.server.budget.change(-self.body_size)
-            self.received_at = None
-        for queued in self.request_queue:
-            self.server.budget.change(-len(queued.request.body))
-        self.request_queue.clear()
+    def _count_requests(self) -> None:
+        """Count what the caller's requests take."""
+        cost_bytes = (
+            self.parser.cost_bytes
+            + len(self.unparsed_data)
+            + self._complete_cost_bytes()
+        )
+        difference = cost_bytes - self.request_cost_bytes
+        self.request_cost_bytes = cost_bytes
+        self.server.budget.change(difference)
+
+    def _send_continue(self) -> None:
+        """Ask the caller for the body."""
+        self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     # Writing.
 
@@ -710,10 +639,10 @@
         At a stop it does, unless the caller has sent more that was read.
         """
         if self.server.draining and not (
-            self.request_queue
+            self.parser.queue
+            or self.parser.is_receiving
+            or self.parser.error_status
             or self.unparsed_data
-            or self.error_status
-            or self.received_at is not None
         ):
             self.close_after_response = True
         return self.close_after_response
--- a/tests/coordination/test_slow_reader_policy.py
+++ b/tests/coordination/test_slow_reader_policy.py
@@ -30,15 +30,15 @@
 
 def test_reader_that_holds_most_for_longest_is_cut_first():
     readers = [
-        slow_reader_policy.Reader(0, 10_000_000, 0.2),
-        slow_reader_policy.Reader(1, 2_000_000, 2.0),
-        slow_reader_policy.Reader(2, 2_000_000, 9.0),
-        slow_reader_policy.Reader(3, 3_000_000, 9.0),
+        slow_reader_policy.Holder(0, 10_000_000, 0.2),
+        slow_reader_policy.Holder(1, 2_000_000, 2.0),
+        slow_reader_policy.Holder(2, 2_000_000, 9.0),
+        slow_reader_policy.Holder(3, 3_000_000, 9.0),
     ]
     cuts = slow_reader_policy.choose_cuts(readers, LIMIT, 42_000_000)
     assert cuts == [3, 2]
 
 
 def test_reader_that_takes_bytes_is_never_cut():
-    readers = [slow_reader_policy.Reader(0, LIMIT, 0.05)]
+    readers = [slow_reader_policy.Holder(0, LIMIT, 0.05)]
     assert slow_reader_policy.choose_cuts(readers, LIMIT, LIMIT) == []
