--- a/arbutusvale/transport/request_parser.py
+++ b/arbutusvale/transport/request_parser.py
@@ -61,7 +61,8 @@
         self.parser = httptools.HttpRequestParser(self)
         self.queue: collections.deque[QueuedRequest] = collections.deque()
         self.error_status = 0
-        # Of the head, with what the parser hasn't reported yet.
+        # Includes what the parser hasn't reported yet: of the head, or of a
+        # body since its last byte, as chunk extensions and trailers.
         self.unreported_bytes = 0
         self._reset()
 
@@ -90,6 +91,7 @@
 
     def feed(self, data: bytes | memoryview) -> None:
         """Parse at most ``step_bytes`` bytes."""
+        body_size = self.body_size
         self.unreported_bytes += len(data)
         try:
             self.parser.feed_data(data)
@@ -99,7 +101,7 @@
                 self.queue[-1].closes = True
         except httptools.HttpParserError:
             self.record_error(400)
-        if self.queue or self.head_complete:
+        if self.queue or self.body_size != body_size:
             self.unreported_bytes = 0
         elif self.unreported_bytes > self.limits().max_header_bytes:
             self.record_error(431)
