Parse a bounded part of what callers send in each turn of the event loop

One turn parsed whatever all connections had received: with a crowd that sends bodies in tiny chunks, seconds pass before any other request, timer or engine's answer has its turn.

Connections share the turns: each step parses at most 2 KiB (or a part of one body of known length), a turn does 32 steps, and what is left goes on in the next turns, in order.

--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -17,6 +17,7 @@
 from arbutusvale.transport import request_parser
 from arbutusvale.transport import response_encoder
 from arbutusvale.transport import socket_options
+from arbutusvale.transport import work_turns
 
 # Limit of pipelined data that is buffered while a response is pending.
 MAX_UNPARSED_BYTES = 64 * 1024
@@ -34,6 +35,8 @@
 MAX_UNSENT_BYTES = 64 * 1024
 # Read from a socket at once.
 _MAX_READ_BYTES = 16 * 1024
+# Steps of parsing in one turn of the event loop, of all connections.
+_MAX_STEPS = 32
 
 # Shared, as the data is parsed or copied before the next read.
 _read_buffer = memoryview(bytearray(_MAX_READ_BYTES))
@@ -73,6 +76,7 @@
         self.write_event = write_event
         self.on_bytes_sent = on_bytes_sent
         self.connections: set[CallerConnection] = set()
+        self.turns = work_turns.WorkTurns(_MAX_STEPS)
         self.draining = False
 
     def make_connection(self) -> 'CallerConnection':
@@ -216,6 +220,8 @@
         # The memory that the request that is served takes.
         self.served_cost_bytes = 0
         self.unparsed_data = bytearray()
+        # Whether parsing goes on in another turn of the event loop.
+        self.is_deferred = False
         # What counts in the budget for requests, served or not.
         self.request_cost_bytes = 0
         self.close_after_response = False
@@ -265,6 +271,7 @@
             self.task is None
             and not self.unparsed_data
             and len(data) <= self.parser.step_bytes
+            and self.server.turns.take_step()
         ):
             self._parse(data)
         else:
@@ -491,8 +498,11 @@
         self.was_paused = False
 
     def _parse_unparsed(self) -> None:
-        """Parse what was received before, until a request begins."""
+        """Parse what was received before, as far as this turn allows."""
         while self.unparsed_data and self._may_parse():
+            if not self.server.turns.take_step():
+                self._defer()
+                break
             size = self.parser.step_bytes
             data = self.unparsed_data[:size]
             del self.unparsed_data[:size]
@@ -512,6 +522,18 @@
             self.task is not None or self.parser.error_status or self.closing
         )
 
+    def _defer(self) -> None:
+        """Parse the rest in another turn of the event loop."""
+        if not self.is_deferred:
+            self.is_deferred = True
+            self.server.turns.defer(self._resume_parsing)
+
+    def _resume_parsing(self) -> None:
+        """Parse what was deferred."""
+        self.is_deferred = False
+        self._parse_unparsed()
+        self._count_requests()
+
     def _parse(self, data: bytes | memoryview) -> None:
         """Parse a step of data, then start a request or reject it."""
         self.parser.feed(data)
