Refuse the uploads that hold most for longest when memory is nearly spent

Callers that stop within a body held its memory for the idle timeout, and all others with a body were refused meanwhile. With more than three quarters of the budget in use, incomplete requests are refused (503 with Retry-After: nothing has run) as stalled readers are cut: first those with most bytes times seconds, none younger than 1 s, down to 0.1 s with a spent budget.

tests/transport/test_edge_server.py: 12 uploads that stall fill three quarters of a budget; none was refused before, some are now and an ordinary upload is answered.

--- a/arbutusvale/coordination/slow_reader_policy.py
+++ b/arbutusvale/coordination/slow_reader_policy.py
@@ -7,7 +7,8 @@
 - Callers that read nothing for long: the one that holds most bytes for the
   longest is cut first, a reader that takes bytes never.
 - Callers that stop within their requests: each may take a share of what the
-  others leave, so that small requests find room.
+  others leave, so that small requests find room; those that hold most for the
+  longest are refused first.
 """
 
 from collections.abc import Iterable
--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -114,7 +114,7 @@
             self.cut_if_spent()
 
     def cut_if_spent(self) -> None:
-        """Cut stalled readers if the budget is nearly spent."""
+        """Cut stalled callers if the budget is nearly spent."""
         budget = self.budget
         if not slow_reader_policy.must_cut(
             budget.limit_bytes, budget.held_bytes
@@ -125,19 +125,28 @@
             return
         self.next_cut_at = now + CUT_INTERVAL_S
         self._count_unsent()
-        readers = list(self.slow_readers)
+        stalled = [
+            (reader.unsent_bytes, reader.taken_at, reader.cut)
+            for reader in self.slow_readers
+        ] + [
+            (
+                sender.request_cost_bytes,
+                sender.parser.received_at,
+                sender.refuse_incomplete,
+            )
+            for sender in self.connections
+            if sender.is_receiving()
+        ]
         cuts = slow_reader_policy.choose_cuts(
             (
-                slow_reader_policy.Holder(
-                    number, reader.unsent_bytes, now - reader.taken_at
-                )
-                for number, reader in enumerate(readers)
+                slow_reader_policy.Holder(number, held_bytes, now - since)
+                for number, (held_bytes, since, _) in enumerate(stalled)
             ),
             budget.limit_bytes,
             budget.held_bytes,
         )
         for number in cuts:
-            readers[number].cut('budget')
+            stalled[number][-1]('budget')
 
     def _count_unsent(self) -> None:
         """Count anew what slow readers haven't taken."""
--- a/tests/transport/test_edge_server.py
+++ b/tests/transport/test_edge_server.py
@@ -217,3 +217,39 @@
         connection.abort()
 
     asyncio.run(run())
+
+
+def test_stalled_uploads_are_refused_for_others_once_budget_is_nearly_spent():
+    head = (
+        b'POST /good HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n'
+    )
+
+    async def run():
+        async with Router(LIMIT) as router:
+            loop = asyncio.get_running_loop()
+            stalled = [
+                await router.connect(head + b'fffff\r\n' + b'x' * size)
+                for size in 12 * [132_000]
+            ]
+            async with asyncio.timeout(10):
+                while not router.events.named('refused'):
+                    await asyncio.sleep(0.05)
+            good = await router.connect(
+                head + b'10000\r\n' + b'x' * 0x10000 + b'\r\n0\r\n\r\n'
+            )
+            async with asyncio.timeout(5):
+                answer = await loop.sock_recv(good, 65536)
+            open_count = len(router.server.connections)
+            for client in (*stalled, good):
+                client.close()
+        return router, answer, open_count
+
+    router, answer, open_count = asyncio.run(run())
+    assert answer.startswith(b'HTTP/1.1 200 ')
+    refused = router.events.named('refused')
+    assert {each['cause'] for each in refused} == {'budget'}
+    assert len(refused) < 4
+    assert not router.events.named('unreadable')
+    assert open_count > 8
+    assert router.server.budget.peak_bytes <= LIMIT
+    assert router.server.budget.held_bytes == 0
