Test endless parts, unread answers and unfinished requests at the limit

More crowds for one edge router of 100 MB: parts of a body without an end, answers in chunks of 2 bytes that nobody reads, and 450 connections where 400 descriptors leave 78 to callers.

--- a/tests/platform/test_edge_hostile_callers.py
+++ b/tests/platform/test_edge_hostile_callers.py
@@ -16,6 +16,7 @@
 
 import pytest
 
+from arbutusvale.standins import edge_engine
 from tests import helpers_edge
 
 pytestmark = pytest.mark.process
@@ -30,12 +31,23 @@
 ANSWER_LIMIT_S = 20.0
 SAMPLE_INTERVAL_S = 0.05
 CALM_DEADLINE_MS = 20_000
+# How long callers leave their answers unread.
+UNREAD_S = 5.0
+ENDLESS_TIMEOUT_MS = 6000
+SENT_NAMES = ['nothing', 'head', 'body']
 REQUEST = (
     b'POST /chat/x HTTP/1.1\r\nHost: fleet.example\r\n'
     b'Authorization: Bearer key-1\r\nX-Arbutusvale-Attempt-Id: a1\r\n'
     b'X-Arbutusvale-Deadline-Ms: %d\r\n' % CALM_DEADLINE_MS
 )
 CHUNKED = REQUEST + b'Transfer-Encoding: chunked\r\n\r\n'
+# What comes after the head, the bytes that repeat, how many, and the callers.
+ENDLESS_PARTS = {
+    'trailer-lines': (b'0\r\n', b'a:b\r\n', 400_000, 10),
+    'trailer': (b'0\r\na:', b'x', 8 << 20, 20),
+    'chunk-extension': (b'1;a=', b'x', 8 << 20, 20),
+    'chunk-size': (b'', b'0', 8 << 20, 20),
+}
 
 
 @pytest.fixture
@@ -44,18 +56,24 @@
     return fleet
 
 
-def start(fleet, **limits):
+def start(
+    fleet,
+    routes=(),
+    header_timeout_ms=5000,
+    idle_timeout_ms=10_000,
+    **config,
+):
     """Start one router of little memory and one engine."""
     fleet.memory_mb = MEMORY_MB
     fleet.publish_config(
-        routes=[helpers_edge.make_route(TimeoutMs=CALM_DEADLINE_MS)],
+        routes=[helpers_edge.make_route(TimeoutMs=CALM_DEADLINE_MS), *routes],
         Limits={
             'MaxHeaderBytes': MAX_HEADER_BYTES,
             'MaxBodyBytes': MAX_BODY_BYTES,
-            'HeaderTimeoutMs': 5000,
-            'IdleTimeoutMs': 10000,
-        }
-        | limits,
+            'HeaderTimeoutMs': header_timeout_ms,
+            'IdleTimeoutMs': idle_timeout_ms,
+        },
+        **config,
     )
     fleet.add_engine('e1')
     fleet.router = fleet.add_router()
@@ -88,21 +106,19 @@
 class Crowd:
     """Callers that send one payload each, read nothing and stay open."""
 
-    def __init__(self, usage, count, payload):
+    def __init__(self, usage, payloads):
         self.usage = usage
-        self.payload = memoryview(payload)
         self.selector = selectors.DefaultSelector()
         router = usage.fleet.router
-        for _ in range(count):
+        self.callers = []
+        for payload in payloads:
             caller = socket.socket()
             caller.setblocking(False)
             caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             caller.connect_ex((router.host, usage.fleet.caller_port))
-            self.selector.register(caller, selectors.EVENT_WRITE, [0])
-        self.callers = [one.fileobj for one in self._registered()]
-
-    def _registered(self):
-        return list(self.selector.get_map().values())
+            rest = memoryview(payload)
+            self.selector.register(caller, selectors.EVENT_WRITE, rest)
+            self.callers.append(caller)
 
     def send(self):
         """Send until all is sent or refused, or the limit of time."""
@@ -112,16 +128,25 @@
             for key, _ in self.selector.select(SAMPLE_INTERVAL_S):
                 self._send_some(key.fileobj, key.data)
 
-    def _send_some(self, caller, position):
+    def _send_some(self, caller, rest):
         try:
-            position[0] += caller.send(self.payload[position[0] :])
+            rest = rest[caller.send(rest) :]
         except BlockingIOError:
             return
         except OSError:
-            position[0] = len(self.payload)
-        if position[0] == len(self.payload):
+            rest = b''
+        if rest:
+            self.selector.modify(caller, selectors.EVENT_WRITE, rest)
+        else:
             self.selector.unregister(caller)
 
+    def stand(self, duration_s):
+        """Sample while the router goes on with what was sent."""
+        stops_at = time.monotonic() + duration_s
+        while time.monotonic() < stops_at:
+            self.usage.sample()
+            time.sleep(SAMPLE_INTERVAL_S)
+
     def close(self):
         for caller in self.callers:
             caller.close()
@@ -140,12 +165,13 @@
     return False
 
 
-def check_crowd(fleet, count, payload):
+def check_crowd(fleet, payloads, stand_s=0.0):
     """Send a crowd; check the router beside it and after it."""
     usage = Usage(fleet)
-    crowd = Crowd(usage, count, payload)
+    crowd = Crowd(usage, payloads)
     try:
         crowd.send()
+        crowd.stand(stand_s)
         answered_beside = is_answered(usage)
     finally:
         crowd.close()
@@ -175,25 +201,75 @@
 
 
 def test_large_bodies_in_tiny_chunks_exhaust_no_memory(edge):
-    check_crowd(edge, 8, make_unfinished_body(MAX_BODY_BYTES, 2))
+    check_crowd(edge, 8 * [make_unfinished_body(MAX_BODY_BYTES, 2)])
 
 
 def test_many_small_bodies_in_tiny_chunks_exhaust_no_memory(edge):
-    check_crowd(edge, 200, make_unfinished_body(SMALL_BODY_BYTES, 2))
+    check_crowd(edge, 200 * [make_unfinished_body(SMALL_BODY_BYTES, 2)])
 
 
 def test_large_bodies_in_large_chunks_exhaust_no_memory(edge):
-    check_crowd(edge, 60, make_unfinished_body(MAX_BODY_BYTES, 60_000))
+    check_crowd(edge, 60 * [make_unfinished_body(MAX_BODY_BYTES, 60_000)])
 
 
 def test_unfinished_heads_of_tiny_lines_exhaust_no_memory(edge):
     line = b'a:b\r\n'
     lines = (MAX_HEADER_BYTES - len(REQUEST)) // len(line)
-    check_crowd(edge, 500, REQUEST + line * lines)
+    check_crowd(edge, 500 * [REQUEST + line * lines])
 
 
 def test_tiny_pipelined_requests_exhaust_no_memory(edge):
-    check_crowd(edge, 150, b'GET / HTTP/1.1\r\nHost: abc\r\n\r\n' * 9000)
+    check_crowd(edge, 150 * [b'GET / HTTP/1.1\r\nHost: abc\r\n\r\n' * 9000])
+
+
+@pytest.mark.parametrize('kind', list(ENDLESS_PARTS))
+def test_body_with_an_endless_part_exhausts_no_memory(edge, kind):
+    prefix, unit, count, callers = ENDLESS_PARTS[kind]
+    check_crowd(edge, callers * [CHUNKED + prefix + unit * count])
+
+
+@pytest.mark.parametrize('sent', [b'', REQUEST, CHUNKED], ids=SENT_NAMES)
+def test_unfinished_requests_leave_connections_to_others(fleet, sent):
+    fleet.max_descriptors = 400
+    # None of the crowd's requests times out while ordinary callers come back.
+    start(fleet, header_timeout_ms=25_000, idle_timeout_ms=30_000)
+    check_crowd(fleet, 450 * [sent])
+
+
+@pytest.mark.parametrize(
+    ('name', 'data'),
+    [('plain', b'aa'), ('stream', b'aa'), ('stream', b'\n\n')],
+    ids=['plain', 'event', 'events'],
+)
+def test_unread_answers_in_tiny_chunks_exhaust_no_memory(
+    fleet, monkeypatch, name, data
+):
+    head = b'{head}Transfer-Encoding: chunked\r\n\r\n'
+    parts = (head, b'2\r\n%b\r\n' % data)
+    monkeypatch.setitem(edge_engine.ENDLESS_BYTES, 'tiny-chunks', parts)
+    route_type = 'streaming' if name == 'stream' else 'idempotent'
+    route = helpers_edge.make_route(
+        name,
+        f'/{name}/',
+        Service='endless',
+        RouteType=route_type,
+        TimeoutMs=ENDLESS_TIMEOUT_MS,
+    )
+    services = [
+        {'Name': one, 'HealthCheckPath': '/h', 'MaxConnections': 200}
+        for one in ('chat', 'endless')
+    ]
+    start(fleet, [route], Services=services)
+    engine = fleet.add_engine('e2', Service='endless', Slots=100)
+    engine.default_fault = 'endless-tiny-chunks'
+    fleet.router.wait_for_log('event=server-listed server=e2 ')
+    request = REQUEST.replace(b'/chat/', b'/%b/' % name.encode())
+    requests = [
+        request.replace(b'a1', b'a%d' % number) + b'Content-Length: 0\r\n\r\n'
+        for number in range(60)
+    ]
+    check_crowd(fleet, requests, UNREAD_S)
+    assert engine.received
 
 
 def send_in_calm(fleet, head, body):
@@ -224,7 +300,7 @@
 
 
 def test_single_body_in_chunks_of_one_byte_exhausts_no_memory(edge):
-    check_crowd(edge, 1, CHUNKED + make_body_in_bytes()[1])
+    check_crowd(edge, [CHUNKED + make_body_in_bytes()[1]])
 
 
 def test_single_head_of_tiny_lines_up_to_the_limit_is_served(edge):
