--- a/tests/transport/test_edge_server.py
+++ b/tests/transport/test_edge_server.py
@@ -231,9 +231,16 @@
                 await router.connect(head + b'fffff\r\n' + b'x' * size)
                 for size in 12 * [132_000]
             ]
-            async with asyncio.timeout(10):
-                while not router.events.named('refused'):
-                    await asyncio.sleep(0.05)
+            answers = [
+                asyncio.ensure_future(loop.sock_recv(client, 65536))
+                for client in stalled
+            ]
+            done, _ = await asyncio.wait(
+                answers, timeout=10, return_when=asyncio.FIRST_COMPLETED
+            )
+            first = done.pop().result()
+            for each in answers:
+                each.cancel()
             good = await router.connect(
                 head + b'10000\r\n' + b'x' * 0x10000 + b'\r\n0\r\n\r\n'
             )
@@ -242,9 +249,11 @@
             open_count = len(router.server.connections)
             for client in (*stalled, good):
                 client.close()
-        return router, answer, open_count
+        return router, first, answer, open_count
 
-    router, answer, open_count = asyncio.run(run())
+    router, first, answer, open_count = asyncio.run(run())
+    assert first.startswith(b'HTTP/1.1 503 ')
+    assert b'retry-after: ' in first
     assert answer.startswith(b'HTTP/1.1 200 ')
     refused = router.events.named('refused')
     assert {each['cause'] for each in refused} == {'budget'}
