Close connections that stop within a request for new ones at the limit

At the limit of descriptors, only idle connections gave way to new ones: callers that stop within a head, or before a body, kept all others out until the timeouts.

Connections give way in this order: idle ones whose callers have taken all, those that end and whose callers take no byte for a second, and those that have received a part of a request for a second (503, nothing has run). What can be evicted is looked at twice a second, too, as it changes with time alone.

tests/platform/test_edge_hostile_callers.py, 450 unfinished requests at 400 descriptors: no ordinary request was answered beside them in 20 s, with heads and with bodies; now it is.

--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -95,6 +95,8 @@
             for connection in list(self.connections):
                 connection.check_timeouts(now)
             self.cut_if_spent()
+            # By now, more connections may be evicted.
+            self.on_capacity_freed()
 
     def allowance_bytes(self, maximum: int) -> int:
         """Return how many bytes one connection may buffer now."""
@@ -156,34 +158,40 @@
     def has_capacity(self, opening: int) -> bool:
         """Return whether one more may be opened beside ``opening`` others.
 
-        Idle connections count as capacity, as they can be evicted.
+        What can be evicted counts as capacity.
         """
         excess = len(self.connections) + opening + 1 - self.max_connections
-        if excess <= 0:
-            return True
-        return (
-            sum(connection.is_idle() for connection in self.connections)
-            >= excess
-        )
+        return excess <= 0 or len(self._rank_evictable()) >= excess
 
-    def evict_idle_connection(self) -> None:
-        """At the limit, close the connection that has been idle longest."""
+    def evict_connection(self) -> None:
+        """At the limit, close a connection that nothing is served on."""
         if len(self.connections) < self.max_connections:
             return
-        idle = [
-            connection
-            for connection in self.connections
-            if connection.is_idle()
-        ]
-        if idle:
-            min(idle, key=lambda connection: connection.idle_since).close_now()
+        ranks = self._rank_evictable()
+        if ranks:
+            min(ranks, key=lambda connection: ranks[connection]).evict()
 
     def is_full(self) -> bool:
-        """Return whether the limit is reached and no connection is idle."""
-        return len(self.connections) >= self.max_connections and not any(
-            connection.is_idle() for connection in self.connections
+        """Return whether the limit is reached and nothing can be evicted."""
+        return (
+            len(self.connections) >= self.max_connections
+            and not self._rank_evictable()
         )
 
+    def _rank_evictable(self) -> 'dict[CallerConnection, tuple[int, float]]':
+        """Return the connections that may be closed to make room.
+
+        The lowest rank goes first.
+        """
+        stalled_since = (
+            asyncio.get_running_loop().time() - slow_reader_policy.MIN_STALL_S
+        )
+        return {
+            connection: rank
+            for connection in self.connections
+            if (rank := connection.eviction_rank(stalled_since)) is not None
+        }
+
     def refuse_incomplete(self) -> None:
         """Refuse the requests that haven't been received in full."""
         for connection in list(self.connections):
@@ -236,8 +244,7 @@
         self.close_after_response = False
         self.disconnected = False
         self.closing = False
-        # When the socket is closed, whatever the caller has taken.
-        self.closes_by = 0.0
+        self.closing_since = self.loop.time()
         self.idle_since = self.loop.time()
         self.idle_limit_s = server.limits().idle_timeout_s
         self.write_resumed: asyncio.Future | None = None
@@ -251,10 +258,10 @@
     # Called by asyncio.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Register the connection, evicting an idle one if needed."""
+        """Register the connection, evicting another one if needed."""
         self.transport = typing.cast(asyncio.Transport, transport)
         socket_options.apply(transport, socket_options.CALLER_KEEPALIVE)
-        self.server.evict_idle_connection()
+        self.server.evict_connection()
         self.server.connections.add(self)
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -367,8 +374,26 @@
         )
         self._refuse_and_close(503, cause.encode())
 
-    def close_now(self) -> None:
+    def eviction_rank(self, stalled_since: float) -> tuple[int, float] | None:
+        """Return a key, the lowest to be evicted first; None for never.
+
+        First come idle connections, then those whose last response isn't taken
+        and then those that have received a part of a request, since then.
+        """
+        received_at = self.parser.received_at
+        if self.is_idle():
+            return None if self.unsent_bytes else (0, self.idle_since)
+        if self.closing:
+            since, rank = self.closing_since, 1
+        elif self.task is None and received_at is not None:
+            since, rank = received_at, 2
+        else:
+            return None
+        return (rank, since) if since <= stalled_since else None
+
+    def evict(self) -> None:
         """Close at once, to free capacity for a new connection."""
+        self.refuse_incomplete('connections')
         self.closing = True
         self.server.connections.discard(self)
         self.transport.close()
@@ -727,7 +752,7 @@
             self.transport.abort()
             return
         self.transport.resume_reading()
-        self.closes_by = self.loop.time() + self.idle_limit_s
+        self.closing_since = self.loop.time()
         self.loop.call_later(LINGER_S, self._close)
 
     def _close(self) -> None:
@@ -739,7 +764,8 @@
         if self.disconnected:
             return
         raw_socket = self.transport.get_extra_info('socket')
-        if self.loop.time() < self.closes_by and (
+        closes_by = self.closing_since + self.idle_limit_s
+        if self.loop.time() < closes_by and (
             self.unsent_bytes or socket_options.count_untaken(raw_socket)
         ):
             self.loop.call_later(LINGER_S, self._close)
