Count a head's lines without spaces that weren't sent

Found while the tests of hostile callers were written; test_head_without_optional_spaces_counts_as_it_was_sent failed before.

--- a/arbutusvale/transport/request_parser.py
+++ b/arbutusvale/transport/request_parser.py
@@ -133,7 +133,8 @@
         if self.head_complete:
             return
         name = name.lower()
-        self.head_bytes += len(name) + len(value) + 4
+        # With a colon and the end of the line, but without optional spaces.
+        self.head_bytes += len(name) + len(value) + 3
         if name in _SINGLE_HEADERS:
             if name in self.single_headers:
                 self.error_status = 400
--- a/tests/transport/test_request_parser.py
+++ b/tests/transport/test_request_parser.py
@@ -55,3 +55,13 @@
     parser = make_parser()
     parser.feed((b'GET / HTTP/1.1\r\n\r\n' * 9000)[: parser.step_bytes])
     assert 1 < len(parser.queue) < 200
+
+
+# It was counted with a space in each line that it hasn't.
+def test_head_without_optional_spaces_counts_as_it_was_sent():
+    parser = make_parser()
+    head = CHUNKED[:-2]
+    lines = (MAX_HEADER_BYTES - len(head) - 2) // len(b'a:b\r\n')
+    feed(parser, head + b'a:b\r\n' * lines + b'\r\n')
+    assert not parser.error_status
+    assert parser.head_complete
