Count unread responses at what they cost

A server that responds in tiny chunks took a router's memory many times beyond its limit on held bytes, and other connections waited while a read of 256 KiB was parsed.

Cause: an object was kept for each chunk, in the exchange and in responses that are buffered until they are complete, and the budget counted payload.

Chunks are now joined as they arrive (`BodyBuffer`; a single one isn't copied) and the budget counts what is allocated. One read from a server is at most 64 KiB.

--- a/arbutusvale/coordination/edge_relay.py
+++ b/arbutusvale/coordination/edge_relay.py
@@ -19,6 +19,7 @@
 from arbutusvale.coordination import slow_reader_policy
 from arbutusvale.protocol import edge_ports
 from arbutusvale.protocol import proxying
+from arbutusvale.state import body_buffer
 
 # Larger responses are passed on as they arrive.
 MAX_BUFFERED_BYTES = 256 * 1024
@@ -239,7 +240,7 @@
         self, exchange: edge_ports.ServerExchange, head: proxying.ResponseHead
     ) -> RelayResult:
         """Buffer a response until it is complete, unless it is too large."""
-        buffered: list[bytes] = []
+        buffered = body_buffer.BodyBuffer()
         try:
             async with asyncio.timeout(self._time_left_s() + DEADLINE_SLACK_S):
                 is_whole = await self._fill(buffered, exchange)
@@ -248,10 +249,10 @@
                         exchange, head, buffered
                     )
         finally:
-            self.context.held.change(-sum(map(len, buffered)))
+            self.context.held.change(-buffered.allocated_bytes())
         if await self._ends_in_crash(exchange):
             return RelayResult(edge_requests.Failed('connection closed'))
-        body = b''.join(buffered)
+        body = buffered.take()
         failed = head.status >= edge_reporter.MIN_SERVER_ERROR_STATUS
         if failed and self.request.route.retryable:
             cause = f'status-{head.status}'
@@ -262,15 +263,17 @@
         )
 
     async def _fill(
-        self, buffered: list[bytes], exchange: edge_ports.ServerExchange
+        self,
+        buffered: body_buffer.BodyBuffer,
+        exchange: edge_ports.ServerExchange,
     ) -> bool:
         """Read a response into a buffer; return whether it is whole."""
         held = self.context.held
         size = 0
         while data := await self.connection.read(exchange):
             buffered.append(data)
-            size += len(data)
-            held.change(len(data))
+            before, size = size, buffered.allocated_bytes()
+            held.change(size - before)
             if size > slow_reader_policy.allowance_bytes(
                 held.limit_bytes, held.held_bytes, MAX_BUFFERED_BYTES
             ):
@@ -281,13 +284,12 @@
         self,
         exchange: edge_ports.ServerExchange,
         head: proxying.ResponseHead,
-        buffered: list[bytes],
+        buffered: body_buffer.BodyBuffer,
     ) -> RelayResult:
         """Pass a large response on as it arrives."""
         self.caller.start(head.status, head.headers)
-        self.context.held.change(-sum(map(len, buffered)))
-        self.caller.write(b''.join(buffered))
-        buffered.clear()
+        self.context.held.change(-buffered.allocated_bytes())
+        self.caller.write(buffered.take())
         try:
             while data := await self.connection.read(exchange):
                 self.caller.write(data)
--- a/arbutusvale/transport/http_connection.py
+++ b/arbutusvale/transport/http_connection.py
@@ -11,11 +11,14 @@
 from arbutusvale import errors
 from arbutusvale.coordination import slow_reader_policy
 from arbutusvale.protocol import edge_ports
+from arbutusvale.state import body_buffer
 from arbutusvale.state import byte_budget
 from arbutusvale.transport import socket_options
 
 # With more unread data than this, reading from the server pauses.
 _MAX_BUFFERED_BYTES = 256 * 1024
+# Read at once: other connections wait while it is parsed, chunk by chunk.
+_MAX_READ_BYTES = 64 * 1024
 _MAX_HEAD_BYTES = 64 * 1024
 # Chunk extensions and trailers, which nobody reads.
 _MAX_BODILESS_BYTES = 64 * 1024
@@ -25,7 +28,7 @@
 
 _UNLIMITED = byte_budget.ByteBudget()
 # Shared, as the data is parsed before the next read from any socket.
-_read_buffer = memoryview(bytearray(_MAX_BUFFERED_BYTES))
+_read_buffer = memoryview(bytearray(_MAX_READ_BYTES))
 
 
 class Head(typing.Protocol):
@@ -72,16 +75,14 @@
         self.bodiless = bodiless
         self.head: asyncio.Future = asyncio.get_running_loop().create_future()
         self.framing: edge_ports.Framing | None = None
-        self.chunks: list[bytes] = []
-        self.buffered_bytes = 0
+        self.body = body_buffer.BodyBuffer()
         self.ended = False
         self.error: errors.ServerFailed | None = None
         self.data_available: asyncio.Future | None = None
 
     def append_body(self, data: bytes) -> None:
         """Append a chunk to the body."""
-        self.chunks.append(data)
-        self.buffered_bytes += len(data)
+        self.body.append(data)
         self._wake()
 
     def finish(self) -> None:
@@ -101,7 +102,7 @@
 
     async def wait_for_data(self) -> None:
         """Wait for data, the end of the body or a failure."""
-        if self.chunks or self.ended or self.error is not None:
+        if self.body.data or self.ended or self.error is not None:
             return
         self.data_available = asyncio.get_running_loop().create_future()
         try:
@@ -111,10 +112,7 @@
 
     def read_buffered(self) -> bytes:
         """Return and clear the received part of the body."""
-        data = b''.join(self.chunks)
-        self.chunks.clear()
-        self.buffered_bytes = 0
-        return data
+        return self.body.take()
 
     def _wake(self) -> None:
         """Wake the coroutine in ``wait_for_data``."""
@@ -170,7 +168,7 @@
             return _read_buffer
         return _read_buffer[
             : slow_reader_policy.read_size(
-                budget.limit_bytes, budget.held_bytes, _MAX_BUFFERED_BYTES
+                budget.limit_bytes, budget.held_bytes, _MAX_READ_BYTES
             )
         ]
 
@@ -196,16 +194,17 @@
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
         ) as error:
+            self._count_unread()
             self._fail(f'no valid answer: {type(error).__name__}')
             return
+        self._count_unread()
         if self.head_bytes > _MAX_HEAD_BYTES and not self.in_body:
             self._fail('the head of the answer is too long')
         if self.bodiless_bytes > _MAX_BODILESS_BYTES:
             self._fail('the answer goes on without a body')
-        exchange = self.exchange
         if (
-            exchange is not None
-            and exchange.buffered_bytes
+            self.exchange is not None
+            and self.unread_bytes
             > slow_reader_policy.allowance_bytes(
                 self.budget.limit_bytes,
                 self.budget.held_bytes,
@@ -272,7 +271,7 @@
         await exchange.wait_for_data()
         data = exchange.read_buffered()
         if data:
-            self._release_unread(min(len(data), self.unread_bytes))
+            self._release_unread()
             if self.transport is not None and not self.closed:
                 self.transport.resume_reading()
             return data
@@ -290,7 +289,7 @@
     def release(self) -> bool:
         """End a complete exchange; return whether to reuse the connection."""
         self.exchange = None
-        self._release_unread(self.unread_bytes)
+        self._release_unread()
         self.receiving = False
         self.idle_since = time.monotonic()
         if self.closed or not self.reusable or self.transport is None:
@@ -305,7 +304,7 @@
 
     def abort(self) -> None:
         """Close at once and discard unsent and unread data."""
-        self._release_unread(self.unread_bytes)
+        self._release_unread()
         self._close()
 
     def _close(self) -> None:
@@ -371,8 +370,6 @@
         self.bodiless_bytes = 0
         if not self.skip_response and self.exchange is not None:
             self.exchange.append_body(data)
-            self.unread_bytes += len(data)
-            self.budget.change(len(data))
 
     def on_message_complete(self) -> None:
         """Complete the response."""
@@ -392,11 +389,20 @@
 
     # Counting in the budget.
 
-    def _release_unread(self, size: int) -> None:
-        """Count bytes of the response no longer."""
-        if size:
-            self.unread_bytes -= size
-            self.budget.change(-size)
+    def _count_unread(self) -> None:
+        """Count the memory of the response that hasn't been passed on."""
+        exchange = self.exchange
+        if exchange is not None and exchange.body.data:
+            unread_bytes = exchange.body.allocated_bytes()
+            difference = unread_bytes - self.unread_bytes
+            self.unread_bytes = unread_bytes
+            self.budget.change(difference)
+
+    def _release_unread(self) -> None:
+        """Count the response no longer."""
+        if self.unread_bytes:
+            self.budget.change(-self.unread_bytes)
+            self.unread_bytes = 0
 
     def _count_unsent(self) -> None:
         """Count the bytes of the request that the server hasn't taken."""
--- a/tests/coordination/test_edge_relay.py
+++ b/tests/coordination/test_edge_relay.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import itertools
+import tracemalloc
 import types
 
 import pytest
 
+from arbutusvale import errors
 from arbutusvale.coordination import edge_relay
 from arbutusvale.coordination import edge_requests
 from arbutusvale.coordination import event_stream
@@ -215,3 +217,39 @@
         assert not caller.encoder.finished
 
     asyncio.run(run())
+
+
+class PieceConnection:
+    """A server's connection that yields ``pieces``, then fails."""
+
+    requests = 1
+
+    def __init__(self, pieces):
+        self.pieces = pieces
+        self.grown_bytes = self.held_bytes = 0
+
+    async def read(self, exchange):
+        if not self.pieces:
+            self.grown_bytes, _ = tracemalloc.get_traced_memory()
+            self.held_bytes = self.held.held_bytes
+            raise errors.ServerFailed('connection closed', True)
+        return b'%02d' % (self.pieces.pop() % 90 + 10)
+
+
+# A piece for each of the server's writes was kept, and its payload counted.
+def test_buffered_response_counts_what_it_costs():
+    async def run():
+        caller = Caller()
+        connection = PieceConnection(list(range(60_000)))
+        relay = make_relay(caller, connection, b'GET', False)
+        connection.held = relay.context.held
+        head = headers.parse_response_head(200, b'OK', [])
+        tracemalloc.start()
+        with pytest.raises(errors.ServerFailed):
+            await relay._relay_buffered(types.SimpleNamespace(), head)
+        tracemalloc.stop()
+        assert connection.grown_bytes <= connection.held_bytes + 8 * 1024
+        assert relay.context.held.held_bytes == 0
+        assert not caller.started
+
+    asyncio.run(run())
