Bound what callers of small pages can take

A backlog as small as the limit was tried: the idle connections' test ran into its 25 s, as connects waited in the kernel, so that the backlog remains.

--- a/arbutusvale/composeedge.py
+++ b/arbutusvale/composeedge.py
@@ -424,7 +424,6 @@
 
     async def _listen(self) -> list[asyncio.Server | acceptor.Acceptor]:
         """Open the listening sockets."""
-        loop = asyncio.get_running_loop()
         callers = self.settings.callers
         readiness = self.settings.readiness
         pages = {boot_file.READINESS_PATH: self._readiness_page}
@@ -435,23 +434,38 @@
         self.acceptor.listen(callers.host, callers.port, LISTEN_BACKLOG)
         return [
             self.acceptor,
-            await loop.create_server(
-                lambda: page_server.PageConnection(pages),
-                readiness.host,
-                readiness.port,
+            await self._listen_for_pages(
+                pages, readiness.host, readiness.port, self.sockets.pages
             ),
-            await loop.create_server(
-                lambda: page_server.PageConnection(peer_pages),
+            await self._listen_for_pages(
+                peer_pages,
                 self.settings.host,
                 self.settings.peer_port,
+                self.sockets.peer_pages,
             ),
-            await loop.create_server(
-                lambda: page_server.PageConnection(metrics),
+            await self._listen_for_pages(
+                metrics,
                 self.settings.host,
                 self.settings.metrics_port,
+                self.sockets.pages,
             ),
         ]
 
+    async def _listen_for_pages(
+        self,
+        pages: dict[str, page_server.Page],
+        host: str,
+        port: int,
+        max_connections: int,
+    ) -> asyncio.Server:
+        """Open a listening socket of pages."""
+        server = page_server.PageServer(
+            pages, max_connections, self.caller_server.budget
+        )
+        return await asyncio.get_running_loop().create_server(
+            server.make_connection, host, port
+        )
+
     async def _run_periodic_checks(self) -> None:
         """Drop expired servers and advance the shutdown, until cancelled."""
         while True:
--- a/tests/transport/test_http_fetch.py
+++ b/tests/transport/test_http_fetch.py
@@ -49,7 +49,7 @@
     async def open(self):
         loop = asyncio.get_running_loop()
         self.pages = await loop.create_server(
-            lambda: page_server.PageConnection({'/p': lambda: self.page}),
+            page_server.PageServer({'/p': lambda: self.page}).make_connection,
             '127.0.0.1',
             0,
         )
