Count incomplete events in the byte budget

Streams whose servers send one event without end held up to 1 MiB each beside the router's limit on held bytes, and a long event that came in small reads was copied at each of them.

No test covers the release by cancellation yet.

--- a/arbutusvale/coordination/edge_call.py
+++ b/arbutusvale/coordination/edge_call.py
@@ -56,7 +56,7 @@
             request.caller_request
         )
         self.event_buffer = event_stream.EventBuffer(
-            request.metadata.last_event_id
+            request.metadata.last_event_id, context.held
         )
         self.tried_servers: list[str] = []
         self.attempts = 0
@@ -408,14 +408,14 @@
             self._abandon_reading(placement)
             self.context.loads.record_end(server.id)
             self._release_connection(server, connection, relay_result)
-        self.reporter.partial_bytes = len(self.event_buffer.partial)
+            self.reporter.partial_bytes = len(self.event_buffer.partial)
+            self.event_buffer.discard_partial()
         self.reporter.record_outcome(
             server,
             relay_result.outcome,
             self.attempts,
             self.event_buffer.last_event_id,
         )
-        self.event_buffer.discard_partial()
         if self.attempts == 1 and not self.request.resumes_stream:
             self._record_run_time(relay_result.outcome, sent_at)
         return relay_result.outcome
--- a/tests/coordination/test_event_stream.py
+++ b/tests/coordination/test_event_stream.py
@@ -1,12 +1,14 @@
 """Event streams are split at the ends of events, however bytes arrive."""
 
 import random
+import tracemalloc
 
 from hypothesis import given
 from hypothesis import strategies
 import pytest
 
 from arbutusvale.coordination import event_stream
+from arbutusvale.state import byte_budget
 
 EVENTS = b''.join(b'id: %d\ndata: piece %d\n\n' % (n, n) for n in range(1, 30))
 
@@ -79,3 +81,24 @@
     event_buffer = event_stream.EventBuffer(None)
     event_buffer.feed(b'id: 1\ndata: say id: 9\n\n')
     assert event_buffer.last_event_id == 1
+
+
+# Each held up to 1 MiB beside the budget.
+def test_events_without_end_stay_within_the_budget():
+    budget = byte_budget.ByteBudget(8_000_000, 4_000_000)
+    streams = [event_stream.EventBuffer(None, budget) for _ in range(50)]
+    piece = b'x' * 4096
+    tracemalloc.start()
+    for _ in range(300):
+        for each in streams:
+            if not each.is_unusable:
+                each.feed(piece)
+                if each.is_unusable:
+                    each.discard_partial()
+    _, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert peak_bytes <= budget.limit_bytes
+    assert peak_bytes <= 1.1 * budget.peak_bytes
+    for each in streams:
+        each.discard_partial()
+    assert budget.held_bytes == 0
