Bound the fields of a response's head

A server that fills its head with empty fields made a router keep over 15,000 of them for each connection, and those of the last head stayed with an idle connection.

--- a/arbutusvale/transport/http_connection.py
+++ b/arbutusvale/transport/http_connection.py
@@ -20,6 +20,7 @@
 # Read at once: other connections wait while it is parsed, chunk by chunk.
 _MAX_READ_BYTES = 64 * 1024
 _MAX_HEAD_BYTES = 64 * 1024
+_MAX_HEADERS = 1024
 # Chunk extensions and trailers, which nobody reads.
 _MAX_BODILESS_BYTES = 64 * 1024
 _BODILESS_STATUSES = (204, 304)
@@ -198,7 +199,10 @@
             self._fail(f'no valid answer: {type(error).__name__}')
             return
         self._count_unread()
-        if self.head_bytes > _MAX_HEAD_BYTES and not self.in_body:
+        if not self.in_body and (
+            self.head_bytes > _MAX_HEAD_BYTES
+            or len(self.headers) > _MAX_HEADERS
+        ):
             self._fail('the head of the answer is too long')
         if self.bodiless_bytes > _MAX_BODILESS_BYTES:
             self._fail('the answer goes on without a body')
@@ -334,21 +338,26 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; ignore trailers."""
-        if not self.in_body:
+        if not self.in_body and len(self.headers) <= _MAX_HEADERS:
             self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Decode the head; skip interim and mismatched responses."""
         status = self.parser.get_status_code()
         exchange = self.exchange
+        headers, self.headers = self.headers, []
         if self.skip_response or exchange is None:
             return
+        if len(headers) > _MAX_HEADERS:
+            self.skip_response = True
+            self._fail('the head of the answer is too long')
+            return
         if status < 200:
             self.skip_response = True
             return
         self.in_body = True
-        self.framing = find_framing(status, self.headers)
-        head = exchange.decode(status, self.reason, self.headers)
+        self.framing = find_framing(status, headers)
+        head = exchange.decode(status, self.reason, headers)
         if head is None:
             self.skip_response = True
             self.reusable = False
--- a/tests/transport/test_http_connection.py
+++ b/tests/transport/test_http_connection.py
@@ -12,6 +12,8 @@
 READ_BYTES = 64 * 1024
 # Beside the body: the exchange and what the parser keeps.
 FIXED_BYTES = 8 * 1024
+# Twice the bytes that a head may have, and the objects of its fields.
+MAX_HEAD_MEMORY = 2 * 64 * 1024 + 1024 * 256
 HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 
 
@@ -56,3 +58,25 @@
 
 def test_one_read_is_bounded():
     assert len(open_connection().get_buffer(-1)) <= READ_BYTES
+
+
+# Tens of thousands were kept for each connection.
+@pytest.mark.parametrize('end', [b'', b'\r\n'])
+def test_head_of_many_fields_fails_within_its_memory(end):
+    async def run():
+        head = b'HTTP/1.1 200 OK\r\n' + b'a:\r\n' * 15_000 + end
+        connection, grown_bytes = await feed_measured(head)
+        assert connection.transport.aborted
+        assert connection.exchange.error is not None
+        assert grown_bytes <= MAX_HEAD_MEMORY
+
+    asyncio.run(run())
+
+
+def test_fields_of_a_head_are_not_kept_with_its_connection():
+    async def run():
+        connection, _ = await feed_measured(HEAD)
+        assert connection.exchange.head.done()
+        assert not connection.headers
+
+    asyncio.run(run())
