--- a/arbutusvale/transport/http_fetch.py
+++ b/arbutusvale/transport/http_fetch.py
@@ -4,18 +4,23 @@
 import zlib
 
 from arbutusvale import errors
+from arbutusvale.state import body_buffer
 from arbutusvale.transport import http_connection
 
 # Time without a byte after which a fetch fails; it is longer on a slow link.
 IDLE_TIMEOUT_S = 0.5
 MAX_FETCH_S = 4.0
-MAX_DOCUMENT_BYTES = 64 * 1024 * 1024
+# Of a document, and of what is sent for it.
+MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
 ENCODING = b'deflate'
 _OK = 200
 
 
 async def fetch(host: str, port: int, path: str) -> bytes:
-    """Return the body of a response with status 200, else ServerFailed."""
+    """Return the body of a response with status 200, else ServerFailed.
+
+    A body or document of more than ``MAX_DOCUMENT_BYTES`` fails.
+    """
     connection = await http_connection.open_connection(
         host, port, IDLE_TIMEOUT_S
     )
@@ -57,14 +62,18 @@
     connection: http_connection.HttpConnection,
     exchange: http_connection.Exchange,
 ) -> bytes:
-    """Read a body as long as bytes arrive."""
-    parts = []
+    """Read a body as long as bytes arrive; raise ServerFailed."""
+    body = body_buffer.BodyBuffer()
+    size = 0
     while True:
         async with asyncio.timeout(IDLE_TIMEOUT_S):
             data = await connection.read(exchange)
         if not data:
-            return b''.join(parts)
-        parts.append(data)
+            return body.take()
+        size += len(data)
+        if size > MAX_DOCUMENT_BYTES:
+            raise errors.ServerFailed('page too long', True)
+        body.append(data)
 
 
 def _decompress(body: bytes) -> bytes:
--- a/tests/transport/test_http_fetch.py
+++ b/tests/transport/test_http_fetch.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 import random
+import tracemalloc
+import zlib
 
 import pytest
 
@@ -13,6 +15,8 @@
 SLOW_LINK_BYTES_PER_S = 5e6 / 8
 CHUNK_BYTES = 4096
 ROUTES = 1450
+# A quarter of MemoryMb 300 on an edge VM.
+MAX_FETCH_MEMORY = 75_000_000
 
 
 def make_page():
@@ -105,3 +109,42 @@
 def test_other_status_fails(status):
     with pytest.raises(errors.ServerFailed):
         asyncio.run(fetch(SlowLink((status, '{}'))))
+
+
+async def fetch_crafted(head, body):
+    """Fetch ``body`` a hundred times over; return the peak of the memory."""
+
+    async def respond(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\n' + head + b'\r\n')
+        for _ in range(100):
+            writer.write(body)
+            await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(respond, '127.0.0.1', 0)
+    tracemalloc.start()
+    try:
+        await http_fetch.fetch(*server.sockets[0].getsockname(), '/p')
+    finally:
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        server.close()
+        assert peak_bytes < MAX_FETCH_MEMORY
+
+
+# A body was read for as long as it came, and 64 MiB decompressed.
+@pytest.mark.parametrize(
+    'head, body',
+    [
+        (b'', b'x' * 1_000_000),
+        (
+            b'Content-Encoding: deflate\r\n',
+            zlib.compress(b'x' * 100_000_000),
+        ),
+    ],
+    ids=['endless', 'bomb'],
+)
+def test_page_beyond_the_memory_fails(head, body):
+    with pytest.raises(errors.ServerFailed):
+        asyncio.run(fetch_crafted(head, body))
