Answer requests behind a stream when a router with sidecars stops

What callers saw: a request sent on a connection behind a running stream got no answer when its router was stopped meanwhile; the connection closed right after the stream. The head of the stream couldn't announce that, as it was sent before the signal.

Cause: the drain waits until no request is in flight and closes all connections in the same turn of the event loop, before the connection begins the request behind the one that has just ended. Class as in: a connection's end that doesn't look at what was sent on it.

tests/transport/test_caller_api_server.py: of 2 cases (sent with the first request, and after its head) the second request was answered in none before, now in both.

--- a/arbutusvale/transport/caller_api_server.py
+++ b/arbutusvale/transport/caller_api_server.py
@@ -29,6 +29,10 @@
 _UNKNOWN = messages.Outcome.UNKNOWN.value
 # The last responses leave the router within this time before it exits.
 _LAST_RESPONSES_S = 0.2
+# Requests that a connection has read behind the last response begin within
+# this many turns of the event loop, each at least this long.
+_PIPELINE_TURNS = 10
+_PIPELINE_TURN_S = 0.005
 # Headers of the connection to the backend server, or set by tornado.
 _CONNECTION_HEADERS = frozenset(
     {
@@ -263,11 +267,16 @@
     async def drain(self, grace_s: float) -> int:
         """Stop listening and wait for the requests in flight.
 
+        Requests that callers have sent behind these are answered as well.
         Returns how many were still running at the end of ``grace_s`` seconds;
         their callers are told so, and their connections are closed.
         """
         self.server.stop()
-        cut = await self.dispatcher.drain(max(0, grace_s - _LAST_RESPONSES_S))
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + grace_s - _LAST_RESPONSES_S
+        cut = await self.dispatcher.drain(max(0, deadline - loop.time()))
+        while not cut and await self._begins_request():
+            cut = await self.dispatcher.drain(max(0, deadline - loop.time()))
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_LAST_RESPONSES_S):
                 await asyncio.gather(
@@ -280,6 +289,14 @@
         await self.server.close_all_connections()
         return cut
 
+    async def _begins_request(self) -> bool:
+        """Return whether a request begins behind the last response."""
+        for _ in range(_PIPELINE_TURNS):
+            await asyncio.sleep(_PIPELINE_TURN_S)
+            if self.running:
+                return True
+        return False
+
 
 def _disable_access_log(_handler: web.RequestHandler) -> None:
     """Log no requests; the log is for routing decisions."""
--- a/tests/transport/test_caller_api_server.py
+++ b/tests/transport/test_caller_api_server.py
@@ -335,3 +335,44 @@
             await admin.stop()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('sent', ['with the first', 'after its head'])
+def test_request_behind_a_stream_is_answered_at_a_stop(sent):
+    submits = []
+
+    def begin_stream(link, submit):
+        replies = answer_stream(link, submit)
+        submits.append((link, replies[3:]))
+        return replies if len(submits) > 1 else replies[:3]
+
+    async def scenario():
+        links = helpers_router.FakeLinks()
+        script_all_vms(links, begin_stream)
+        body = json.dumps(CHAT | {'stream': True}).encode()
+        request = (
+            f'POST {caller_api.CHAT_PATH} HTTP/1.1\r\nHost: a\r\n'
+            f'Authorization: {AUTH["Authorization"]}\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n'
+        ).encode() + body
+        async with serve(links) as server:
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', server.port
+            )
+            writer.write(request * (2 if sent == 'with the first' else 1))
+            await reader.readuntil(b'hel')
+            if sent == 'after its head':
+                writer.write(request)
+                await writer.drain()
+            stopping = asyncio.create_task(server.drain(5))
+            await asyncio.sleep(0.05)
+            link, rest_of_stream = submits[0]
+            for reply in rest_of_stream:
+                await links.handler.receive(link, reply)
+            rest = await reader.read()
+            writer.close()
+            assert rest.count(b'HTTP/1.1 200 OK') == 1
+            assert rest.count(b'[DONE]') == 2
+            assert await stopping == 0
+
+    asyncio.run(scenario())
