Count an answer's small chunks at their cost, and merge unread ones

What operators would see: a sidecar whose engine answers in chunks of one or two bytes takes far more memory than the answers have bytes.

Cause: each piece became a chunk of its own, and the limits (read ahead, whole answers of keyed requests, stored answers) counted payload alone.

A keyed answer is kept whole while it runs up to 1 MiB as before, and up to 4 MiB with its chunks' objects.

--- a/arbutusvale/coordination/answer_fanout.py
+++ b/arbutusvale/coordination/answer_fanout.py
@@ -14,6 +14,8 @@
 WINDOW_BYTES = 512 * 1024
 READ_AHEAD_BYTES = 512 * 1024
 MAX_STORED_BYTES = 1024 * 1024
+# Memory of an answer in small chunks that is kept whole while it runs.
+MAX_KEPT_COST_BYTES = 4 * 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -158,7 +160,7 @@
             self.fingerprint,
             self.head.status,
             self.head.headers,
-            self.buffer.chunks,
+            self.buffer.merge(),
             self.buffer.total_bytes,
         )
 
@@ -166,13 +168,16 @@
         """Return whether to keep the whole answer for repeated requests."""
         if not self.key or not self.is_whole:
             return False
-        return self.buffer.total_bytes <= MAX_STORED_BYTES
+        return (
+            self.buffer.total_bytes <= MAX_STORED_BYTES
+            and self.buffer.cost_bytes <= MAX_KEPT_COST_BYTES
+        )
 
     def _is_buffer_full(self) -> bool:
         """Return whether the slowest subscriber is too far behind."""
         if self._keeps_whole_answer() or not self.subscribers:
             return False
-        return self.buffer.buffered_bytes > READ_AHEAD_BYTES
+        return self.buffer.cost_bytes > READ_AHEAD_BYTES
 
     def _drop_acknowledged(self) -> None:
         """Drop the chunks that all subscribers have acknowledged."""
