Count what a router with sidecars holds for callers in one budget

What operators would see: clients that leave requests incomplete made a router take as much memory as they sent, and connections that send nothing left it without descriptors; the same at the admin ports of routers and sidecars.

Cause: nothing was counted. A body was held up to the limit of the bundle, on any number of connections, for as long as 3,600 s; paths without bodies and the admin server held bodies of up to 64 and 100 MB; headers cost many times their text; the accept loop failed once no descriptor was left.

One table per server counts connections, headers, and bodies in a byte budget, a quarter of the new setting memory_bytes (2 GiB unless set). When that or the number of connections is spent, idle connections and incomplete requests give way, first those that hold most for longest: incomplete ones get 503 with Retry-After, not run, before anything is dispatched. A body counts until its request has ended, also when its caller has left.

--- a/arbutusvale/base_process.py
+++ b/arbutusvale/base_process.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import resource
 import time
 
 from absl import logging
@@ -15,7 +16,9 @@
 from arbutusvale.protocol import messages
 from arbutusvale.protocol import platform
 from arbutusvale.state import bundle_chain
+from arbutusvale.state import byte_budget
 from arbutusvale.state import fleet
+from arbutusvale.state import socket_budget
 from arbutusvale.state import status
 from arbutusvale.transport import admin_server
 from arbutusvale.transport import http_client
@@ -24,6 +27,10 @@
 from arbutusvale.transport import metrics
 
 TASK_RESTART_DELAY_S = 1.0
+MAX_DESCRIPTORS = 65536
+# Share of the memory for what is held for callers; the rest is for the
+# program, copies in the making and responses.
+HELD_MEMORY_SHARE = 0.25
 
 
 class BaseProcess:
@@ -44,6 +51,9 @@
         self.http_client = http_client.make_client()
         self.link_counters = link_counters.LinkCounters()
         self.platform_traffic = platform.PlatformTraffic()
+        self.held = byte_budget.ByteBudget(
+            int(process_settings.memory_bytes * HELD_MEMORY_SHARE)
+        )
         self.fleet = fleet.Fleet()
         self.membership = membership.Membership(
             platform.HttpVmList(
@@ -188,6 +198,14 @@
             await asyncio.sleep(TASK_RESTART_DELAY_S)
 
 
+def count_client_connections() -> int:
+    """Return how many connections this process may accept from clients."""
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        descriptors = MAX_DESCRIPTORS
+    return socket_budget.divide_sockets(descriptors).callers
+
+
 def log_clock_gap(gap_s: float) -> None:
     """Log that this process did not run for ``gap_s`` seconds."""
     logging.warning('event=clock-gap seconds=%.1f', gap_s)
--- a/arbutusvale/compose.py
+++ b/arbutusvale/compose.py
@@ -68,7 +68,10 @@
         self.dispatcher.attempts.links = self.links
         self.membership.listeners.append(self.dispatcher.on_vm_list_changed)
         self.caller_server = caller_api_server.CallerServer(
-            listen=router_settings.listen, dispatcher=self.dispatcher
+            listen=router_settings.listen,
+            dispatcher=self.dispatcher,
+            budget=self.held,
+            max_connections=base_process.count_client_connections(),
         )
         self.admin = self.make_admin_server(
             self.get_readiness,
--- a/arbutusvale/settings.py
+++ b/arbutusvale/settings.py
@@ -13,6 +13,8 @@
 
 FORBID_UNKNOWN_FIELDS = pydantic.ConfigDict(extra='forbid')
 MIN_FLEET_KEY_LENGTH = 16
+MIN_MEMORY_BYTES = 128 * 1024 * 1024
+DEFAULT_MEMORY_BYTES = 2 * 1024 * 1024 * 1024
 
 
 class ServerKind(enum.StrEnum):
@@ -26,7 +28,10 @@
     frozen=True, kw_only=True, config=FORBID_UNKNOWN_FIELDS
 )
 class ProcessSettings:
-    """Hold what every process of the fleet has to be told."""
+    """Hold what every process of the fleet has to be told.
+
+    ``memory_bytes`` is the memory that the process may use.
+    """
 
     vm: str = pydantic.Field(min_length=1)
     data_centre: str = pydantic.Field(min_length=1)
@@ -36,6 +41,9 @@
     fleet_key: str = pydantic.Field(min_length=MIN_FLEET_KEY_LENGTH)
     operators: dict[str, str] = dataclasses.field(default_factory=dict)
     grace_s: float = pydantic.Field(default=30.0, gt=0)
+    memory_bytes: int = pydantic.Field(
+        default=DEFAULT_MEMORY_BYTES, ge=MIN_MEMORY_BYTES
+    )
     log_level: str = pydantic.Field(
         default='info', pattern='^(debug|info|warning|error)$'
     )
--- a/arbutusvale/transport/admin_server.py
+++ b/arbutusvale/transport/admin_server.py
@@ -7,11 +7,15 @@
 
 import prometheus_client
 from prometheus_client import registry
-from tornado import httpserver
 from tornado import netutil
 from tornado import web
 
 from arbutusvale import settings
+from arbutusvale.state import byte_budget
+from arbutusvale.transport import bounded_http_server
+
+_MAX_CONNECTIONS = 32
+_MAX_BODY_BYTES = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,7 +108,13 @@
             ],
             log_function=_disable_access_log,
         )
-        self.server = httpserver.HTTPServer(application)
+        self.server = bounded_http_server.BoundedHttpServer(
+            application,
+            table=bounded_http_server.ConnectionTable(
+                byte_budget.ByteBudget(), _MAX_CONNECTIONS
+            ),
+            max_body_size=_MAX_BODY_BYTES,
+        )
 
     def start(self) -> None:
         """Start listening."""
--- a/arbutusvale/transport/caller_api_server.py
+++ b/arbutusvale/transport/caller_api_server.py
@@ -5,7 +5,6 @@
 import json
 
 from absl import logging
-from tornado import httpserver
 from tornado import iostream
 from tornado import netutil
 from tornado import web
@@ -17,6 +16,8 @@
 from arbutusvale.coordination import dispatch
 from arbutusvale.protocol import caller_api
 from arbutusvale.protocol import messages
+from arbutusvale.state import byte_budget
+from arbutusvale.transport import bounded_http_server
 from arbutusvale.transport import caller_handlers
 
 # A body over its limit is still read up to here and discarded, so that the
@@ -55,10 +56,13 @@
     """
 
     def initialize(
-        self, dispatcher: dispatch.Dispatcher, running: set['_CallHandler']
+        self,
+        dispatcher: dispatch.Dispatcher,
+        table: bounded_http_server.ConnectionTable,
+        running: set['_CallHandler'],
     ) -> None:
         """Set this router's dispatcher, and generate the request id."""
-        super().initialize(dispatcher)
+        super().initialize(dispatcher, table)
         self.running = running
 
     def prepare(self) -> None:
@@ -72,6 +76,9 @@
         self.task: asyncio.Task | None = None
         self.caller_disconnected = False
         self.unflushed_bytes = 0
+        super().prepare()
+        if self.refused:
+            return
         max_read_bytes = max(_MAX_READ_BYTES, 2 * self.body_limit)
         self.request.connection.set_max_body_size(max_read_bytes)
         length = self.request.headers.get('Content-Length', '0')
@@ -85,12 +92,21 @@
 
         The extra byte lets the dispatcher detect a body that is too large.
         """
-        remaining = self.body_limit + 1 - len(self.body)
-        if remaining > 0:
-            self.body += chunk[:remaining]
+        piece = chunk[: self.body_limit + 1 - len(self.body)]
+        if not piece:
+            return
+        self.hold(len(piece))
+        if not self.refused:
+            self.body += piece
+
+    def refuse(self) -> None:
+        """Refuse an incomplete request and drop its body."""
+        self.body = bytearray()
+        super().refuse()
 
     async def relay(self, *_path) -> None:
         """Handle a request of any method."""
+        held_bytes = self.table.serve(self.stream)
         self.call = self.dispatcher.start_call(self._make_request())
         self.task = asyncio.current_task()
         events = self.dispatcher.events(self.call)
@@ -103,6 +119,7 @@
             logging.info('event=caller-left request=%s', self.request_id)
         finally:
             self.running.discard(self)
+            self.table.budget.change(-held_bytes)
 
     get = head = post = put = patch = delete = options = relay
 
@@ -124,6 +141,8 @@
     def on_connection_close(self) -> None:
         """Cancel the request if it may be cancelled."""
         self.caller_disconnected = True
+        super().on_connection_close()
+        self.body = bytearray()
         if self.call is None or self.task is None:
             return
         if self.call.cancellable:
@@ -132,13 +151,15 @@
     def _make_request(self) -> caller_request.CallerRequest:
         """Convert the HTTP request for the dispatcher."""
         headers = self.request.headers
+        body = bytes(self.body)
+        self.body = bytearray()
         return caller_request.CallerRequest(
             request_id=self.request_id,
             api_key=self.api_key(),
             method=self.request.method,
             path=self.request.uri,
             headers=[list(pair) for pair in headers.get_all()],
-            body=bytes(self.body),
+            body=body,
             chat_id=headers.get(caller_api.CHAT_ID, ''),
             key=headers.get(caller_api.IDEMPOTENCY_KEY, ''),
             idempotent=headers.get(caller_api.IDEMPOTENT, ''),
@@ -227,14 +248,26 @@
 
 
 class CallerServer:
-    """HTTP server of the callers' API, listening on one address."""
+    """HTTP server of the callers' API, listening on one address.
+
+    What it holds for callers is counted in ``budget``; it has at most
+    ``max_connections``.
+    """
 
-    def __init__(self, *, listen: str, dispatcher: dispatch.Dispatcher):
+    def __init__(
+        self,
+        *,
+        listen: str,
+        dispatcher: dispatch.Dispatcher,
+        budget: byte_budget.ByteBudget,
+        max_connections: int,
+    ):
         self.address = settings.split_address(listen)
         self.port = self.address.port
         self.dispatcher = dispatcher
         self.running: set[_CallHandler] = set()
-        options = {'dispatcher': dispatcher}
+        table = bounded_http_server.ConnectionTable(budget, max_connections)
+        options = {'dispatcher': dispatcher, 'table': table}
         call_options = options | {'running': self.running}
         application = web.Application(
             [
@@ -254,8 +287,8 @@
             default_handler_args=options,
             log_function=_disable_access_log,
         )
-        self.server = httpserver.HTTPServer(
-            application, max_body_size=_MAX_READ_BYTES
+        self.server = bounded_http_server.BoundedHttpServer(
+            application, table=table, max_body_size=_MAX_READ_BYTES
         )
 
     def start(self) -> None:
--- a/arbutusvale/transport/caller_handlers.py
+++ b/arbutusvale/transport/caller_handlers.py
@@ -11,19 +11,71 @@
 from arbutusvale.coordination import dispatch
 from arbutusvale.protocol import caller_api
 from arbutusvale.protocol import messages
+from arbutusvale.transport import bounded_http_server
 
 _NOT_RUN = messages.Outcome.NOT_RUN.value
 _UNKNOWN = messages.Outcome.UNKNOWN.value
+_RETRY_AFTER_S = 1.0
 
 
 class BaseHandler(web.RequestHandler):
     """Base of all handlers; renders every error in the same format."""
 
-    def initialize(self, dispatcher: dispatch.Dispatcher) -> None:
+    def initialize(
+        self,
+        dispatcher: dispatch.Dispatcher,
+        table: bounded_http_server.ConnectionTable,
+    ) -> None:
         """Set this router's dispatcher and generate the request id."""
         self.dispatcher = dispatcher
+        self.table = table
+        self.stream = self.request.connection.stream
+        self.refused = False
         self.request_id = uuid.uuid4().hex
 
+    def prepare(self) -> None:
+        """Count the head of the request, and refuse it if that is too much."""
+        # No handler uses the parsed arguments, which take more memory than
+        # the path.
+        self.request.arguments = {}
+        self.request.query_arguments = {}
+        self.request.body_arguments = {}
+        self.table.begin_request(self.stream, self.refuse)
+        headers = len(list(self.request.headers.get_all()))
+        self.hold(headers * bounded_http_server.ITEM_COST_BYTES)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Discard the body, which only proxied requests have."""
+
+    def hold(self, size: int) -> None:
+        """Count bytes of the request; refuse it if there is no room."""
+        if not self.refused and not self.table.hold(self.stream, size):
+            self.refuse()
+
+    def refuse(self) -> None:
+        """Refuse an incomplete request, as the memory for them is spent."""
+        if self.refused:
+            return
+        self.refused = True
+        self.write_error_response(
+            caller_api.ErrorResponse(
+                503,
+                'memory_spent',
+                'The router holds too much for its callers. '
+                'Send the request again later.',
+                _NOT_RUN,
+                _RETRY_AFTER_S,
+            )
+        )
+        self.set_header('Connection', 'close')
+        self.finish()
+        # The request is in a reference cycle and may stay for a while.
+        self.request.headers.clear()
+
+    def on_finish(self) -> None:
+        """Release what was held for the request."""
+        self.table.end_request(self.stream)
+
     def set_default_headers(self) -> None:
         """Send no ``Server`` header."""
         self.clear_header('Server')
@@ -73,11 +125,15 @@
         )
 
 
+@web.stream_request_body
 class UnknownPathHandler(BaseHandler):
     """Respond to requests for paths that the API doesn't have."""
 
     def prepare(self) -> None:
         """Respond with 404 and list the paths of the API."""
+        super().prepare()
+        if self.refused:
+            return
         self.write_error_response(
             caller_api.ErrorResponse(
                 404,
@@ -91,6 +147,7 @@
         self.finish()
 
 
+@web.stream_request_body
 class ModelsHandler(BaseHandler):
     """The models that the caller's organisation may use."""
 
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -30,6 +30,7 @@
     sidecar and its server. Each VM in ``log_proxies`` reaches the platform,
     and with it the log service, through a fault proxy of its own. Without
     ``fencing`` the engines accept orders with outdated fencing numbers.
+    ``memory_bytes`` and ``descriptors`` limit each router and sidecar.
     """
 
     engines: int = 2
@@ -40,6 +41,8 @@
     server_proxies: bool = False
     log_proxies: tuple[str, ...] = ()
     fencing: bool = True
+    memory_bytes: int | None = None
+    descriptors: int | None = None
 
 
 @dataclasses.dataclass
@@ -156,6 +159,8 @@
             'grace_s': 10.0,
             **fields,
         }
+        if self.config.memory_bytes is not None:
+            fields['memory_bytes'] = self.config.memory_bytes
         path.write_text(yaml.safe_dump(fields))
         return str(path)
 
@@ -220,6 +225,7 @@
             server=sidecar_target,
         )
         sidecar = self.make_program(name, ['sidecar', path])
+        sidecar.descriptors = self.config.descriptors
         backend = ServerWithSidecar(
             name=name,
             pool=pool,
@@ -240,6 +246,7 @@
         address, admin = self.ports.new_address(), self.ports.new_address()
         path = self.write_settings(name, listen=address, admin=admin)
         program = self.make_program(name, ['router', path])
+        program.descriptors = self.config.descriptors
         self.routers[name] = RouterProcess(name, address, admin, program)
         return self.routers[name]
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import resource
 import signal
 import socket
 import subprocess
@@ -147,6 +148,8 @@
         self.arguments = arguments
         self.log_path = folder / f'{name}.log'
         self.process: subprocess.Popen | None = None
+        # Limit of open descriptors, None for that of the tests.
+        self.descriptors: int | None = None
 
     def start(self) -> None:
         """Start the process and append its output to the log file."""
@@ -158,6 +161,9 @@
                 stderr=subprocess.STDOUT,
                 stdin=subprocess.DEVNULL,
             )
+        if self.descriptors is not None:
+            limits = (self.descriptors, self.descriptors)
+            resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, limits)
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
--- a/tests/transport/test_caller_api_server.py
+++ b/tests/transport/test_caller_api_server.py
@@ -7,6 +7,7 @@
 
 from arbutusvale.protocol import caller_api
 from arbutusvale.protocol import messages
+from arbutusvale.state import byte_budget
 from arbutusvale.transport import admin_server
 from arbutusvale.transport import caller_api_server
 from arbutusvale.transport import http_client as clients
@@ -19,15 +20,18 @@
 
 
 @contextlib.asynccontextmanager
-async def serve(links, **organisation):
+async def serve(links, budget=None, timeout_s=30, **organisation):
     dispatcher = helpers_router.make_dispatcher(
         links, helpers_router.make_bundle(**organisation)
     )
     server = caller_api_server.CallerServer(
-        listen='127.0.0.1:0', dispatcher=dispatcher
+        listen='127.0.0.1:0',
+        dispatcher=dispatcher,
+        budget=budget or byte_budget.ByteBudget(),
+        max_connections=100,
     )
     server.start()
-    async with asyncio.timeout(30):
+    async with asyncio.timeout(timeout_s):
         yield server
         await server.drain(5)
 
@@ -376,3 +380,112 @@
             assert await stopping == 0
 
     asyncio.run(scenario())
+
+
+async def wait_until(condition):
+    async with asyncio.timeout(10):
+        while not condition():  # noqa: ASYNC110 - reads plain state
+            await asyncio.sleep(0.01)
+
+
+def chunked_head(path=caller_api.CHAT_PATH):
+    return (
+        f'POST {path} HTTP/1.1\r\nHost: a\r\n'
+        f'Authorization: {AUTH["Authorization"]}\r\n'
+        'Transfer-Encoding: chunked\r\n\r\n'
+    ).encode()
+
+
+def test_body_at_the_limit_in_chunks_of_one_byte_is_served():
+    budget = byte_budget.ByteBudget()
+    bodies = []
+
+    def keep_body(link, submit):
+        bodies.append(submit.body)
+        return helpers_router.answer_with_name(link, submit)
+
+    async def scenario():
+        links = helpers_router.FakeLinks()
+        script_all_vms(links, keep_body)
+        async with serve(links, budget, timeout_s=300) as server:
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', server.port
+            )
+            writer.write(chunked_head('/services/booking/x'))
+            size = 4 * 1024 * 1024
+            for _ in range(size // 65536):
+                writer.write(b'1\r\na\r\n' * 65536)
+                await writer.drain()
+            writer.write(b'0\r\n\r\n')
+            head = await reader.readuntil(b'\r\n\r\n')
+            assert head.startswith(b'HTTP/1.1 200')
+            assert bodies == [b'a' * size]
+            assert budget.peak_bytes >= size
+            writer.close()
+            await writer.wait_closed()
+        assert budget.held_bytes == 0
+
+    asyncio.run(scenario())
+
+
+def test_spent_budget_refuses_the_heaviest_incomplete_request_as_not_run():
+    budget = byte_budget.ByteBudget(1_000_000)
+
+    async def scenario():
+        links = helpers_router.FakeLinks()
+        async with serve(links, budget) as server:
+            connections = []
+            for size in (300_000, 500_000):
+                reader, writer = await asyncio.open_connection(
+                    '127.0.0.1', server.port
+                )
+                writer.write(chunked_head() + b'%x\r\n' % 600_000)
+                writer.write(bytes(size))
+                await writer.drain()
+                connections.append((reader, writer))
+            await wait_until(lambda: budget.held_bytes >= 800_000)
+            answer = await fetch(
+                server,
+                '/services/booking/x',
+                method='POST',
+                body=bytes(200_000),
+            )
+            assert answer.code == 200
+            refusal = await connections[1][0].read()
+            head, _, body = refusal.partition(b'\r\n\r\n')
+            assert head.startswith(b'HTTP/1.1 503')
+            assert f'{caller_api.RETRY_AFTER}: 1'.encode() in head
+            assert f'{caller_api.OUTCOME}: not-run'.encode() in head
+            assert json.loads(body)['error']['code'] == 'memory_spent'
+            submits = [m for _, m in links.sent if type(m) is messages.Submit]
+            assert len(submits) == 1
+            for _, writer in connections:
+                writer.close()
+            await wait_until(lambda: not budget.held_bytes)
+
+    asyncio.run(scenario())
+
+
+def test_body_of_a_running_request_counts_after_its_caller_has_left():
+    budget = byte_budget.ByteBudget()
+
+    async def scenario():
+        links = helpers_router.FakeLinks()
+        script_all_vms(links, lambda link, submit: [])
+        async with serve(links, budget) as server:
+            _, writer = await asyncio.open_connection('127.0.0.1', server.port)
+            body = b'%x\r\n%s\r\n0\r\n\r\n' % (100_000, bytes(100_000))
+            head = chunked_head('/services/booking/x')
+            key = f'{caller_api.IDEMPOTENCY_KEY}: k\r\n\r\n'
+            idempotent = f'{caller_api.IDEMPOTENT}: false\r\n'
+            head = head[:-2] + idempotent.encode() + key.encode()
+            writer.write(head + body)
+            await wait_until(lambda: links.sent)
+            writer.close()
+            await asyncio.sleep(0.1)
+            assert len(server.running) == 1
+            assert budget.held_bytes >= 100_000
+            await server.drain(0.5)
+            assert not budget.held_bytes
+
+    asyncio.run(scenario())
