Bound connections to a sidecar that haven't proved the fleet key

What operators would see: whoever reached a sidecar's link port could make it hold a frame of 64 MB for each connection without knowing the fleet key.

Cause: the limits of a link were in force from the start of its connection.

Before the handshake a frame has at most 4 KiB and the opening of the websocket takes at most 1 s; 128 connections may be in that state, fewer with few descriptors, and the oldest gives way to a new one. The limit of 64 MiB is in force before the Welcome is sent, which the other side waits for.

--- a/arbutusvale/compose.py
+++ b/arbutusvale/compose.py
@@ -208,6 +208,10 @@
             fleet_key=sidecar_settings.fleet_key,
             handler=self,
             counters=self.link_counters,
+            max_opening=min(
+                link_listener.MAX_OPENING,
+                base_process.count_client_connections(),
+            ),
         )
         self.admin = self.make_admin_server(
             self.get_readiness, self.get_status, []
--- a/arbutusvale/transport/handshake.py
+++ b/arbutusvale/transport/handshake.py
@@ -21,6 +21,7 @@
 from arbutusvale.transport import link_counters
 
 HANDSHAKE_TIMEOUT_S = 1.0
+MAX_FRAME_BYTES = 4096
 _NONCE_BYTES = 16
 _POLICY_VIOLATION = 1008
 
@@ -48,11 +49,13 @@
     websocket: connection.Connection,
     identity: Identity,
     counters: link_counters.LinkCounters,
+    max_frame_bytes: int,
 ) -> Peer:
     """Perform the handshake on the listening side.
 
-    Raises :class:`errors.LinkClosed` when the other side has another fleet
-    key or expects another VM.
+    The other side may send frames of ``max_frame_bytes`` once it has proved
+    the fleet key.  Raises :class:`errors.LinkClosed` when the other side has
+    another fleet key or expects another VM.
     """
     nonce = secrets.token_bytes(_NONCE_BYTES)
     challenge = messages.Challenge(identity.vm, identity.incarnation, nonce)
@@ -64,6 +67,7 @@
         hello.mac, _compute_mac(identity, b'hello', nonce, hello)
     ):
         await _reject(websocket, hello.vm, 'the fleet key differs')
+    websocket.protocol.max_message_size = max_frame_bytes
     welcome = messages.Welcome(
         _compute_mac(identity, b'welcome', nonce, hello)
     )
--- a/arbutusvale/transport/link_listener.py
+++ b/arbutusvale/transport/link_listener.py
@@ -1,6 +1,7 @@
 """Listener for links from other VMs of the fleet."""
 
 import asyncio
+import functools
 import time
 
 from absl import logging
@@ -14,9 +15,52 @@
 from arbutusvale.transport import links
 
 IDLE_TIMEOUT_S = 150.0
+MAX_OPENING = 128
 _CHECK_INTERVAL_SHARE = 0.25
 
 
+class OpeningConnections:
+    """Connections whose other side hasn't proved the fleet key yet.
+
+    The oldest one gives way when there are more than ``limit``, as a process
+    of the fleet takes only milliseconds to open a link.
+    """
+
+    def __init__(self, limit: int):
+        self.limit = limit
+        self.connections: dict[server.ServerConnection, None] = {}
+
+    def add(self, connection: server.ServerConnection) -> None:
+        """Add a new connection, and abort the oldest if there are many."""
+        self.connections[connection] = None
+        if len(self.connections) > self.limit:
+            oldest = next(iter(self.connections))
+            del self.connections[oldest]
+            oldest.transport.abort()
+
+    def remove(self, connection: server.ServerConnection) -> None:
+        """Remove a connection that was authenticated or has ended."""
+        self.connections.pop(connection, None)
+
+
+class _LinkConnection(server.ServerConnection):
+    """A connection that counts as opening from its start."""
+
+    def __init__(self, *args, opening: OpeningConnections, **options):
+        super().__init__(*args, **options)
+        self.opening = opening
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count the connection."""
+        super().connection_made(transport)
+        self.opening.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Count the connection no longer."""
+        self.opening.remove(self)
+        super().connection_lost(exc)
+
+
 class LinkListener:
     """Listener on one address that runs a link per connection.
 
@@ -35,11 +79,13 @@
         handler: ports.LinkHandler,
         counters: link_counters.LinkCounters | None = None,
         idle_timeout_s: float = IDLE_TIMEOUT_S,
+        max_opening: int = MAX_OPENING,
     ):
         self.address = settings.split_address(listen)
         self.identity = handshake.Identity(vm, incarnation, role, fleet_key)
         self.handler = handler
         self.counters = counters or link_counters.LinkCounters()
+        self.opening = OpeningConnections(max_opening)
         self.links: dict[str, links.Link] = {}
         self.idle_timeout_s = idle_timeout_s
         self.server: server.Server | None = None
@@ -51,7 +97,12 @@
             self._run_link,
             self.address.host,
             self.address.port,
-            **links.WEBSOCKET_OPTIONS,
+            create_connection=functools.partial(
+                _LinkConnection, opening=self.opening
+            ),
+            open_timeout=handshake.HANDSHAKE_TIMEOUT_S,
+            **links.WEBSOCKET_OPTIONS
+            | {'max_size': handshake.MAX_FRAME_BYTES},
         )
         self.idle_check_task = asyncio.create_task(self._close_idle_links())
 
@@ -87,7 +138,10 @@
         """Authenticate a connection and run its link."""
         try:
             peer = await handshake.accept(
-                websocket, self.identity, self.counters
+                websocket,
+                self.identity,
+                self.counters,
+                links.MAX_FRAME_BYTES,
             )
         except (errors.LinkClosed, errors.FrameError) as error:
             logging.warning(
@@ -95,6 +149,7 @@
                 error.problem,
             )
             return
+        self.opening.remove(websocket)
         link = links.Link(
             websocket=websocket,
             peer=peer,
--- a/tests/features/test_hostile_callers.py
+++ b/tests/features/test_hostile_callers.py
@@ -8,6 +8,7 @@
 import re
 import selectors
 import socket
+import struct
 import time
 
 import pytest
@@ -44,6 +45,13 @@
     b'Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n'
     b'Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n'
 )
+FRAME_BYTES = 60_000_000
+MASKED_FRAME = (
+    b'\x82\xff'
+    + struct.pack('!Q', FRAME_BYTES)
+    + bytes(4)
+    + bytes(FRAME_BYTES - 1)
+)
 # Connections and what each of them sends.
 CALLER_CROWDS = {
     'bodies in chunks of 60000': (150, in_chunks(3_900_000, 60_000)),
@@ -210,6 +218,12 @@
     check_healthy(admin)
 
 
+def test_frames_before_the_handshake_keep_a_sidecar_within_its_memory(fleet):
+    backend = fleet.backends['engine-1']
+    payload = OPENING + MASKED_FRAME
+    play(fleet, backend.sidecar, backend.link_address, 30, payload)
+
+
 @pytest.mark.parametrize('port', ['callers', 'links', 'router', 'sidecar'])
 @pytest.mark.parametrize('payload', [b'', OPENING], ids=['silent', 'opened'])
 def test_connections_left_open_leave_a_process_descriptors(
