Run no request that was refused between its last byte and its handler

Cause: a body can be whole before its handler is called, a few turns of the event loop later; a refusal in between answered, and tornado called the handler nevertheless. A refused handler now ends at once.

tests/transport/test_caller_api_server.py refuses a request 1 to 8 turns after its last byte: before, 1 of 8 cases ran and was told 503; now none.

--- a/arbutusvale/transport/caller_api_server.py
+++ b/arbutusvale/transport/caller_api_server.py
@@ -106,6 +106,9 @@
 
     async def relay(self, *_path) -> None:
         """Handle a request of any method."""
+        # It may be refused between its last byte and this call.
+        if self.refused:
+            return
         held_bytes = self.table.serve(self.stream)
         self.call = self.dispatcher.start_call(self._make_request())
         self.task = asyncio.current_task()
--- a/arbutusvale/transport/caller_handlers.py
+++ b/arbutusvale/transport/caller_handlers.py
@@ -153,6 +153,8 @@
 
     def get(self) -> None:
         """Handle ``GET /v1/models``."""
+        if self.refused:
+            return
         head = self.dispatcher.get_head()
         if head is None:
             self.write_error_response(calls.not_ready_error())
--- a/tests/transport/test_caller_api_server.py
+++ b/tests/transport/test_caller_api_server.py
@@ -9,6 +9,7 @@
 from arbutusvale.protocol import messages
 from arbutusvale.state import byte_budget
 from arbutusvale.transport import admin_server
+from arbutusvale.transport import bounded_http_server
 from arbutusvale.transport import caller_api_server
 from arbutusvale.transport import http_client as clients
 from arbutusvale.transport import metrics
@@ -489,3 +490,47 @@
             assert not budget.held_bytes
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('turns', range(8))
+def test_request_that_is_refused_around_its_end_does_not_run(
+    monkeypatch, turns
+):
+    hold = bounded_http_server.ConnectionTable.hold
+
+    def refuse_after(connection, turns):
+        if turns:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(refuse_after, connection, turns - 1)
+        elif connection.refuse is not None:
+            connection.refuse()
+
+    def hold_and_refuse(table, stream, size):
+        if size == len(b'body'):
+            refuse_after(table.held[stream], turns + 1)
+        return hold(table, stream, size)
+
+    monkeypatch.setattr(
+        bounded_http_server.ConnectionTable, 'hold', hold_and_refuse
+    )
+
+    async def scenario():
+        links = helpers_router.FakeLinks()
+        async with serve(links) as server:
+            started = []
+            start_call = server.dispatcher.start_call
+
+            def record_call(request):
+                started.append(request)
+                return start_call(request)
+
+            server.dispatcher.start_call = record_call
+            answer = await fetch(
+                server, '/services/booking/x', method='POST', body=b'body'
+            )
+            await server.drain(5)
+            assert answer.code == (200 if started else 503)
+            refused = answer.headers[caller_api.OUTCOME] == 'not-run'
+            assert refused == (not started)
+
+    asyncio.run(scenario())
