--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -609,6 +609,7 @@
         If this process was busy, the caller may have disconnected meanwhile.
         The event loop reads the end of the stream in its next iteration and
         calls ``connection_lost`` in the one after.
+        self.task.add_done_callback(self._release_served)
         """
         for _ in range(2):
             await asyncio.sleep(0)
@@ -625,6 +626,13 @@
             self._start_next_request()
             return
         if self.parser.error_status:
+    def _release_served(self, task: asyncio.Task) -> None:
+        """Count a request no longer whose task was cancelled unstarted."""
+        if self.task is task:
+            self.task = None
+            self.served_cost_bytes = 0
+            self._count_requests()
+
             self._reject(self.parser.error_status)
             return
         self.idle_since = self.loop.time()
