--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -532,15 +532,15 @@
         self.was_paused = False
 
     def _parse_unparsed(self) -> None:
-        """Parse what was received before, as far as this turn allows."""
-        while self.unparsed_data and self._may_parse():
-            if not self.server.turns.take_step():
+        """Parse a step of what was received before, and defer the rest."""
+        if self.unparsed_data and self._may_parse():
+            if self.server.turns.take_step():
+                size = self.parser.step_bytes
+                data = self.unparsed_data[:size]
+                del self.unparsed_data[:size]
+                self._parse(data)
+            if self.unparsed_data and self._may_parse():
                 self._defer()
-                break
-            size = self.parser.step_bytes
-            data = self.unparsed_data[:size]
-            del self.unparsed_data[:size]
-            self._parse(data)
         if self.parser.error_status:
             self.unparsed_data = bytearray()
         if len(self.unparsed_data) > self.server.allowance_bytes(
--- a/arbutusvale/transport/work_turns.py
+++ b/arbutusvale/transport/work_turns.py
@@ -8,7 +8,8 @@
 class WorkTurns:
     """Steps of work in each turn of the event loop, ``max_steps`` at most.
 
-    What is deferred goes on in the next turns, in order; between two turns the
+    What is deferred goes on in order: who takes one step at a time and defers
+    the rest waits for one step of each other one.  Between two turns the
     event loop reads sockets and runs timers and requests.
     """
 
@@ -43,9 +44,7 @@
         self.turn = None
         self.steps_left = self.max_steps
         try:
-            for _ in range(len(self.deferred)):
-                if not self.steps_left:
-                    break
+            while self.deferred and self.steps_left:
                 self.deferred.popleft()()
         finally:
             if self.deferred:
