Find connections to evict without looking at all of them

At the limit of descriptors each accept looked at all connections twice, and an evicted connection with unread bytes was closed gracefully and forgotten, so that its descriptor stayed open beyond the limit (40 open, 10 allowed).

Connections that can be evicted are kept in the order in which they came to be so, and one with unsent bytes is aborted. The review's test of looks counted calls of a method that is gone; it counts the connections that are looked at now, with the same bound.

--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -7,6 +7,8 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterator
+import itertools
 import typing
 
 from arbutusvale import errors
@@ -76,6 +78,12 @@
         self.write_event = write_event
         self.on_bytes_sent = on_bytes_sent
         self.connections: set[CallerConnection] = set()
+        # Those that can be evicted, in the order in which they came to be so:
+        # idle, with a last response that isn't taken, and with a part of a
+        # request.
+        self.idle: dict[CallerConnection, None] = {}
+        self.ending: dict[CallerConnection, None] = {}
+        self.receiving: dict[CallerConnection, None] = {}
         self.turns = work_turns.WorkTurns(_MAX_STEPS)
         self.draining = False
 
@@ -136,8 +144,7 @@
                 sender.parser.received_at,
                 sender.refuse_incomplete,
             )
-            for sender in self.connections
-            if sender.is_receiving()
+            for sender in self.receiving
         ]
         cuts = slow_reader_policy.choose_cuts(
             (
@@ -161,36 +168,34 @@
         What can be evicted counts as capacity.
         """
         excess = len(self.connections) + opening + 1 - self.max_connections
-        return excess <= 0 or len(self._rank_evictable()) >= excess
+        if excess <= 0:
+            return True
+        evictable = itertools.islice(self._iterate_evictable(), excess)
+        return sum(1 for _ in evictable) == excess
 
     def evict_connection(self) -> None:
         """At the limit, close a connection that nothing is served on."""
         if len(self.connections) < self.max_connections:
             return
-        ranks = self._rank_evictable()
-        if ranks:
-            min(ranks, key=lambda connection: ranks[connection]).evict()
+        for connection in self._iterate_evictable():
+            connection.evict()
+            return
 
     def is_full(self) -> bool:
         """Return whether the limit is reached and nothing can be evicted."""
-        return (
-            len(self.connections) >= self.max_connections
-            and not self._rank_evictable()
-        )
+        return not self.has_capacity(0)
 
-    def _rank_evictable(self) -> 'dict[CallerConnection, tuple[int, float]]':
-        """Return the connections that may be closed to make room.
-
-        The lowest rank goes first.
-        """
+    def _iterate_evictable(self) -> 'Iterator[CallerConnection]':
+        """Yield the connections that may be closed to make room, in order."""
         stalled_since = (
             asyncio.get_running_loop().time() - slow_reader_policy.MIN_STALL_S
         )
-        return {
-            connection: rank
-            for connection in self.connections
-            if (rank := connection.eviction_rank(stalled_since)) is not None
-        }
+        yield from self.idle
+        for group in (self.ending, self.receiving):
+            for connection in group:
+                if not connection.is_stalled(stalled_since):
+                    break
+                yield connection
 
     def refuse_incomplete(self) -> None:
         """Refuse the requests that haven't been received in full."""
@@ -245,6 +250,8 @@
         self.disconnected = False
         self.closing = False
         self.closing_since = self.loop.time()
+        # Connections that can be evicted for the same reason.
+        self.group: dict[CallerConnection, None] | None = None
         self.idle_since = self.loop.time()
         self.idle_limit_s = server.limits().idle_timeout_s
         self.write_resumed: asyncio.Future | None = None
@@ -263,6 +270,7 @@
         socket_options.apply(transport, socket_options.CALLER_KEEPALIVE)
         self.server.evict_connection()
         self.server.connections.add(self)
+        self._update_group()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return where to read to: less if much is held already."""
@@ -374,29 +382,43 @@
         )
         self._refuse_and_close(503, cause.encode())
 
-    def eviction_rank(self, stalled_since: float) -> tuple[int, float] | None:
-        """Return a key, the lowest to be evicted first; None for never.
-
-        First come idle connections, then those whose last response isn't taken
-        and then those that have received a part of a request, since then.
-        """
-        received_at = self.parser.received_at
-        if self.is_idle():
-            return None if self.unsent_bytes else (0, self.idle_since)
-        if self.closing:
-            since, rank = self.closing_since, 1
-        elif self.task is None and received_at is not None:
-            since, rank = received_at, 2
-        else:
-            return None
-        return (rank, since) if since <= stalled_since else None
+    def is_stalled(self, stalled_since: float) -> bool:
+        """Return whether it ends, or receives a request, since then."""
+        since = self.closing_since if self.closing else self.parser.received_at
+        return since is not None and since <= stalled_since
 
     def evict(self) -> None:
         """Close at once, to free capacity for a new connection."""
         self.refuse_incomplete('connections')
         self.closing = True
         self.server.connections.discard(self)
-        self.transport.close()
+        self._update_group()
+        if self.transport.get_write_buffer_size():
+            self.abort()
+        else:
+            self.transport.close()
+
+    def _update_group(self) -> None:
+        """Join the connections in the same state, behind the others."""
+        group = self._find_group()
+        if group is not self.group:
+            if self.group is not None:
+                del self.group[self]
+            if group is not None:
+                group[self] = None
+            self.group = group
+
+    def _find_group(self) -> 'dict[CallerConnection, None] | None':
+        """Return the connections in the same state, if it can be evicted."""
+        if self not in self.server.connections:
+            return None
+        if self.closing:
+            return self.server.ending
+        if self.is_receiving():
+            return self.server.receiving
+        if self.is_idle() and not self.unsent_bytes:
+            return self.server.idle
+        return None
 
     def count_unsent(self, written_bytes: int) -> None:
         """Count what the caller hasn't taken yet, after writing some more."""
@@ -587,6 +609,7 @@
         self.close_after_response = queued.closes
         self.served_cost_bytes = queued.cost_bytes
         self.task = self.loop.create_task(self._serve(request))
+        self.task.add_done_callback(self._release_served)
 
     async def _serve(self, request: proxying.CallerRequest) -> None:
         """Serve one request, then continue with the next."""
@@ -603,13 +626,19 @@
                 self._on_response_end()
             self._count_requests()
 
+    def _release_served(self, task: asyncio.Task) -> None:
+        """Count a request no longer whose task was cancelled unstarted."""
+        if self.task is task:
+            self.task = None
+            self.served_cost_bytes = 0
+            self._count_requests()
+
     async def _detect_disconnect(self) -> None:
         """Let the event loop report a disconnect before serving a request.
 
         If this process was busy, the caller may have disconnected meanwhile.
         The event loop reads the end of the stream in its next iteration and
         calls ``connection_lost`` in the one after.
-        self.task.add_done_callback(self._release_served)
         """
         for _ in range(2):
             await asyncio.sleep(0)
@@ -626,13 +655,6 @@
             self._start_next_request()
             return
         if self.parser.error_status:
-    def _release_served(self, task: asyncio.Task) -> None:
-        """Count a request no longer whose task was cancelled unstarted."""
-        if self.task is task:
-            self.task = None
-            self.served_cost_bytes = 0
-            self._count_requests()
-
             self._reject(self.parser.error_status)
             return
         self.idle_since = self.loop.time()
@@ -689,6 +711,7 @@
         )
         difference = cost_bytes - self.request_cost_bytes
         self.request_cost_bytes = cost_bytes
+        self._update_group()
         self.server.budget.change(difference)
 
     def _send_continue(self) -> None:
@@ -741,6 +764,7 @@
             self.server.slow_readers.add(self)
         else:
             self.server.slow_readers.discard(self)
+        self._update_group()
         self.server.budget.change(difference)
 
     def _close_gracefully(self) -> None:
@@ -761,6 +785,7 @@
             return
         self.transport.resume_reading()
         self.closing_since = self.loop.time()
+        self._update_group()
         self.loop.call_later(LINGER_S, self._close)
 
     def _close(self) -> None:
--- a/tests/transport/test_edge_server_counts.py
+++ b/tests/transport/test_edge_server_counts.py
@@ -87,15 +87,16 @@
 # Each accepted connection looked at all others, several times.
 def test_accepting_at_the_limit_looks_at_few_connections(monkeypatch):
     looks = 0
-    eviction_rank = edge_server.CallerConnection.eviction_rank
+    iterate_evictable = edge_server.EdgeServer._iterate_evictable
 
-    def count_look(connection, stalled_since):
+    def count_looks_at(server):
         nonlocal looks
-        looks += 1
-        return eviction_rank(connection, stalled_since)
+        for connection in iterate_evictable(server):
+            looks += 1
+            yield connection
 
     monkeypatch.setattr(
-        edge_server.CallerConnection, 'eviction_rank', count_look
+        edge_server.EdgeServer, '_iterate_evictable', count_looks_at
     )
 
     async def count_looks(open_count):
