Share the turns of the event loop among bodies in tiny chunks

Ordinary callers of a router with sidecars got no answer while others sent bodies in tiny chunks: with 30 bodies in chunks of 2 bytes, none within 20 s (test_callers_outside_the_limits_keep_a_router_within_its_memory[bodies in chunks of 2]).

Cause: tornado reads a chunked body chunk by chunk, with some 13 us of processor time each, and leaves a body whose data has arrived only after 256 chunks. Each connection did so in each turn of the event loop, so a turn grew with the number of connections.

Now all connections of a server share WorkTurns, as those of the edge router do: two steps of 64 chunks a turn, in order. The stream counts chunk heads, which are all that tornado reads with read_until; a body with a length or in fewer chunks meets no limit. By reading, an awaitable from data_received doesn't help: tornado collects tiny chunks first and calls it once in 16 KiB. Limiting the bytes of a read wasn't tried, as it would reach bodies with a length, too.

--- a/arbutusvale/transport/bounded_http_server.py
+++ b/arbutusvale/transport/bounded_http_server.py
@@ -3,9 +3,11 @@
 Load pattern: clients that open many connections, send most of a request and
 leave it there.  A connection costs memory and a descriptor from its start, a
 request costs more with each header and piece of its body, and none of them
-may ever end.
+may ever end.  Bodies in tiny chunks cost far more processor time than others.
 """
 
+import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
 import time
@@ -15,6 +17,7 @@
 from tornado import iostream
 
 from arbutusvale.state import byte_budget
+from arbutusvale.transport import work_turns
 
 MAX_HEADER_BYTES = 16 * 1024
 READ_CHUNK_BYTES = 16 * 1024
@@ -28,6 +31,10 @@
 # that not every further piece searches for one.
 _FREED_SHARE = 1 / 16
 _LOG_INTERVAL_S = 1.0
+# Chunks of a body that a connection parses in one step, and the steps of all
+# connections in one turn of the event loop.
+CHUNKS_PER_STEP = 64
+MAX_STEPS = 2
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -174,6 +181,50 @@
         )
 
 
+class FairStream(iostream.IOStream):
+    """Stream that parses chunked bodies in the turns of its server.
+
+    Tornado calls ``read_until`` once for each chunk of a body, and for
+    nothing else; it pauses a body only after some hundred chunks.
+    """
+
+    def __init__(self, socket, *, turns: work_turns.WorkTurns, **options):
+        super().__init__(socket, **options)
+        self.turns = turns
+        self.chunks_left = CHUNKS_PER_STEP
+
+    def read_until(
+        self, delimiter: bytes, max_bytes: int | None = None
+    ) -> Awaitable[bytes]:
+        """Read the head of a chunk, in a later turn if this one is spent."""
+        if not self.chunks_left and not self._take_step():
+            return self._read_in_turn(delimiter, max_bytes)
+        self.chunks_left -= 1
+        return super().read_until(delimiter, max_bytes)
+
+    def _take_step(self) -> bool:
+        """Return whether this turn allows another step."""
+        if not self.turns.take_step():
+            return False
+        self.chunks_left = CHUNKS_PER_STEP
+        return True
+
+    async def _read_in_turn(
+        self, delimiter: bytes, max_bytes: int | None
+    ) -> bytes:
+        """Wait for a step, then read the head of a chunk."""
+        granted = asyncio.Event()
+
+        def begin_step() -> None:
+            self._take_step()
+            granted.set()
+
+        self.turns.defer(begin_step)
+        await granted.wait()
+        self.chunks_left -= 1
+        return await super().read_until(delimiter, max_bytes)
+
+
 class BoundedHttpServer(httpserver.HTTPServer):
     """HTTP server whose connections are counted in a table."""
 
@@ -182,6 +233,7 @@
     ) -> None:
         """Set the limits of every connection."""
         self.table = table
+        self.turns = work_turns.WorkTurns(MAX_STEPS)
         super().initialize(
             request_callback,
             chunk_size=READ_CHUNK_BYTES,
@@ -193,10 +245,16 @@
 
     def handle_stream(self, stream: iostream.IOStream, address) -> None:
         """Serve a connection, or close it if there is no room."""
-        if not self.table.open(stream):
-            stream.close()
+        fair_stream = FairStream(
+            stream.socket,
+            turns=self.turns,
+            max_buffer_size=self.max_buffer_size,
+            read_chunk_size=self.read_chunk_size,
+        )
+        if not self.table.open(fair_stream):
+            fair_stream.close()
             return
-        super().handle_stream(stream, address)
+        super().handle_stream(fair_stream, address)
 
     def on_close(self, server_conn) -> None:
         """Release what was held for a connection."""
--- a/tests/transport/test_caller_api_server.py
+++ b/tests/transport/test_caller_api_server.py
@@ -574,3 +574,55 @@
             assert refused == (not started)
 
     asyncio.run(scenario())
+
+
+def test_bodies_in_tiny_chunks_share_the_turns_of_the_event_loop(monkeypatch):
+    # Thirty such bodies left no ordinary caller an answer.
+    chunks_read = 0
+    read_bytes = bounded_http_server.FairStream.read_bytes
+
+    def count_chunk(stream, size, partial=False):
+        nonlocal chunks_read
+        chunks_read += partial
+        return read_bytes(stream, size, partial)
+
+    monkeypatch.setattr(
+        bounded_http_server.FairStream, 'read_bytes', count_chunk
+    )
+    crowd, chunks = 10, 2000
+
+    async def scenario():
+        links = helpers_router.FakeLinks()
+        async with serve(links) as server:
+            writers = []
+            for _ in range(crowd):
+                _, writer = await asyncio.open_connection(
+                    '127.0.0.1', server.port
+                )
+                writer.write(
+                    b'POST /services/booking/x HTTP/1.1\r\nHost: a\r\n'
+                    b'Transfer-Encoding: chunked\r\n\r\n'
+                    + b'1\r\na\r\n'
+                    * chunks
+                )
+                writers.append(writer)
+            # The first chunks of each connection are free.
+            free = crowd * bounded_http_server.CHUNKS_PER_STEP
+            read_by_turn = []
+            while chunks_read < crowd * chunks:
+                read_by_turn.append(chunks_read)
+                await asyncio.sleep(0)
+            for writer in writers:
+                writer.close()
+            turns = zip(read_by_turn, read_by_turn[1:], strict=False)
+            bound = 2 * (
+                bounded_http_server.MAX_STEPS
+                * bounded_http_server.CHUNKS_PER_STEP
+            )
+            assert all(
+                after - before <= bound
+                for before, after in turns
+                if before >= free
+            )
+
+    asyncio.run(scenario())
