Send what is left of an answer before a stream breaks off behind it

To break off closed the socket at once, with all that the caller hadn't taken of answers before.

A chunked response that breaks off behind another one ends with the connection's orderly close, after what was sent; it can't look whole without its last chunk. Bodies that only a reset tells from a whole one, and callers that are cut, are reset as before.

--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -247,6 +247,8 @@
         # What counts in the budget for requests, served or not.
         self.request_cost_bytes = 0
         self.close_after_response = False
+        # Whether a response on this connection is complete.
+        self.has_responded = False
         self.disconnected = False
         self.closing = False
         self.closing_since = self.loop.time()
@@ -394,7 +396,7 @@
         self.server.connections.discard(self)
         self._update_group()
         if self.transport.get_write_buffer_size():
-            self.abort()
+            self._abort_now()
         else:
             self.transport.close()
 
@@ -439,7 +441,7 @@
             held=self.server.budget.held_bytes,
         )
         self._set_unsent(0)
-        self.abort()
+        self._abort_now()
         self.server.on_cut()
 
     def cut_unsent(self) -> bool:
@@ -502,7 +504,19 @@
         self._send(self.response.encode_end)
 
     def abort(self) -> None:
-        """Close the connection, so that no response looks complete."""
+        """Close the connection, so that no response looks complete.
+
+        What the caller hasn't taken of responses before it is still sent.
+        """
+        if self.closing:
+            return
+        if self.has_responded and (self.response.chunked or not self.started):
+            self._close_gracefully()
+        else:
+            self._abort_now()
+
+    def _abort_now(self) -> None:
+        """Close at once and discard what the caller hasn't taken."""
         self.closing = True
         if self.transport is not None and not self.disconnected:
             if self.started and not self.response.chunked:
@@ -648,6 +662,7 @@
         if not self.finished:
             self.abort()
             return
+        self.has_responded = True
         if self.close_after_response:
             self._close_gracefully()
             return
@@ -750,7 +765,7 @@
 
     def _write(self, data: bytes) -> None:
         """Write unless the caller has disconnected."""
-        if not self.disconnected and self.transport is not None:
+        if not self.disconnected and not self.closing:
             self.transport.write(data)
             self.server.on_bytes_sent(len(data))
             if self.unsent_bytes or self.transport.get_write_buffer_size():
--- a/tests/platform/test_edge_stop.py
+++ b/tests/platform/test_edge_stop.py
@@ -1,6 +1,7 @@
 """Requests that wait, run or arrive while an edge router is stopped."""
 
 import concurrent.futures
+import contextlib
 import http.client
 import signal
 import socket
@@ -453,3 +454,32 @@
     head, _, body = received.partition(b'\r\n\r\n')
     length = int(head.lower().partition(b'content-length: ')[2].split()[0])
     assert len(body) == length
+
+
+# The connection of a stream that breaks off was closed at once.
+def test_answer_before_a_broken_stream_is_sent_to_a_slow_reader(edge):
+    edge.deregister_engine('e2')
+    edge.router.wait_for_log('event=server-gone server=e2')
+    edge.engines['e1'].padding_bytes = 60_000
+    edge.engines['e1'].faults = ['', 'stream-cut']
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    with connection:
+        connection.connect((edge.router.host, edge.caller_port))
+        connection.sendall(encode_request('/chat/x', 'slow'))
+        edge.router.wait_for_log('event=end id=slow ')
+        connection.sendall(encode_request('/talk/x', 'broken'))
+        edge.router.wait_for_log('event=end id=broken ')
+        time.sleep(0.1)
+        with contextlib.suppress(OSError):
+            connection.sendall(encode_request('/chat/x', 'behind'))
+        time.sleep(0.2)
+        connection.settimeout(END_S)
+        received = b''
+        with contextlib.suppress(ConnectionResetError):
+            while data := connection.recv(65536):
+                received += data
+    head, _, rest = received.partition(b'\r\n\r\n')
+    length = int(head.lower().partition(b'content-length: ')[2].split()[0])
+    assert len(rest) > length
+    assert not received.endswith(b'0\r\n\r\n')
