Play callers that read nothing against a router's memory

300 callers send 200 chats each, whole or streamed, with answers of about 60 kB, and read none of them.

What bounds unread answers was not traced.

--- a/tests/features/test_hostile_callers.py
+++ b/tests/features/test_hostile_callers.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import json
 import os
 import re
 import selectors
@@ -13,6 +14,7 @@
 
 import pytest
 
+from tests import deployment
 from tests import processes
 
 pytestmark = pytest.mark.process
@@ -39,6 +41,22 @@
     return head % (path, extra, length) + bytes(sent)
 
 
+def chat(size, stream):
+    """Return a chat whose answer has some six bytes a character."""
+    document = {
+        'model': 'lembrete-1',
+        'stream': stream,
+        'max_tokens': 2,
+        'messages': [{'role': 'user', 'content': '\xe9' * size}],
+    }
+    body = json.dumps(document, ensure_ascii=False).encode()
+    head = (
+        b'POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n'
+        b'Authorization: Bearer %s\r\nContent-Length: %d\r\n\r\n'
+    )
+    return head % (deployment.OTHER_API_KEY.encode(), len(body)) + body
+
+
 CHAT_PATH = b'/v1/chat/completions'
 OPENING = (
     b'GET / HTTP/1.1\r\nHost: a\r\nUpgrade: websocket\r\n'
@@ -92,6 +110,8 @@
         20,
         CHUNKED_HEAD + b'1;' + b'a' * 6_000_000,
     ),
+    'unread answers': (300, chat(10_000, stream=False) * 200),
+    'unread streams': (300, chat(10_000, stream=True) * 200),
 }
 ADMIN_CROWDS = {
     'bodies': (15, with_length(b'/status', 60_000_000, 59_000_000)),
