Test that an answer to a HTTP/1.0 caller stays within the budget

A router with sidecars keeps the whole answer for a HTTP/1.0 caller until it ends, however long it is, and counts none of it.

--- a/tests/transport/test_caller_api_server.py
+++ b/tests/transport/test_caller_api_server.py
@@ -626,3 +626,40 @@
             )
 
     asyncio.run(scenario())
+# Its caller can't detect a truncated body, so that it is kept until its end.
+def test_answer_to_a_http_1_0_caller_stays_within_the_budget():
+    limit = 10_000_000
+    chunks = 400 * [bytes(100_000)]
+
+    def answer_without_end(link, submit):
+        return helpers_router.answer(submit.attempt, *chunks)[:-1]
+
+    async def scenario():
+        budget = byte_budget.ByteBudget(limit)
+        links = helpers_router.FakeLinks()
+        async with serve(links, budget) as server:
+            script_all_vms(links, answer_without_end)
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', server.port
+            )
+            writer.write(
+                b'POST /v1/chat/completions HTTP/1.0\r\n'
+                b'Authorization: Bearer %b\r\nContent-Length: %d\r\n\r\n%b'
+                % (
+                    helpers_router.API_KEY.encode(),
+                    len(json.dumps(CHAT)),
+                    json.dumps(CHAT).encode(),
+                )
+            )
+            await asyncio.sleep(2)
+            held = sum(
+                len(piece)
+                for handler in server.running
+                for piece in handler._write_buffer
+            )
+            for handler in list(server.running):
+                handler.task.cancel()
+            writer.close()
+        return held
+
+    assert asyncio.run(scenario()) <= limit
