Give a body in chunks of one byte the time of its own scenario

It takes a minute of processor time in tornado's parser; the test allows 300 s, and pytest's own limit of 120 s would end it beside load. Also format what a merge joined.

--- a/tests/transport/test_caller_api_server.py
+++ b/tests/transport/test_caller_api_server.py
@@ -437,6 +437,7 @@
     ).encode()
 
 
+@pytest.mark.timeout(400)
 def test_body_at_the_limit_in_chunks_of_one_byte_is_served():
     budget = byte_budget.ByteBudget()
     bodies = []
@@ -626,6 +627,8 @@
             )
 
     asyncio.run(scenario())
+
+
 # Its caller can't detect a truncated body, so that it is kept until its end.
 def test_answer_to_a_http_1_0_caller_stays_within_the_budget():
     limit = 10_000_000
