--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -86,6 +86,8 @@
         self.receiving: dict[CallerConnection, None] = {}
         self.turns = work_turns.WorkTurns(_MAX_STEPS)
         self.draining = False
+        # Whether the process ends, and no request may begin.
+        self.ended = False
 
     def make_connection(self) -> 'CallerConnection':
         """Return the protocol instance of a new connection."""
@@ -207,6 +209,7 @@
 
         Return how many complete responses their callers haven't taken.
         """
+        self.ended = True
         tasks = [
             connection.task
             for connection in self.connections
@@ -291,7 +294,7 @@
 
     def data_received(self, data: bytes | memoryview) -> None:
         """Parse a caller's data, or buffer it while a response is pending."""
-        if self.closing or self.parser.error_status:
+        if self.closing or self.parser.error_status or self.server.ended:
             return
         if (
             self.task is None
--- a/tests/transport/test_edge_server.py
+++ b/tests/transport/test_edge_server.py
@@ -262,3 +262,22 @@
     assert open_count > 8
     assert router.server.budget.peak_bytes <= LIMIT
     assert router.server.budget.held_bytes == 0
+
+
+# Its task was destroyed with the event loop, with a traceback.
+def test_no_request_begins_once_all_were_ended():
+    async def run():
+        async with Router(LIMIT) as router:
+            client = await router.connect(b'')
+            await asyncio.sleep(0.05)
+            await router.server.cancel_requests()
+            await asyncio.get_running_loop().sock_sendall(
+                client, HEAD % b'good'
+            )
+            await asyncio.sleep(0.05)
+            (connection,) = router.server.connections
+            assert connection.task is None
+            assert not connection.response.started
+            client.close()
+
+    asyncio.run(run())
