Name what the callers' server counts, and look only at requests that arrive

No behaviour changes: a connection leaves the group of those that receive a request before anything is counted, which the search for stalled ones no longer relies on.

--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -27,7 +27,7 @@
 LINGER_S = 1.0
 # Precise enough, as the timeouts of callers are seconds.
 CHECK_INTERVAL_S = 0.5
-# Least time between two searches for stalled readers.
+# Least time between two searches for stalled callers.
 CUT_INTERVAL_S = 0.02
 # Until then, readers that hold most of the budget were cut or take bytes.
 MAX_CUT_WAIT_S = 0.2
@@ -49,9 +49,9 @@
 class EdgeServer:
     """The callers' open connections and their common limits.
 
-    ``max_held_bytes`` limits what is in memory at a time: request bodies and
-    responses, here and on the connections that share the ``budget``.
-    ``on_cut`` is called when a slow reader's connection is cut.
+    ``max_held_bytes`` limits what requests and responses take in memory at a
+    time, here and on the connections that share the ``budget``.  ``on_cut`` is
+    called when a slow reader's connection is cut.
     """
 
     def __init__(
@@ -147,6 +147,7 @@
                 sender.refuse_incomplete,
             )
             for sender in self.receiving
+            if sender.is_receiving()
         ]
         cuts = slow_reader_policy.choose_cuts(
             (
