Take a deadline for reached when less than a millisecond is left

Whether a silent server may be given up compared the time that is left with 0, and the wait before it the clock with the deadline: rounded differently, a wait that takes no time followed another one until the clock went on.

--- a/arbutusvale/coordination/edge_relay.py
+++ b/arbutusvale/coordination/edge_relay.py
@@ -26,6 +26,8 @@
 # The server stops at the deadline that it was given; its error response takes
 # a few milliseconds to arrive.
 DEADLINE_SLACK_S = 0.06
+# The deadline is reached when less is left: smaller waits may take no time.
+MIN_WAIT_S = 0.001
 # Refusals and errors are short responses.
 DROP_TIMEOUT_S = 0.25
 # A server that has sent events for so long bears the prompt.
@@ -371,7 +373,7 @@
         budget: those without a retry would end in the middle.
         """
         return (
-            self._time_left_s() + DEADLINE_SLACK_S <= 0
+            self._time_left_s() + DEADLINE_SLACK_S <= MIN_WAIT_S
             or self.alternatives.reserve_retry()
         )
 
