Reset a connection for a broken stream once earlier answers are taken

What callers saw: a slow reader lost the rest of an answer when a stream of HTTP/1.0 behind it on its connection was broken off by its server.

Cause: a body without a length that breaks off can only be told from a whole one by a reset, and a reset discards what the system still has to send.

The socket is set to end with a reset, whatever closes it, and is closed when the caller has taken what was sent, or after the idle timeout. Alone on its connection such a stream is reset at once, as before.

--- a/arbutusvale/transport/edge_server.py
+++ b/arbutusvale/transport/edge_server.py
@@ -514,10 +514,25 @@
         """
         if self.closing:
             return
-        if self.has_responded and (self.response.chunked or not self.started):
+        if not self.has_responded:
+            self._abort_now()
+        elif self.response.chunked or not self.started:
             self._close_gracefully()
         else:
-            self._abort_now()
+            self._reset_once_taken()
+
+    def _reset_once_taken(self) -> None:
+        """Reset the connection once the caller has taken what was sent.
+
+        Only a reset differs from the end of a body without a length.
+        """
+        raw_socket = self.transport.get_extra_info('socket')
+        socket_options.reset_on_close(raw_socket)
+        self.closing = True
+        self.closing_since = self.loop.time()
+        self._update_group()
+        self.transport.resume_reading()
+        self._close()
 
     def _abort_now(self) -> None:
         """Close at once and discard what the caller hasn't taken."""
--- a/tests/platform/test_edge_stop.py
+++ b/tests/platform/test_edge_stop.py
@@ -457,7 +457,8 @@
 
 
 # The connection of a stream that breaks off was closed at once.
-def test_answer_before_a_broken_stream_is_sent_to_a_slow_reader(edge):
+@pytest.mark.parametrize('version', [b'1.1', b'1.0'])
+def test_answer_before_a_broken_stream_is_sent_to_a_slow_reader(edge, version):
     edge.deregister_engine('e2')
     edge.router.wait_for_log('event=server-gone server=e2')
     edge.engines['e1'].padding_bytes = 60_000
@@ -468,7 +469,8 @@
         connection.connect((edge.router.host, edge.caller_port))
         connection.sendall(encode_request('/chat/x', 'slow'))
         edge.router.wait_for_log('event=end id=slow ')
-        connection.sendall(encode_request('/talk/x', 'broken'))
+        broken = encode_request('/talk/x', 'broken')
+        connection.sendall(broken.replace(b'HTTP/1.1', b'HTTP/' + version))
         edge.router.wait_for_log('event=end id=broken ')
         time.sleep(0.1)
         with contextlib.suppress(OSError):
@@ -476,10 +478,14 @@
         time.sleep(0.2)
         connection.settimeout(END_S)
         received = b''
+        was_reset = True
         with contextlib.suppress(ConnectionResetError):
             while data := connection.recv(65536):
                 received += data
+            was_reset = False
     head, _, rest = received.partition(b'\r\n\r\n')
     length = int(head.lower().partition(b'content-length: ')[2].split()[0])
     assert len(rest) > length
     assert not received.endswith(b'0\r\n\r\n')
+    # Without chunks, a whole body would end like this one.
+    assert was_reset or version == b'1.1'
