Count an HTTP/1.0 answer that is kept until it is whole

A router with sidecars keeps an answer to a caller of HTTP/1.0 until its end, as its length isn't known before, and counted none of it: 40 MB for one caller with a budget of 10 MB. Found by a review.

Its bytes count in the budget now, and without room for them the answer is given up with 502 answer_too_large and the outcome unknown. The test, which also checks that now, failed with 40,000,000 bytes held.

--- a/arbutusvale/transport/caller_api_server.py
+++ b/arbutusvale/transport/caller_api_server.py
@@ -34,6 +34,12 @@
 # this many turns of the event loop, each at least this long.
 _PIPELINE_TURNS = 10
 _PIPELINE_TURN_S = 0.005
+_ANSWER_TOO_LARGE = caller_api.ErrorResponse(
+    502,
+    'answer_too_large',
+    'The router has no memory for the whole answer. Use HTTP/1.1.',
+    _UNKNOWN,
+)
 # Headers of the connection to the backend server, or set by tornado.
 _CONNECTION_HEADERS = frozenset(
     {
@@ -76,6 +82,8 @@
         self.task: asyncio.Task | None = None
         self.caller_disconnected = False
         self.unflushed_bytes = 0
+        # Of a response that is buffered until it is complete.
+        self.answer_bytes = 0
         super().prepare()
         if self.refused:
             return
@@ -122,7 +130,7 @@
             logging.info('event=caller-left request=%s', self.request_id)
         finally:
             self.running.discard(self)
-            self.table.budget.change(-held_bytes)
+            self.table.budget.change(-held_bytes - self.answer_bytes)
 
     get = head = post = put = patch = delete = options = relay
 
@@ -186,6 +194,9 @@
             case answer_events.Head():
                 self._write_head(event)
             case answer_events.Data(data=data):
+                if not self._hold_answer(len(data)):
+                    await self._abort_response(_ANSWER_TOO_LARGE)
+                    raise web.Finish
                 self.write(data)
                 self.unflushed_bytes += len(data)
                 if self._should_flush():
@@ -208,6 +219,19 @@
                 self.add_header(name, value)
         self.close_when_draining()
 
+    def _hold_answer(self, size: int) -> bool:
+        """Count bytes that are buffered until the response is complete.
+
+        Return whether there is room for them.
+        """
+        if self.request.version != 'HTTP/1.0':
+            return True
+        if not self.table.budget.has_room(size):
+            return False
+        self.answer_bytes += size
+        self.table.budget.change(size)
+        return True
+
     def _should_flush(self) -> bool:
         """Return whether to send the buffered body now.
 
--- a/tests/transport/test_caller_api_server.py
+++ b/tests/transport/test_caller_api_server.py
@@ -660,9 +660,15 @@
                 for handler in server.running
                 for piece in handler._write_buffer
             )
+            answer = await reader.read(4096)
             for handler in list(server.running):
                 handler.task.cancel()
             writer.close()
-        return held
+            await wait_until(lambda: not server.running)
+        assert budget.held_bytes == 0
+        return held, answer
 
-    assert asyncio.run(scenario()) <= limit
+    held, answer = asyncio.run(scenario())
+    assert held <= limit
+    assert answer.split(b' ')[1] == b'502'
+    assert b'answer_too_large' in answer
