Give test engines ports that stay theirs while they are down

An engine of the tests starts again at its port, which was one that the system hands out to any connection meanwhile: then it can't start, and the test waits for it in vain.

--- a/tests/edge_fleet.py
+++ b/tests/edge_fleet.py
@@ -192,7 +192,9 @@
     def add_engine(self, name, **record_fields):
         """Start an engine and add it to the server list."""
         engine = edge_engine.EngineStandin(name)
-        port = self.event_loop.run(engine.server.open())
+        # It is free when the engine restarts, too.
+        (port,) = find_free_ports(1)
+        self.event_loop.run(engine.server.open(port))
         self.engines[name] = engine
         self.register_engine(name, port, **record_fields)
         return engine
@@ -214,7 +216,11 @@
                 engine.name = f'{name}x'
                 self.engines[engine.name] = engine
                 await self.store.append(SERVERS_TOPIC, name, b'')
-            await engine.restart()
+            try:
+                await engine.restart()
+            except OSError as error:
+                print(f'{name} can not start again: {error}')
+                raise
             data = helpers_edge.make_entry(
                 f'127.0.0.1:{engine.server.port}',
                 born=2 + len(engine.crash_causes),
@@ -290,10 +296,13 @@
 
 
 def find_free_ports(count):
-    """Return free ports below the kernel's ephemeral range."""
+    """Return free ports below the kernel's ephemeral range.
+
+    Test processes, whose ids are neighbours, begin far from each other.
+    """
     ports = []
     probes = []
-    for port in range(20000 + os.getpid() % 10000, 32700):
+    for port in range(20000 + os.getpid() * 331 % 12000, 32700):
         probe = socket.socket()
         try:
             probe.bind(('127.0.0.1', port))
