--- a/review/support-2/engine_process.py
+++ b/review/support-2/engine_process.py
@@ -11,6 +11,8 @@
 import fleet
 
 BLOCK_BYTES = 64 * 1024
+# So that an answer is under way for a while, whatever the sockets hold.
+BYTES_PER_S = 10 * 1024 * 1024
 
 
 def make_body(size):
@@ -38,7 +40,11 @@
         headers['X-Arbutusvale-Engine-Signature'] = f'sig-{self.name}'
         headers['Connection'] = 'close'
         writer.write(fleet.format_head(200, headers))
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
         for start in range(0, len(self.body), BLOCK_BYTES):
+            due_at = began_at + start / BYTES_PER_S
+            await asyncio.sleep(max(0.0, due_at - loop.time()))
             writer.write(self.body[start : start + BLOCK_BYTES])
             await writer.drain()
         print(f'{self.name} has written {request.attempt_id}', flush=True)
