--- a/review/support-2/fleet.py
+++ b/review/support-2/fleet.py
@@ -1,4 +1,4 @@
-"""Edge routers, stand-ins and callers for the cases 6 to 10.
+"""Edge routers, stand-ins and callers for the cases from 6 on.
 
 The routers are started with the command of ``deploy/system.toml``.  The store
 and the engines follow the users' pages as far as the cases need them; engines
