--- a/review/support-2/fleet.py
+++ b/review/support-2/fleet.py
@@ -306,7 +306,8 @@
 
     def start(self):
         path = pathlib.Path(self.fleet.folder) / f'{self.name}.toml'
-        path.write_text(self.fleet.format_settings(self))
+        is_first = self.process is None
+        path.write_text(self.fleet.format_settings(self, is_first))
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         command = deploy['roles']['edge-router']['run'].split(' ')
         environment = os.environ | {
@@ -417,7 +418,7 @@
         self.attempts += 1
         return f'attempt-{self.attempts:05d}'
 
-    def format_settings(self, router):
+    def format_settings(self, router, is_first):
         return f"""
 NodeName = "{router.name}"
 Role = "edge-router"
@@ -428,7 +429,7 @@
 Region = "sul"
 InternalPortRange = [{self.peer_port},{self.peer_port + 15}]
 Seeds = [{self._format_seeds(router)}]
-Bootstrap = true
+Bootstrap = {'true' if is_first else 'false'}
 CountsAsLoss = false
 Discovery = "platform"
 Entry = "virtual_ip"
--- a/review/support-2/stream_engine.py
+++ b/review/support-2/stream_engine.py
@@ -134,7 +134,10 @@
 
 
 class Stream:
-    """One client's stream, over one or more attempts."""
+    """One client's stream, over one or more attempts.
+
+    ``prompt`` is empty for one that goes to no model engine.
+    """
 
     def __init__(self, fleet_, path, prompt, events, deadline_ms=15000):
         self.fleet = fleet_
@@ -161,11 +164,13 @@
         Retry-After of a refusal in seconds.
         """
         attempt_id = self.fleet.next_attempt_id()
-        headers = {
-            'X-Arbutusvale-Model-Id': 'm',
-            'X-Arbutusvale-Token-Count': '1460,80',
-            'X-Arbutusvale-Prompt-Prefix': self.prompt,
-        }
+        headers = {}
+        if self.prompt:
+            headers = {
+                'X-Arbutusvale-Model-Id': 'm',
+                'X-Arbutusvale-Token-Count': '1460,80',
+                'X-Arbutusvale-Prompt-Prefix': self.prompt,
+            }
         if self.first_attempt:
             headers['Resumes'] = self.first_attempt
             headers['Last-Event-Id'] = str(self.last_event)
