--- a/review/support-2/fleet.py
+++ b/review/support-2/fleet.py
@@ -25,6 +25,10 @@
 READY_TIMEOUT_S = 25.0
 POLL_INTERVAL_S = 0.05
 HEARTBEAT_S = 1.2
+# An entry is removed after so many heartbeats of silence.
+SILENT_HEARTBEATS = 3
+# A case ends by then; what it started is ended behind that.
+TIME_LIMIT_S = 112.0
 
 
 class CaseFailed(Exception):
@@ -159,8 +163,6 @@
         self.record = record
         self.records = {}
         self.changed = asyncio.Condition()
-        # While it is down, each call gets 503 and nothing is done.
-        self.is_down = False
 
     async def append(self, topic, key, value):
         self.records.setdefault(topic, []).append((key, value))
@@ -170,9 +172,6 @@
             self.changed.notify_all()
 
     async def handle(self, request, reader, writer):
-        if self.is_down:
-            writer.write(format_answer(503, {}))
-            return True
         topic = request.query.get('Topic', '')
         if request.query.get('part', '0') != '0':
             topic += '/' + request.query['part']
@@ -184,9 +183,7 @@
             case '/-/log-append':
                 answer = await self._append_frames(topic, request.body)
             case _:
-                answer = format_answer(404, {})
-        if self.is_down:
-            answer = format_answer(503, {})
+                answer = format_answer(404, {'Store-Era': 1})
         writer.write(answer)
         await writer.drain()
         return True
@@ -255,7 +252,6 @@
         'Slots': 8,
         'State': 'ready',
         'WarmupLeftMs': 0,
-        'Sequence': 1,
         'born': 1,
     } | fields).encode()  # fmt: skip
 
@@ -365,6 +361,7 @@
         self.store = Store(record)
         self.engines = {}
         self.entries = {}
+        self.sequences = {}
         self.routers = []
         self.caller_port, self.ready_port, self.peer_port = find_free_ports(3)
         self.attempts = 0
@@ -385,11 +382,18 @@
     async def register(self, name, address, **fields):
         """Write an engine's entry, and again at each heartbeat."""
         self.entries[name] = (address, fields)
+        self.sequences[name] = 0
         await self._write_entry(name)
 
-    async def deregister(self, name):
+    def note_crash(self, name):
+        """Write no entry of a crashed engine; remove it when it is due."""
         del self.entries[name]
-        await self.store.append('keyed.servers', name, b'')
+        self.tasks.append(asyncio.create_task(self._remove_silent(name)))
+
+    async def _remove_silent(self, name):
+        await asyncio.sleep(SILENT_HEARTBEATS * HEARTBEAT_S)
+        if name not in self.entries:
+            await self.store.append('keyed.servers', name, b'')
 
     async def _write_heartbeats(self):
         while True:
@@ -398,19 +402,16 @@
                 await self._write_entry(name)
 
     async def _write_entry(self, name):
-        """Write an entry, unless the store is down."""
-        if self.store.is_down or name not in self.entries:
-            return
         address, fields = self.entries[name]
-        await self.store.append(
-            'keyed.servers', name, make_entry(address, **fields)
-        )
+        self.sequences[name] += 1
+        entry = make_entry(address, Sequence=self.sequences[name], **fields)
+        await self.store.append('keyed.servers', name, entry)
 
     async def start_routers(self, count):
         for number in range(1, count + 1):
             router = Router(self, number)
-            router.start()
             self.routers.append(router)
+            router.start()
         for router in self.routers:
             await router.wait_until_ready()
 
@@ -493,12 +494,17 @@
         )
 
     async def close(self):
+        """End all that was started, also what comes after a failure."""
         for task in self.tasks:
             task.cancel()
-        for router in self.routers:
-            router.kill()
-        for engine in self.engines.values():
-            await engine.close()
+        for started in (*self.routers, *self.engines.values()):
+            try:
+                if isinstance(started, Router):
+                    started.kill()
+                else:
+                    await started.close()
+            except Exception as error:
+                self.record.write(f'not ended: {error!r}')
         await self.store.close()
         if os.environ.get('KEEP_LOGS'):
             for router in self.routers:
@@ -542,6 +548,15 @@
     return data
 
 
+async def _play_in_time(main, record, with_trouble):
+    """Play a case; a signal or the time limit ends it, and what it started."""
+    task = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    async with asyncio.timeout(TIME_LIMIT_S):
+        return await main(record, with_trouble)
+
+
 def run(main, folder):
     """Run a case; its result is the exit code: 1 broken, 0 held, 2 not run.
 
@@ -552,8 +567,8 @@
     with_trouble = os.environ.get('TROUBLE', '1') != '0'
     record.write(f'case begins, disruption: {with_trouble}')
     try:
-        broken = asyncio.run(main(record, with_trouble))
-    except Exception as error:
+        broken = asyncio.run(_play_in_time(main, record, with_trouble))
+    except (Exception, asyncio.CancelledError) as error:
         record.write(f'the case could not run: {error!r}')
         sys.stderr.write(f'{error!r}\n')
         return 2
